--- /dev/null
+++ b/fleet/state.go
@@ -0,0 +1,181 @@
+package fleet
+
+import (
+	"maps"
+	"net/netip"
+	"slices"
+	"time"
+
+	"github.com/acaciatally/acaciatally"
+)
+
+// Phase is where an instance stands between serving and being repaired.
+type Phase string
+
+// The phases of an instance; only Serving instances count as available.
+const (
+	Serving     Phase = "Serving"
+	Draining    Phase = "Draining"
+	Stopping    Phase = "Stopping"
+	Rebooting   Phase = "Rebooting"
+	Checking    Phase = "Checking"
+	Failed      Phase = "Failed"
+	Quarantined Phase = "Quarantined"
+)
+
+// Cause is why an instance left the phase Serving.
+type Cause string
+
+// The causes for which an instance is not serving.
+const (
+	CauseNone     Cause = ""
+	CauseOperator Cause = "Operator"
+	CauseWave     Cause = "Wave"
+	CauseMove     Cause = "Move"
+	CauseFailure  Cause = "Failure"
+)
+
+// Planned reports whether the cause is one that the system may delay.
+func (c Cause) Planned() bool {
+	return c == CauseOperator || c == CauseWave || c == CauseMove
+}
+
+// guardsDomain reports whether two disruptions of the cause must lie in different failure domains; moves are exempt, since a
+// moved instance is not at risk of failing to come back.
+func (c Cause) guardsDomain() bool {
+	return c == CauseOperator || c == CauseWave
+}
+
+// Instance is a machine of exactly one pool.
+type Instance struct {
+	ID          acaciatally.InstanceID
+	Pool        acaciatally.PoolName
+	Home        acaciatally.PoolName // the pool to which a borrowed instance returns
+	DataCentre  acaciatally.DataCentre
+	Rack        acaciatally.Rack
+	Address     netip.AddrPort
+	Slots       int
+	Connections int
+	Resources   acaciatally.Resources
+	Phase       Phase
+	Cause       Cause
+	Wave        string `json:",omitempty"`
+	PhaseSince  time.Time
+	Maintained  time.Time // end of the last maintenance
+	MovedAt     time.Time
+	Version     uint64 // log version of the last change
+	By          string
+	Reason      string
+}
+
+// Pool is a named group of instances with an availability budget.
+type Pool struct {
+	Name           acaciatally.PoolName
+	Spare          bool
+	MaxUnavailable int   // instances that may be unavailable at once by plan
+	MinAvailable   int   // instances that must stay available through planned changes
+	ProvesNotRun   []int `json:",omitempty"` // endpoint statuses that prove a request did not run
+	Version        uint64
+	By             string
+}
+
+// Team is a group of callers with a quota.
+type Team struct {
+	Name    acaciatally.TeamName
+	Quota   int // slots held at once before the team waits behind others
+	Version uint64
+	By      string
+}
+
+// WaveState is the progress of a maintenance wave.
+type WaveState string
+
+// The states of a maintenance wave.
+const (
+	WaveRunning WaveState = "Running"
+	WaveHeld    WaveState = "Held"
+	WaveDone    WaveState = "Done"
+	WaveStopped WaveState = "Stopped"
+)
+
+// Wave is a maintenance run over the instances of some pools.
+type Wave struct {
+	ID      string
+	Pools   []acaciatally.PoolName
+	State   WaveState
+	Started time.Time
+	Ended   time.Time
+	Version uint64
+	By      string
+	Reason  string
+}
+
+// State is one immutable version of the control state.
+type State struct {
+	Version   uint64
+	Pools     map[acaciatally.PoolName]Pool
+	Instances map[acaciatally.InstanceID]Instance
+	Teams     map[acaciatally.TeamName]Team
+	Waves     map[string]Wave
+	Options   map[string]string // tunables changed at run time, by settings path
+}
+
+// New returns the empty state at version 0.
+func New() *State {
+	return &State{
+		Pools:     map[acaciatally.PoolName]Pool{},
+		Instances: map[acaciatally.InstanceID]Instance{},
+		Teams:     map[acaciatally.TeamName]Team{},
+		Waves:     map[string]Wave{},
+		Options:   map[string]string{},
+	}
+}
+
+func (s *State) clone() *State {
+	return &State{
+		Version:   s.Version,
+		Pools:     maps.Clone(s.Pools),
+		Instances: maps.Clone(s.Instances),
+		Teams:     maps.Clone(s.Teams),
+		Waves:     maps.Clone(s.Waves),
+		Options:   maps.Clone(s.Options),
+	}
+}
+
+// Members returns the instances of a pool in order of id.
+func (s *State) Members(pool acaciatally.PoolName) []Instance {
+	var members []Instance
+	for _, instance := range s.Instances {
+		if instance.Pool == pool {
+			members = append(members, instance)
+		}
+	}
+	slices.SortFunc(members, func(a, b Instance) int {
+		if a.ID < b.ID {
+			return -1
+		}
+		return 1
+	})
+	return members
+}
+
+// Available returns the number of serving instances of a pool.
+func (s *State) Available(pool acaciatally.PoolName) int {
+	count := 0
+	for _, instance := range s.Instances {
+		if instance.Pool == pool && instance.Phase == Serving {
+			count++
+		}
+	}
+	return count
+}
+
+// SparePool returns the name of the spare pool, or the empty name.
+func (s *State) SparePool() acaciatally.PoolName {
+	for _, pool := range s.Pools {
+		if pool.Spare {
+			return pool.Name
+		}
+	}
+	return ""
+}
--- /dev/null
+++ b/settings/doc.go
@@ -0,0 +1,2 @@
+// Package settings reads a deployment's YAML settings.
+package settings
