--- /dev/null
+++ b/experiment/figure.go
@@ -0,0 +1,30 @@
+package experiment
+
+import (
+	"context"
+	"fmt"
+)
+
+// Figure is one measured value.
+type Figure struct {
+	Measure    string
+	Deployment string
+	Policy     string
+	Value      float64
+	Unit       string
+	Seed       uint64
+}
+
+// String returns the figure as one line of key=value pairs.
+func (f Figure) String() string {
+	return fmt.Sprintf("Measure=%s Deployment=%s Policy=%s Value=%.4g Unit=%s Seed=%d",
+		f.Measure, f.Deployment, f.Policy, f.Value, f.Unit, f.Seed)
+}
+
+// Experiment is one measurement that compares policies.
+type Experiment interface {
+	// String returns the name by which the experiment is chosen on the command line.
+	String() string
+	// Run measures with the given seed.
+	Run(ctx context.Context, seed uint64) (figures []Figure, err error)
+}
--- /dev/null
+++ b/experiment/list.go
@@ -0,0 +1,6 @@
+package experiment
+
+// All lists the experiments in the order in which they run.
+func All() []Experiment {
+	return []Experiment{}
+}
