Index the fleet state by pool and close three gaps in its budgets

Cause: every budget check scanned the whole fleet, and replay copied it once a record. A drain without a planned cause passed without a budget check, a stop could change the cause of a drain (which evades the failure-domain rule), and a moved instance could be stopped without a further check. Change: members by pool are kept with the state; `Apply` copies only the maps that a record touches; `Replay` copies once for a whole tail. Drains need a planned cause and keep it. Instances record the target of a move, whether a drain ends in a reboot, the number of reboots and the last failure, so that another controller continues where one died. The property test fails without the budget check, without the removal from the old pool, without the check of the planned cause, and without the domain rule.

--- a/fleet/budget.go
+++ b/fleet/budget.go
@@ -21,10 +21,7 @@
 func (s *State) Allows(instance Instance, cause Cause) (err error) {
 	pool := s.Pools[instance.Pool]
 	available, unavailable := 0, 0
-	for _, other := range s.Instances {
-		if other.Pool != instance.Pool {
-			continue
-		}
+	for _, other := range s.members(instance.Pool) {
 		if other.Phase == Serving {
 			available++
 			continue
--- a/fleet/change.go
+++ b/fleet/change.go
@@ -34,14 +34,18 @@
 type MoveInstance struct {
 	ID       acaciatally.InstanceID
 	From, To acaciatally.PoolName
+	Borrow   bool `json:",omitempty"` // keeps the instance's home; otherwise To becomes its home
 }
 
-// SetPhase changes the phase of an instance.
+// SetPhase changes the phase of an instance; an empty cause keeps the present one.
 type SetPhase struct {
-	ID    acaciatally.InstanceID
-	Phase Phase
-	Cause Cause
-	Wave  string `json:",omitempty"`
+	ID     acaciatally.InstanceID
+	Phase  Phase
+	Cause  Cause                `json:",omitempty"`
+	Wave   string               `json:",omitempty"` // empty keeps the present one
+	Target acaciatally.PoolName `json:",omitempty"` // pool of a move, with the cause Move
+	Borrow bool                 `json:",omitempty"`
+	Reboot bool                 `json:",omitempty"` // an operator's drain goes on to a reboot
 	// Maintained marks the end of a maintenance of the instance.
 	Maintained bool `json:",omitempty"`
 }
@@ -74,16 +78,23 @@
 	return &InvalidChangeError{Subject: subject, Reason: fmt.Sprintf(format, args...)}
 }
 
-// Apply returns the state after the record; it fails with *InvalidChangeError or *BudgetError and leaves s as it is.
+// Apply returns the state after the record; it fails with *InvalidChangeError, *BudgetError or *RaceError and leaves s as it is.
 func (s *State) Apply(record Record) (next *State, err error) {
-	if record.Version != s.Version+1 {
-		return nil, invalid("record", "version %d does not follow %d", record.Version, s.Version)
-	}
-	next = s.clone()
-	next.Version = record.Version
-	for _, change := range record.Changes {
-		if err = next.apply(change, record); err != nil {
-			return nil, err
+	return s.Replay(record)
+}
+
+// Replay returns the state after the records and copies the state once for all of them; it fails as Apply does.
+func (s *State) Replay(records ...Record) (next *State, err error) {
+	next = s.clone(touched(records))
+	for _, record := range records {
+		if record.Version != next.Version+1 {
+			return nil, invalid("record", "version %d does not follow %d", record.Version, next.Version)
+		}
+		next.Version = record.Version
+		for _, change := range record.Changes {
+			if err = next.apply(change, record); err != nil {
+				return nil, err
+			}
 		}
 	}
 	return next, nil
--- a/fleet/instance.go
+++ b/fleet/instance.go
@@ -11,7 +11,7 @@
 	Serving:     {Draining},
 	Draining:    {Serving, Stopping},
 	Stopping:    {Rebooting},
-	Rebooting:   {Checking},
+	Rebooting:   {Checking, Rebooting},
 	Checking:    {Serving, Rebooting},
 	Failed:      {Rebooting, Checking, Serving},
 	Quarantined: {Draining, Rebooting, Checking, Serving},
@@ -39,11 +39,6 @@
 	return nil
 }
 
-func (s *State) put(instance Instance, record Record) {
-	instance.Version, instance.By, instance.Reason = record.Version, record.By, record.Reason
-	s.Instances[instance.ID] = instance
-}
-
 func (s *State) removeInstance(id acaciatally.InstanceID) error {
 	instance, found := s.Instances[id]
 	if !found {
@@ -52,7 +47,7 @@
 	if instance.Phase == Serving {
 		return invalid("instance "+string(id), "is serving; drain it first")
 	}
-	delete(s.Instances, id)
+	s.drop(instance)
 	return nil
 }
 
@@ -72,37 +67,92 @@
 		return invalid(subject, "is %s, a move needs it drained for a move", instance.Phase)
 	}
 	instance.Pool = move.To
-	instance.Phase, instance.Cause = Serving, CauseNone
-	instance.PhaseSince, instance.MovedAt = record.At, record.At
+	if !move.Borrow {
+		instance.Home = move.To
+	}
+	instance.serve(record)
+	instance.MovedAt = record.At
 	s.put(instance, record)
 	return nil
 }
 
+// serve puts the instance back to work and clears what led it out.
+func (i *Instance) serve(record Record) {
+	i.Phase, i.Cause, i.Wave, i.Target = Serving, CauseNone, "", ""
+	i.Borrow, i.Reboot, i.Attempts = false, false, 0
+	i.PhaseSince = record.At
+}
+
 func (s *State) setPhase(set SetPhase, record Record) error {
 	subject := "instance " + string(set.ID)
 	instance, found := s.Instances[set.ID]
 	if !found {
 		return invalid(subject, "does not exist")
 	}
+	if err := s.mayEnter(instance, set); err != nil {
+		return err
+	}
+	instance.enter(set, record)
+	s.put(instance, record)
+	return nil
+}
+
+// mayEnter checks the order of phases and, for a planned disruption, the budget.
+func (s *State) mayEnter(instance Instance, set SetPhase) error {
+	subject := "instance " + string(set.ID)
 	failure := set.Phase == Failed || set.Phase == Quarantined
 	if !failure && !slices.Contains(nextPhases[instance.Phase], set.Phase) {
 		return invalid(subject, "%s cannot follow %s", set.Phase, instance.Phase)
 	}
-	if instance.Phase == Serving && set.Cause.Planned() {
-		if err := s.Allows(instance, set.Cause); err != nil {
-			return err
-		}
+	if instance.Phase == Draining && set.Phase == Stopping {
+		return mayStop(instance, set)
 	}
-	if set.Phase != instance.Phase {
-		instance.PhaseSince = record.At
+	if failure || instance.Phase != Serving {
+		return nil
 	}
-	instance.Phase, instance.Cause, instance.Wave = set.Phase, set.Cause, set.Wave
-	if set.Phase == Serving {
-		instance.Cause, instance.Wave = CauseNone, ""
+	if !set.Cause.Planned() {
+		return invalid(subject, "a drain needs a planned cause")
 	}
-	if set.Maintained {
-		instance.Maintained = record.At
+	return s.Allows(instance, set.Cause)
+}
+
+// mayStop refuses a change of cause, which would evade the failure-domain rule, and the stop of an instance that is only moved.
+func mayStop(instance Instance, set SetPhase) error {
+	subject := "instance " + string(set.ID)
+	if set.Cause != CauseNone && set.Cause != instance.Cause {
+		return invalid(subject, "is drained for %s, not for %s", instance.Cause, set.Cause)
+	}
+	if instance.Cause == CauseMove {
+		return invalid(subject, "is drained for a move and must not stop")
 	}
-	s.put(instance, record)
 	return nil
 }
+
+func (i *Instance) enter(set SetPhase, record Record) {
+	if set.Phase == Serving {
+		i.serve(record)
+		if set.Maintained {
+			i.Maintained = record.At
+		}
+		return
+	}
+	if set.Phase != i.Phase || set.Phase == Rebooting {
+		i.PhaseSince = record.At
+	}
+	if set.Phase == Rebooting {
+		i.Attempts++
+	}
+	if set.Phase == Failed || set.Phase == Quarantined {
+		i.FailedAt, set.Cause = record.At, CauseFailure
+	}
+	if set.Cause != CauseNone {
+		i.Cause = set.Cause
+	}
+	if set.Wave != "" {
+		i.Wave = set.Wave
+	}
+	if set.Phase == Draining {
+		i.Target, i.Borrow, i.Reboot = set.Target, set.Borrow, set.Reboot
+	}
+	i.Phase = set.Phase
+}
--- /dev/null
+++ b/fleet/members.go
@@ -0,0 +1,133 @@
+package fleet
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+
+	"github.com/acaciatally/acaciatally"
+)
+
+// parts names the maps of a state that a set of records changes; only these are copied.
+type parts struct {
+	pools, instances, teams, waves, options bool
+}
+
+func touched(records []Record) (p parts) {
+	for _, record := range records {
+		for _, change := range record.Changes {
+			p.pools = p.pools || change.PutPool != nil || change.RemovePool != nil
+			p.teams = p.teams || change.PutTeam != nil || change.RemoveTeam != nil
+			p.waves = p.waves || change.PutWave != nil
+			p.options = p.options || change.SetOption != nil
+			p.instances = p.instances || change.AddInstance != nil || change.RemoveInstance != nil ||
+				change.MoveInstance != nil || change.SetPhase != nil
+		}
+	}
+	return p
+}
+
+// clone copies the parts that will change and shares the others with s.
+func (s *State) clone(p parts) *State {
+	next := *s
+	if p.pools {
+		next.Pools = maps.Clone(s.Pools)
+	}
+	if p.teams {
+		next.Teams = maps.Clone(s.Teams)
+	}
+	if p.waves {
+		next.Waves = maps.Clone(s.Waves)
+	}
+	if p.options {
+		next.Options = maps.Clone(s.Options)
+	}
+	if p.instances {
+		next.Instances = maps.Clone(s.Instances)
+		next.byPool = maps.Clone(s.index())
+	}
+	return &next
+}
+
+// index returns the members by pool and computes them for a state that was decoded or composed by hand.
+func (s *State) index() map[acaciatally.PoolName][]Instance {
+	if s.byPool != nil {
+		return s.byPool
+	}
+	byPool := map[acaciatally.PoolName][]Instance{}
+	for _, instance := range s.Instances {
+		byPool[instance.Pool] = append(byPool[instance.Pool], instance)
+	}
+	for _, members := range byPool {
+		slices.SortFunc(members, byID)
+	}
+	return byPool
+}
+
+func byID(a, b Instance) int { return cmp.Compare(a.ID, b.ID) }
+
+func (s *State) members(pool acaciatally.PoolName) []Instance {
+	return s.index()[pool]
+}
+
+// put replaces the instance and keeps it in the list of exactly one pool.
+func (s *State) put(instance Instance, record Record) {
+	instance.Version, instance.By, instance.Reason = record.Version, record.By, record.Reason
+	if old, found := s.Instances[instance.ID]; found && old.Pool != instance.Pool {
+		s.unlist(old)
+	}
+	s.Instances[instance.ID] = instance
+	members := s.byPool[instance.Pool]
+	at, found := slices.BinarySearchFunc(members, instance, byID)
+	members = slices.Clone(members)
+	if found {
+		members[at] = instance
+	} else {
+		members = slices.Insert(members, at, instance)
+	}
+	s.byPool[instance.Pool] = members
+}
+
+func (s *State) drop(instance Instance) {
+	s.unlist(instance)
+	delete(s.Instances, instance.ID)
+}
+
+func (s *State) unlist(instance Instance) {
+	members := slices.Clone(s.byPool[instance.Pool])
+	if at, found := slices.BinarySearchFunc(members, instance, byID); found {
+		members = slices.Delete(members, at, at+1)
+	}
+	s.byPool[instance.Pool] = members
+}
+
+// Members returns the instances of a pool in order of id.
+func (s *State) Members(pool acaciatally.PoolName) []Instance {
+	return slices.Clone(s.members(pool))
+}
+
+// Available returns the number of serving instances of a pool.
+func (s *State) Available(pool acaciatally.PoolName) int {
+	count := 0
+	for _, instance := range s.members(pool) {
+		if instance.Phase == Serving {
+			count++
+		}
+	}
+	return count
+}
+
+// PoolNames returns the names of all pools in order.
+func (s *State) PoolNames() []acaciatally.PoolName {
+	return slices.Sorted(maps.Keys(s.Pools))
+}
+
+// SparePool returns the name of the spare pool, or the empty name.
+func (s *State) SparePool() acaciatally.PoolName {
+	for _, pool := range s.Pools {
+		if pool.Spare {
+			return pool.Name
+		}
+	}
+	return ""
+}
--- a/fleet/state.go
+++ b/fleet/state.go
@@ -1,9 +1,7 @@
 package fleet
 
 import (
-	"maps"
 	"net/netip"
-	"slices"
 	"time"
 
 	"github.com/acaciatally/acaciatally"
@@ -59,11 +57,16 @@
 	Resources   acaciatally.Resources
 	Phase       Phase
 	Cause       Cause
-	Wave        string `json:",omitempty"`
+	Wave        string               `json:",omitempty"`
+	Target      acaciatally.PoolName `json:",omitempty"` // pool to which a drained instance moves
+	Borrow      bool                 `json:",omitempty"` // the move to Target is a loan: Home stays as it is
+	Reboot      bool                 `json:",omitempty"` // a drain of the instance ends in a reboot
+	Attempts    int                  `json:",omitempty"` // reboots since it last served
 	PhaseSince  time.Time
-	Maintained  time.Time // end of the last maintenance
-	MovedAt     time.Time
-	Version     uint64 // log version of the last change
+	Maintained  time.Time `json:",omitzero"` // end of the last maintenance
+	MovedAt     time.Time `json:",omitzero"`
+	FailedAt    time.Time `json:",omitzero"` // start of the last failure or quarantine
+	Version     uint64    // log version of the last change
 	By          string
 	Reason      string
 }
@@ -118,6 +121,8 @@
 	Teams     map[acaciatally.TeamName]Team
 	Waves     map[string]Wave
 	Options   map[string]string // tunables changed at run time, by settings path
+
+	byPool map[acaciatally.PoolName][]Instance // members in order of id; a slice is replaced, never changed
 }
 
 // New returns the empty state at version 0.
@@ -128,54 +133,6 @@
 		Teams:     map[acaciatally.TeamName]Team{},
 		Waves:     map[string]Wave{},
 		Options:   map[string]string{},
+		byPool:    map[acaciatally.PoolName][]Instance{},
 	}
 }
-
-func (s *State) clone() *State {
-	return &State{
-		Version:   s.Version,
-		Pools:     maps.Clone(s.Pools),
-		Instances: maps.Clone(s.Instances),
-		Teams:     maps.Clone(s.Teams),
-		Waves:     maps.Clone(s.Waves),
-		Options:   maps.Clone(s.Options),
-	}
-}
-
-// Members returns the instances of a pool in order of id.
-func (s *State) Members(pool acaciatally.PoolName) []Instance {
-	var members []Instance
-	for _, instance := range s.Instances {
-		if instance.Pool == pool {
-			members = append(members, instance)
-		}
-	}
-	slices.SortFunc(members, func(a, b Instance) int {
-		if a.ID < b.ID {
-			return -1
-		}
-		return 1
-	})
-	return members
-}
-
-// Available returns the number of serving instances of a pool.
-func (s *State) Available(pool acaciatally.PoolName) int {
-	count := 0
-	for _, instance := range s.Instances {
-		if instance.Pool == pool && instance.Phase == Serving {
-			count++
-		}
-	}
-	return count
-}
-
-// SparePool returns the name of the spare pool, or the empty name.
-func (s *State) SparePool() acaciatally.PoolName {
-	for _, pool := range s.Pools {
-		if pool.Spare {
-			return pool.Name
-		}
-	}
-	return ""
-}
