Add the operators' language, the audit trail and checked settings

Cause: operators could only post two fixed JSON requests, a settings file stopped at its first error, and nobody could ask why. Ruled out: SQL as the language (operators need orders and explanations as well as queries), and checking through the YAML library's strict mode (it stops at the first error and names no nearest key). Change: packages command (grammar, tables, explain, dry run, completion, HTTP server and client), console (subcommands, exit codes), audit (trail and archive blocks), spelling; settings report every error with path and line; options that change at run time; both users' deployments under examples. Before: one error a run, no query.

--- /dev/null
+++ b/command/evaluator.go
@@ -0,0 +1,137 @@
+package command
+
+import (
+	"context"
+	"fmt"
+
+	"github.com/samber/oops"
+
+	"github.com/acaciatally/acaciatally"
+	"github.com/acaciatally/acaciatally/changelog"
+	"github.com/acaciatally/acaciatally/fleet"
+)
+
+// Log is the ordered log as the language needs it.
+type Log interface {
+	// State returns the newest known state.
+	State() *fleet.State
+	// Commit appends a proposal's changes and returns the version at which the command stands.
+	Commit(ctx context.Context, proposal changelog.Proposal) (version uint64, err error)
+}
+
+// Audit returns what happened.
+type Audit interface {
+	// Latest returns up to limit records, newest first.
+	Latest(ctx context.Context, limit int) (records []fleet.Record, err error)
+}
+
+// Task is one line of the list of tasks.
+type Task struct {
+	ID       string
+	Team     acaciatally.TeamName
+	Pool     acaciatally.PoolName
+	Urgency  acaciatally.Urgency
+	Phase    string
+	Worker   acaciatally.InstanceID
+	Attempts int
+	Reason   string
+	History  []string // latest decisions with their reasons, newest first
+}
+
+// Tasks lists and cancels tasks.
+type Tasks interface {
+	// List returns all known tasks in order of id.
+	List(ctx context.Context) (tasks []Task, err error)
+	// Cancel cancels tasks, in one write each at most.
+	Cancel(ctx context.Context, by string, tasks ...string) (err error)
+}
+
+// Hints spreads that an instance leaves while the log cannot be written.
+type Hints interface {
+	// HintLeaving tells the peers that no new work goes to the instance.
+	HintLeaving(instance acaciatally.InstanceID)
+}
+
+// Config is what an Evaluator needs; Membership, Tasks and Hints may be nil.
+type Config struct {
+	Log        Log
+	Audit      Audit
+	Tasks      Tasks
+	Membership acaciatally.Membership
+	Hints      Hints
+	Self       acaciatally.Peer
+	Clock      acaciatally.Clock
+}
+
+// Evaluator carries out statements.
+type Evaluator struct {
+	config Config
+}
+
+// New returns an evaluator of statements.
+func New(config Config) *Evaluator {
+	if config.Clock == nil {
+		config.Clock = acaciatally.SystemClock{}
+	}
+	return &Evaluator{config: config}
+}
+
+// Order is one statement given by an operator.
+type Order struct {
+	ID     string // makes a repeated order change nothing
+	By     string
+	Text   string
+	DryRun bool
+	// SeenVersion is the log version that the operator saw; 0 means the newest known one.
+	SeenVersion uint64 `json:",omitempty"`
+}
+
+// Result is what an order brought.
+type Result struct {
+	ID      string
+	Table   *Table `json:",omitempty"`
+	Text    string `json:",omitempty"`
+	Version uint64 // log version at which the order stands, or that a query saw
+	DryRun  bool   `json:",omitempty"`
+}
+
+// Run carries out one order; it fails with *SyntaxError, *fleet.BudgetError, *fleet.InvalidChangeError, *fleet.RaceError or an error of
+// the platform.
+func (e *Evaluator) Run(ctx context.Context, order Order) (result Result, err error) {
+	defer func() { err = oops.In("command").With("id", order.ID).Wrapf(err, "run %q", order.Text) }()
+	statement, err := Parse(order.Text)
+	if err != nil {
+		return result, err
+	}
+	result = Result{ID: order.ID, Version: e.config.Log.State().Version, DryRun: order.DryRun}
+	switch {
+	case statement.Help:
+		result.Text = Help
+		return result, nil
+	case statement.Show != nil:
+		result.Table, err = e.show(ctx, statement.Show, order.Text)
+		return result, err
+	case statement.Explain != nil:
+		result.Text, err = e.explain(ctx, statement.Explain, order.Text)
+		return result, err
+	case statement.Cancel != nil:
+		return e.cancel(ctx, order, statement.Cancel, result)
+	}
+	return e.change(ctx, order, statement, result)
+}
+
+func (e *Evaluator) cancel(ctx context.Context, order Order, cancel *Cancel, result Result) (Result, error) {
+	if e.config.Tasks == nil {
+		return result, fmt.Errorf("this entry runs no tasks")
+	}
+	ids := make([]string, len(cancel.Tasks))
+	for i, task := range cancel.Tasks {
+		ids[i] = task.Value
+	}
+	if order.DryRun {
+		result.Text = fmt.Sprintf("would cancel %d tasks", len(ids))
+		return result, nil
+	}
+	result.Text = fmt.Sprintf("cancelled %d tasks", len(ids))
+	return result, e.config.Tasks.Cancel(ctx, order.By, ids...)
+}
--- /dev/null
+++ b/command/evaluator_test.go
@@ -0,0 +1,214 @@
+package command_test
+
+import (
+	"bytes"
+	"context"
+	"os"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/acaciatally/acaciatally"
+	"github.com/acaciatally/acaciatally/audit"
+	"github.com/acaciatally/acaciatally/changelog"
+	"github.com/acaciatally/acaciatally/command"
+	"github.com/acaciatally/acaciatally/fleet"
+	"github.com/acaciatally/acaciatally/settings"
+	"github.com/acaciatally/acaciatally/standin"
+)
+
+type fixedClock struct{}
+
+func (fixedClock) Now() time.Time { return time.Date(2026, 12, 4, 10, 0, 0, 0, time.UTC) }
+
+// hints records the hinted instances.
+type hints struct{ instances []acaciatally.InstanceID }
+
+func (h *hints) HintLeaving(instance acaciatally.InstanceID) {
+	h.instances = append(h.instances, instance)
+}
+
+// outage is a table service whose commits fail while down is set.
+type outage struct {
+	*standin.Table
+	down bool
+}
+
+func (o *outage) Commit(ctx context.Context, transaction acaciatally.Transaction) (uint64, error) {
+	if o.down {
+		return 0, acaciatally.ErrUnavailable
+	}
+	return o.Table.Commit(ctx, transaction)
+}
+
+func newEvaluator(t *testing.T, table acaciatally.TableService, leaving *hints) *command.Evaluator {
+	t.Helper()
+	content, err := os.ReadFile("../examples/authority.yaml")
+	require.NoError(t, err)
+	loaded, err := settings.Parse(content)
+	require.NoError(t, err)
+	log := changelog.New(changelog.Config{Table: table, Clock: fixedClock{}})
+	_, err = log.Commit(t.Context(), changelog.Proposal{
+		CommandID: "load", By: "settings",
+		Decide: func(state *fleet.State) ([]fleet.Change, error) {
+			if state.Version > 0 {
+				return nil, nil
+			}
+			return loaded.Changes(), nil
+		},
+	})
+	require.NoError(t, err)
+	config := command.Config{Log: log, Audit: audit.New(audit.Config{Table: table}), Clock: fixedClock{}}
+	if leaving != nil {
+		config.Hints = leaving
+	}
+	return command.New(config)
+}
+
+// TestStatements guards against statements that answer with the wrong rows, text or error.
+func TestStatements(t *testing.T) {
+	tests := map[string]struct {
+		before []string
+		text   string
+		want   string
+		fails  string
+	}{
+		"filter and sort": {
+			text: `show instances where Pool = coating and DataCentre = hall-a sort by ID limit 1`,
+			want: "coating-1  coating  coating  hall-a",
+		},
+		"alternatives":       {text: `show pools where Name = intake or Name = booking sort by Name descending limit 1`, want: "intake"},
+		"contains":           {text: `show pools where Name ~ OFFICE`, want: "backoffice  yes    8"},
+		"numbers compare":    {text: `show budgets where Left > 2`, want: "backoffice"},
+		"unknown column":     {text: `show pools where Namme = a`, fails: "did you mean Name?"},
+		"unknown subject":    {text: `show instnces`, fails: "did you mean instances?"},
+		"unknown instance":   {text: `drain coatng-1`, fails: `did you mean coating-1?`},
+		"unknown pool":       {text: `move backoffice-1 to coatin`, fails: `did you mean coating?`},
+		"unknown option":     {text: `set option Weights.Move 2`, fails: `did you mean Weights.Moves?`},
+		"invalid option":     {text: `set option Weights.Moves lots`, fails: "is no number"},
+		"drain is accepted":  {text: `drain coating-1`, want: "accepted at version 2"},
+		"same data centre":   {before: []string{"drain coating-1"}, text: `drain coating-4`, fails: "same failure domain"},
+		"quota is read back": {before: []string{"set quota observatories 5"}, text: `show teams where Name = observatories`, want: "observatories  5"},
+		"explain names obstacle": {
+			before: []string{"drain coating-1"}, text: `explain instance coating-4`, want: "a drain would be refused: budget of pool coating: coating-1",
+		},
+		"explain tells history": {before: []string{"drain coating-1"}, text: `explain instance coating-1`, want: "version 2 at 2026-12-04T10:00:00Z by maria"},
+		"explain command":       {before: []string{"drain coating-1"}, text: `explain command before-0`, want: "instance coating-1 Draining Operator"},
+		"audit":                 {before: []string{"set quota observatories 5"}, text: `show audit limit 1`, want: "2        1     2026-12-04T10:00:00Z  maria  before-0"},
+		"wave over all pools":   {before: []string{"start wave w1"}, text: `show waves`, want: "Running"},
+		"wave exists":           {before: []string{"start wave w1"}, text: `start wave w1`, fails: "exists already"},
+		"stopped wave is over":  {before: []string{"start wave w1", "stop wave w1"}, text: `resume wave w1`, fails: "has ended"},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			evaluator := newEvaluator(t, standin.NewTable(), nil)
+			for i, text := range test.before {
+				_, err := evaluator.Run(t.Context(), command.Order{ID: "before-" + string(rune('0'+i)), By: "maria", Text: text})
+				require.NoError(t, err)
+			}
+			result, err := evaluator.Run(t.Context(), command.Order{ID: "order", By: "maria", Text: test.text})
+			if test.fails != "" {
+				require.ErrorContains(t, err, test.fails)
+				return
+			}
+			require.NoError(t, err)
+			require.Contains(t, render(t, result), test.want)
+		})
+	}
+}
+
+func render(t *testing.T, result command.Result) string {
+	t.Helper()
+	if result.Table == nil {
+		return result.Text
+	}
+	var output bytes.Buffer
+	require.NoError(t, result.Table.WriteText(&output))
+	return output.String()
+}
+
+// TestRepeat guards against a repeated command id that changes the fleet a second time.
+func TestRepeat(t *testing.T) {
+	evaluator := newEvaluator(t, standin.NewTable(), nil)
+	first, err := evaluator.Run(t.Context(), command.Order{ID: "c", By: "maria", Text: "set quota observatories 5"})
+	require.NoError(t, err)
+	_, err = evaluator.Run(t.Context(), command.Order{ID: "d", By: "joao", Text: "set quota observatories 6"})
+	require.NoError(t, err)
+	second, err := evaluator.Run(t.Context(), command.Order{ID: "c", By: "maria", Text: "set quota observatories 5"})
+	require.NoError(t, err)
+	require.Equal(t, first.Version, second.Version)
+	result, err := evaluator.Run(t.Context(), command.Order{ID: "q", Text: "show teams where Quota = 6"})
+	require.NoError(t, err)
+	require.Len(t, result.Table.Rows, 1)
+}
+
+// TestDryRun guards against a dry run that changes the log, or that allows what the real run refuses.
+func TestDryRun(t *testing.T) {
+	tests := map[string]struct{ text, want, fails string }{
+		"says what would change": {text: "drain coating-1", want: "would change instance coating-1: Draining Operator"},
+		"refuses as the run":     {text: "drain coating-1, coating-4", fails: "same failure domain"},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			evaluator := newEvaluator(t, standin.NewTable(), nil)
+			result, err := evaluator.Run(t.Context(), command.Order{ID: "c", By: "maria", Text: test.text, DryRun: true})
+			if test.fails != "" {
+				require.ErrorContains(t, err, test.fails)
+				return
+			}
+			require.NoError(t, err)
+			require.Contains(t, result.Text, test.want)
+			after, err := evaluator.Run(t.Context(), command.Order{ID: "q", Text: "show instances where Phase != Serving"})
+			require.NoError(t, err)
+			require.Empty(t, after.Table.Rows)
+		})
+	}
+}
+
+// TestRace guards against an operator who overwrites a colleague's change without being told by whom and from which version.
+func TestRace(t *testing.T) {
+	table := standin.NewTable()
+	maria, joao := newEvaluator(t, table, nil), newEvaluator(t, table, nil)
+	_, err := maria.Run(t.Context(), command.Order{ID: "m", By: "maria", Text: "set quota observatories 5"})
+	require.NoError(t, err)
+	_, err = joao.Run(t.Context(), command.Order{ID: "j", By: "joao", Text: "set quota observatories 9"})
+	var race *fleet.RaceError
+	require.ErrorAs(t, err, &race)
+	require.Equal(t, "maria", race.By)
+	require.EqualValues(t, 2, race.Version)
+}
+
+// TestDrainDuringOutage guards against a drain that stops no new work while the log cannot be written, or that claims to be accepted.
+func TestDrainDuringOutage(t *testing.T) {
+	table := &outage{Table: standin.NewTable()}
+	leaving := &hints{}
+	evaluator := newEvaluator(t, table, leaving)
+	table.down = true
+	_, err := evaluator.Run(t.Context(), command.Order{ID: "c", By: "maria", Text: "drain coating-1"})
+	require.ErrorIs(t, err, acaciatally.ErrUnavailable)
+	require.Equal(t, []acaciatally.InstanceID{"coating-1"}, leaving.instances)
+}
+
+// TestComplete guards against completions that are no valid words at that place.
+func TestComplete(t *testing.T) {
+	tests := map[string]struct {
+		partial string
+		want    string
+	}{
+		"verb":        {"sh", "show"},
+		"subject":     {"show inst", "instances"},
+		"column":      {"show pools where Max", "MaxUnavailable"},
+		"instance":    {"drain coating-9", "coating-9"},
+		"second name": {"drain coating-1, coating-9", "coating-9"},
+		"pool":        {"move backoffice-1 to coa", "coating"},
+		"option":      {"set option Weights.M", "Weights.Moves"},
+	}
+	evaluator := newEvaluator(t, standin.NewTable(), nil)
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			require.Equal(t, test.want, strings.Join(evaluator.Complete(test.partial), " "))
+		})
+	}
+}
--- /dev/null
+++ b/command/show.go
@@ -0,0 +1,211 @@
+package command
+
+import (
+	"cmp"
+	"context"
+	"fmt"
+	"maps"
+	"slices"
+	"strings"
+
+	"github.com/acaciatally/acaciatally"
+	"github.com/acaciatally/acaciatally/fleet"
+	"github.com/acaciatally/acaciatally/spelling"
+)
+
+// subject is one kind of rows that can be shown.
+type subject struct {
+	name    string
+	columns []string
+	fill    func(ctx context.Context, evaluator *Evaluator, table *Table) error
+}
+
+// maxAudit bounds the records that one query reads, so that an old archive cannot use up the table service's reads.
+const maxAudit = 1000
+
+var subjects = []subject{
+	{"pools", []string{"Name", "Spare", "Instances", "Serving", "Slots", "MaxUnavailable", "MinAvailable", "Version", "By"}, showPools},
+	{"budgets", []string{"Pool", "Available", "Unavailable", "Failed", "MaxUnavailable", "MinAvailable", "Left"}, showBudgets},
+	{"instances", []string{
+		"ID", "Pool", "Home", "DataCentre", "Rack", "Address", "Phase", "Cause", "Wave", "Since", "Version", "By", "Reason",
+	}, showInstances},
+	{"teams", []string{"Name", "Quota", "Version", "By"}, showTeams},
+	{"waves", []string{"ID", "State", "Pools", "Done", "Total", "Started", "Ended", "Version", "By", "Reason"}, showWaves},
+	{"options", []string{"Name", "Value"}, showOptions},
+	{"entries", []string{"ID", "DataCentre", "View", "HeadReadAge"}, showEntries},
+	{"tasks", []string{"ID", "Team", "Pool", "Urgency", "Phase", "Worker", "Attempts", "Reason"}, showTasks},
+	{"audit", []string{"Version", "From", "At", "By", "Command", "Subject", "Change", "Reason"}, showAudit},
+}
+
+func subjectNames() []string {
+	names := make([]string, len(subjects))
+	for i, known := range subjects {
+		names[i] = known.name
+	}
+	return names
+}
+
+func (e *Evaluator) show(ctx context.Context, show *Show, statement string) (table *Table, err error) {
+	index := slices.IndexFunc(subjects, func(known subject) bool { return strings.EqualFold(known.name, show.Subject.Value) })
+	if index < 0 {
+		return nil, &SyntaxError{
+			Text: statement, Offset: show.Subject.Pos.Offset, Message: fmt.Sprintf("cannot show %q", show.Subject.Value),
+			Nearest: spelling.Nearest(show.Subject.Value, subjectNames()),
+		}
+	}
+	table = &Table{Columns: subjects[index].columns}
+	if err = subjects[index].fill(ctx, e, table); err != nil {
+		return nil, err
+	}
+	return table, table.shape(show, statement)
+}
+
+func showPools(_ context.Context, e *Evaluator, table *Table) error {
+	state := e.config.Log.State()
+	for _, name := range slices.Sorted(maps.Keys(state.Pools)) {
+		pool := state.Pools[name]
+		members := state.Members(name)
+		slots := 0
+		for _, member := range members {
+			if member.Phase == fleet.Serving {
+				slots += member.Slots
+			}
+		}
+		table.add(text(string(name)), flag(pool.Spare), number(len(members)), number(state.Available(name)), number(slots),
+			number(pool.MaxUnavailable), number(pool.MinAvailable), version(pool.Version), text(pool.By))
+	}
+	return nil
+}
+
+func flag(value bool) Value {
+	if value {
+		return text("yes")
+	}
+	return text("no")
+}
+
+func showBudgets(_ context.Context, e *Evaluator, table *Table) error {
+	state := e.config.Log.State()
+	for _, name := range slices.Sorted(maps.Keys(state.Pools)) {
+		pool := state.Pools[name]
+		members := state.Members(name)
+		available, failed := 0, 0
+		for _, member := range members {
+			switch member.Phase {
+			case fleet.Serving:
+				available++
+			case fleet.Failed, fleet.Quarantined:
+				failed++
+			}
+		}
+		unavailable := len(members) - available
+		left := max(0, min(pool.MaxUnavailable-unavailable, available-pool.MinAvailable))
+		table.add(text(string(name)), number(available), number(unavailable), number(failed),
+			number(pool.MaxUnavailable), number(pool.MinAvailable), number(left))
+	}
+	return nil
+}
+
+func showInstances(_ context.Context, e *Evaluator, table *Table) error {
+	state := e.config.Log.State()
+	for _, id := range slices.Sorted(maps.Keys(state.Instances)) {
+		instance := state.Instances[id]
+		table.add(text(string(id)), text(string(instance.Pool)), text(string(instance.Home)), text(string(instance.DataCentre)),
+			text(string(instance.Rack)), text(instance.Address.String()), text(string(instance.Phase)), text(string(instance.Cause)),
+			text(instance.Wave), moment(instance.PhaseSince), version(instance.Version), text(instance.By), text(instance.Reason))
+	}
+	return nil
+}
+
+func showTeams(_ context.Context, e *Evaluator, table *Table) error {
+	state := e.config.Log.State()
+	for _, name := range slices.Sorted(maps.Keys(state.Teams)) {
+		team := state.Teams[name]
+		table.add(text(string(name)), number(team.Quota), version(team.Version), text(team.By))
+	}
+	return nil
+}
+
+func showWaves(_ context.Context, e *Evaluator, table *Table) error {
+	state := e.config.Log.State()
+	for _, id := range slices.Sorted(maps.Keys(state.Waves)) {
+		wave := state.Waves[id]
+		done, total := progress(state, wave)
+		table.add(text(id), text(string(wave.State)), text(joinPools(wave.Pools)), number(done), number(total),
+			moment(wave.Started), moment(wave.Ended), version(wave.Version), text(wave.By), text(wave.Reason))
+	}
+	return nil
+}
+
+func progress(state *fleet.State, wave fleet.Wave) (done, total int) {
+	for _, instance := range state.Instances {
+		if !slices.Contains(wave.Pools, instance.Home) {
+			continue
+		}
+		total++
+		if !instance.Maintained.Before(wave.Started) {
+			done++
+		}
+	}
+	return done, total
+}
+
+func joinPools(pools []acaciatally.PoolName) string {
+	names := make([]string, len(pools))
+	for i, pool := range pools {
+		names[i] = string(pool)
+	}
+	return strings.Join(names, ",")
+}
+
+func showOptions(_ context.Context, e *Evaluator, table *Table) error {
+	options := e.config.Log.State().Options
+	for _, name := range slices.Sorted(maps.Keys(options)) {
+		table.add(text(name), text(options[name]))
+	}
+	return nil
+}
+
+func showEntries(_ context.Context, e *Evaluator, table *Table) error {
+	own := e.config.Self
+	own.View = e.config.Log.State().Version
+	peers := []acaciatally.Peer{own}
+	if e.config.Membership != nil {
+		peers = append(peers, e.config.Membership.Live()...)
+	}
+	slices.SortFunc(peers, func(a, b acaciatally.Peer) int { return cmp.Compare(a.ID, b.ID) })
+	for _, peer := range peers {
+		table.add(text(string(peer.ID)), text(string(peer.DataCentre)), version(peer.View), text(peer.HeadReadAge.String()))
+	}
+	return nil
+}
+
+func showTasks(ctx context.Context, e *Evaluator, table *Table) error {
+	if e.config.Tasks == nil {
+		return nil
+	}
+	tasks, err := e.config.Tasks.List(ctx)
+	if err != nil {
+		return err
+	}
+	for _, task := range tasks {
+		table.add(text(task.ID), text(string(task.Team)), text(string(task.Pool)), text(task.Urgency.String()), text(task.Phase),
+			text(string(task.Worker)), number(task.Attempts), text(task.Reason))
+	}
+	return nil
+}
+
+func showAudit(ctx context.Context, e *Evaluator, table *Table) error {
+	records, err := e.config.Audit.Latest(ctx, maxAudit)
+	if err != nil {
+		return err
+	}
+	for _, record := range records {
+		for _, change := range record.Changes {
+			subject, what := change.Describe()
+			table.add(version(record.Version), version(record.Version-1), moment(record.At), text(record.By),
+				text(record.CommandID), text(subject), text(what), text(record.Reason))
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/console/console.go
@@ -0,0 +1,134 @@
+package console
+
+import (
+	"errors"
+	"flag"
+	"fmt"
+	"io"
+	"runtime/debug"
+)
+
+// The exit codes of the program.
+const (
+	ExitDone    = 0
+	ExitRefused = 1
+	ExitUsage   = 2
+)
+
+// Config is the surroundings of one run of the program.
+type Config struct {
+	Arguments []string
+	Input     io.Reader
+	Output    io.Writer
+	Errors    io.Writer
+	Getenv    func(name string) string
+}
+
+// usageError is an error of the command line itself.
+type usageError struct{ message string }
+
+func (e *usageError) Error() string { return e.message }
+
+// subcommand is one verb of the command line.
+type subcommand struct {
+	name    string
+	summary string
+	run     func(config Config, arguments []string) error
+}
+
+func subcommands() []subcommand {
+	return []subcommand{
+		{"serve", "run an entry", serve},
+		{"check", "check settings files", check},
+		{"do", "carry out operators' statements", do},
+		{"complete", "list the words that may follow an unfinished statement", complete},
+		{"version", "print the version", version},
+	}
+}
+
+const usage = `usage: acaciatally SUBCOMMAND [flags]
+
+%s
+examples:
+  acaciatally check examples/authority.yaml
+  acaciatally serve -settings examples/authority.yaml -entry entry-1
+  acaciatally do -address 127.0.0.1:17201 -token run-token 'show pools'
+  acaciatally do -address 127.0.0.1:17201 -token run-token -dry-run 'drain coating-1'
+
+exit codes: 0 done, 1 refused or failed, 2 wrong usage
+`
+
+// Run carries out one command line and returns the exit code.
+func Run(config Config) (code int) {
+	if len(config.Arguments) == 0 {
+		printUsage(config.Errors)
+		return ExitUsage
+	}
+	name := config.Arguments[0]
+	if name == "-help" || name == "--help" || name == "-h" || name == "help" {
+		printUsage(config.Output)
+		return ExitDone
+	}
+	if name == "-version" || name == "--version" {
+		name = "version"
+	}
+	for _, known := range subcommands() {
+		if known.name == name {
+			return exitCode(config, known.run(config, config.Arguments[1:]))
+		}
+	}
+	_, _ = fmt.Fprintf(config.Errors, "unknown subcommand %q\n", name)
+	printUsage(config.Errors)
+	return ExitUsage
+}
+
+func printUsage(w io.Writer) {
+	summary := ""
+	for _, known := range subcommands() {
+		summary += fmt.Sprintf("  %-9s %s\n", known.name, known.summary)
+	}
+	_, _ = fmt.Fprintf(w, usage, summary)
+}
+
+func exitCode(config Config, err error) int {
+	var wrong *usageError
+	switch {
+	case err == nil || errors.Is(err, flag.ErrHelp):
+		return ExitDone
+	case errors.As(err, &wrong):
+		_, _ = fmt.Fprintln(config.Errors, err)
+		return ExitUsage
+	}
+	_, _ = fmt.Fprintln(config.Errors, err)
+	return ExitRefused
+}
+
+// flags returns a flag set that prints examples with its help.
+func flags(config Config, name, examples string) *flag.FlagSet {
+	set := flag.NewFlagSet(name, flag.ContinueOnError)
+	set.SetOutput(config.Output)
+	set.Usage = func() {
+		_, _ = fmt.Fprintf(config.Output, "usage: acaciatally %s\n\n", name)
+		set.PrintDefaults()
+		_, _ = fmt.Fprintf(config.Output, "\nexamples:\n%s", examples)
+	}
+	return set
+}
+
+func parse(set *flag.FlagSet, arguments []string) error {
+	err := set.Parse(arguments)
+	if err == nil || errors.Is(err, flag.ErrHelp) {
+		return err
+	}
+	return &usageError{message: err.Error()}
+}
+
+func version(config Config, _ []string) error {
+	build, found := debug.ReadBuildInfo()
+	name := "unknown"
+	if found {
+		name = build.Main.Version
+	}
+	_, err := fmt.Fprintf(config.Output, "acaciatally %s\n", name)
+	return err
+}
--- /dev/null
+++ b/console/doc.go
@@ -0,0 +1,2 @@
+// Package console is the command line of the program.
+package console
--- /dev/null
+++ b/console/serve.go
@@ -0,0 +1,58 @@
+package console
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/phuslu/log"
+
+	"github.com/acaciatally/acaciatally"
+	"github.com/acaciatally/acaciatally/entry"
+	"github.com/acaciatally/acaciatally/platform"
+	"github.com/acaciatally/acaciatally/settings"
+)
+
+func serve(config Config, arguments []string) (err error) {
+	set := flags(config, "serve [flags]", "  acaciatally serve -settings examples/authority.yaml -entry entry-1\n")
+	path := set.String("settings", "", "settings file of the deployment")
+	id := set.String("entry", "", "id of this entry in the settings")
+	checkOnly := set.Bool("check", false, "check the settings and exit")
+	if err = parse(set, arguments); err != nil {
+		return err
+	}
+	if *path == "" || (*id == "" && !*checkOnly) {
+		return &usageError{message: "serve needs -settings and -entry"}
+	}
+	if *checkOnly {
+		return checkFile(config, *path)
+	}
+	loaded, err := settings.Load(*path)
+	if err != nil {
+		return err
+	}
+	self, err := loaded.Entry(acaciatally.EntryID(*id))
+	if err != nil {
+		return &usageError{message: err.Error()}
+	}
+	return runEntry(loaded, self)
+}
+
+func runEntry(loaded *settings.Settings, self settings.Entry) error {
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
+	defer stop()
+	// A second signal ends the process at once, since the default action is restored after the first.
+	context.AfterFunc(ctx, stop)
+	logger := &log.Logger{
+		Level: log.InfoLevel, TimeFormat: "2006-01-02T15:04:05.000Z07:00", Writer: &log.IOWriter{Writer: os.Stderr},
+		Context: log.NewContext(nil).Str("entry", string(self.ID)).Value(),
+	}
+	client := platform.New(platform.Config{Address: loaded.Platform.Address, Timeout: loaded.Platform.Timeout})
+	process := entry.New(entry.Config{Settings: loaded, Entry: self, Table: client, Logger: logger})
+	if err := process.Run(ctx); err != nil {
+		return fmt.Errorf("entry %s: %w", self.ID, err)
+	}
+	return nil
+}
--- a/entry/operators.go
+++ b/entry/operators.go
@@ -1,57 +1,72 @@
 package entry
 
 import (
-	"crypto/rand"
+	"context"
 	"net/http"
+	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	"github.com/labstack/echo/v5"
 
 	"github.com/acaciatally/acaciatally"
 	"github.com/acaciatally/acaciatally/changelog"
+	"github.com/acaciatally/acaciatally/command"
 	"github.com/acaciatally/acaciatally/fleet"
 )
 
-type moveRequest struct {
-	ID       string
-	Instance acaciatally.InstanceID
-	To       acaciatally.PoolName
-}
+// loadPause is the time between two attempts to load the deployment into an empty log.
+const loadPause = time.Second
 
+// operators returns the handler of the operators' address.
 func (p *Process) operators() http.Handler {
 	server := echo.New()
 	server.GET("/livez", func(c *echo.Context) error { return c.String(http.StatusOK, "ok\n") })
-	server.GET("/state", func(c *echo.Context) error { return c.JSON(http.StatusOK, p.log.State()) })
-	server.POST("/load", func(c *echo.Context) error {
-		return p.commit(c, "load-"+p.config.Settings.Deployment, func(state *fleet.State) ([]fleet.Change, error) {
-			if state.Version > 0 {
-				return nil, nil
-			}
-			return p.config.Settings.Changes(), nil
-		})
-	})
-	server.POST("/move", func(c *echo.Context) error {
-		var move moveRequest
-		if err := c.Bind(&move); err != nil {
-			return err
-		}
-		if move.ID == "" {
-			move.ID = rand.Text()
-		}
-		return p.commit(c, move.ID, func(state *fleet.State) ([]fleet.Change, error) {
-			from := state.Instances[move.Instance].Pool
-			return []fleet.Change{
-				{SetPhase: &fleet.SetPhase{ID: move.Instance, Phase: fleet.Draining, Cause: fleet.CauseMove}},
-				{MoveInstance: &fleet.MoveInstance{ID: move.Instance, From: from, To: move.To}},
-			}, nil
-		})
+	server.GET("/readyz", p.readyz)
+	server.GET("/metrics", func(c *echo.Context) error {
+		metrics.WritePrometheus(c.Response(), true)
+		return nil
 	})
+	allowed := make([]command.Operator, len(p.config.Settings.Operators))
+	for i, operator := range p.config.Settings.Operators {
+		allowed[i] = command.Operator{Name: operator.Name, Token: operator.Token}
+	}
+	command.NewServer(p.evaluator(), allowed).Register(server)
 	return server
 }
 
-func (p *Process) commit(c *echo.Context, id string, decide func(*fleet.State) ([]fleet.Change, error)) error {
-	version, err := p.log.Commit(c.Request().Context(), changelog.Proposal{CommandID: id, By: "operator", Decide: decide})
-	if err != nil {
-		return c.String(http.StatusConflict, err.Error()+"\n")
+func (p *Process) readyz(c *echo.Context) error {
+	if p.log.State().Version == 0 {
+		return c.String(http.StatusServiceUnavailable, "no configuration yet\n")
+	}
+	return c.String(http.StatusOK, "ok\n")
+}
+
+func (p *Process) evaluator() *command.Evaluator {
+	return command.New(command.Config{
+		Log:   p.log,
+		Audit: p.trail,
+		Self:  acaciatally.Peer{ID: p.config.Entry.ID, DataCentre: p.config.Entry.DataCentre},
+	})
+}
+
+// loadDeployment writes the deployment's pools, instances and teams into an empty log; every entry tries, one commit wins.
+func (p *Process) loadDeployment(ctx context.Context) {
+	for p.log.State().Version == 0 && ctx.Err() == nil {
+		_, err := p.log.Commit(ctx, changelog.Proposal{
+			CommandID: "load-" + p.config.Settings.Deployment, By: "settings", Reason: "first start of the deployment",
+			Decide: func(state *fleet.State) ([]fleet.Change, error) {
+				if state.Version > 0 {
+					return nil, nil
+				}
+				return p.config.Settings.Changes(), nil
+			},
+		})
+		if err == nil {
+			return
+		}
+		select {
+		case <-ctx.Done():
+		case <-time.After(loadPause):
+		}
 	}
-	return c.JSON(http.StatusOK, map[string]uint64{"Version": version})
 }
--- a/entry/process.go
+++ b/entry/process.go
@@ -12,6 +12,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/acaciatally/acaciatally"
+	"github.com/acaciatally/acaciatally/audit"
 	"github.com/acaciatally/acaciatally/changelog"
 	"github.com/acaciatally/acaciatally/settings"
 )
@@ -23,6 +24,7 @@
 	Settings *settings.Settings
 	Entry    settings.Entry
 	Table    acaciatally.TableService
+	Objects  acaciatally.ObjectStore
 	Logger   *log.Logger
 }
 
@@ -30,19 +32,27 @@
 type Process struct {
 	config Config
 	log    *changelog.Log
+	trail  *audit.Trail
 	next   counter
 }
 
 // New returns an entry that is not yet running.
 func New(config Config) *Process {
-	return &Process{config: config, log: changelog.New(changelog.Config{Table: config.Table})}
+	return &Process{
+		config: config,
+		log:    changelog.New(changelog.Config{Table: config.Table}),
+		trail:  audit.New(audit.Config{Table: config.Table, Objects: config.Objects}),
+	}
 }
 
 // Run serves callers and operators until ctx ends, then finishes the requests in progress.
 func (p *Process) Run(ctx context.Context) (err error) {
 	defer func() { err = oops.In("entry").With("entry", p.config.Entry.ID).Wrapf(err, "run entry") }()
 	group, ctx := errgroup.WithContext(ctx)
-	group.Go(func() error { return p.poll(ctx) })
+	group.Go(func() error {
+		p.loadDeployment(ctx)
+		return p.poll(ctx)
+	})
 	group.Go(func() error { return serve(ctx, p.config.Entry.CallerAddress.String(), p.callers()) })
 	group.Go(func() error { return serve(ctx, p.config.Entry.OperatorAddress.String(), p.operators()) })
 	return group.Wait()
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -6,7 +6,6 @@
 	"os"
 	"time"
 
-	"github.com/goccy/go-yaml"
 	"github.com/samber/oops"
 
 	"github.com/acaciatally/acaciatally"
@@ -55,6 +54,7 @@
 	MaxUnavailable int                  `yaml:"MaxUnavailable"`
 	MinAvailable   int                  `yaml:"MinAvailable"`
 	ProvesNotRun   []int                `yaml:"ProvesNotRun"`
+	HealthPath     string               `yaml:"HealthPath"`
 	Instances      []Instance           `yaml:"Instances"`
 }
 
@@ -130,16 +130,6 @@
 	return Parse(content)
 }
 
-// Parse reads settings from YAML; unknown keys are errors.
-func Parse(content []byte) (settings *Settings, err error) {
-	settings = &Settings{}
-	if err = yaml.UnmarshalWithOptions(content, settings, yaml.DisallowUnknownField()); err != nil {
-		return nil, err
-	}
-	settings.Default()
-	return settings, nil
-}
-
 // Entry returns the entry of that id.
 func (s *Settings) Entry(id acaciatally.EntryID) (entry Entry, err error) {
 	for _, entry = range s.Entries {
