--- /dev/null
+++ b/changelog/commit_test.go
@@ -0,0 +1,133 @@
+package changelog_test
+
+import (
+	"fmt"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/acaciatally/acaciatally"
+	"github.com/acaciatally/acaciatally/changelog"
+	"github.com/acaciatally/acaciatally/fleet"
+)
+
+// TestCommitRaces guards against a lost or doubled change when nine entries commit at once, and against a starving entry.
+func TestCommitRaces(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		shared := newTable()
+		logs, group := make([]*changelog.Log, 9), sync.WaitGroup{}
+		versions := make(chan uint64, 90)
+		for n := range logs {
+			logs[n] = changelog.New(changelog.Config{Table: shared})
+			group.Go(func() {
+				for i := range 10 {
+					version, err := logs[n].Commit(t.Context(), put(fmt.Sprintf("%d-%d", n, i), i))
+					if err == nil {
+						versions <- version
+					}
+				}
+			})
+		}
+		group.Wait()
+		require.Len(t, versions, 90)
+		for _, log := range logs {
+			require.NoError(t, log.Poll(t.Context()))
+			require.Equal(t, uint64(90), log.State().Version)
+			require.Len(t, log.State().Teams, 90)
+			require.Equal(t, logs[0].State().Teams, log.State().Teams)
+		}
+	})
+}
+
+// TestLostAnswer guards against a command that is reported wrongly, or takes effect twice, after its answer was lost.
+func TestLostAnswer(t *testing.T) {
+	tests := map[string]struct {
+		faults  []fault
+		err     error
+		version uint64
+		notErr  error
+	}{
+		"took effect":                      {faults: []fault{none, lost}, version: 2},
+		"had no effect":                    {faults: []fault{none, dropped}, version: 2},
+		"takes effect during the retry":    {faults: []fault{none, late}, version: 2},
+		"lost twice":                       {faults: []fault{none, dropped, lost}, version: 2},
+		"lost, then late":                  {faults: []fault{none, late, late}, version: 2},
+		"not carried out":                  {faults: []fault{none, refused}, err: acaciatally.ErrUnavailable, notErr: acaciatally.ErrUnknownCommit},
+		"read impossible":                  {faults: []fault{none, thenUnread}, err: acaciatally.ErrUnknownCommit},
+		"late and the retry is turned off": {faults: []fault{none, late, refused}, err: acaciatally.ErrUnknownCommit},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				shared := newTable(test.faults...)
+				log := changelog.New(changelog.Config{Table: shared})
+				commitAll(t, log, 1, 1)
+				version, err := log.Commit(t.Context(), put("2", 2))
+				if test.err != nil {
+					require.ErrorIs(t, err, test.err)
+				} else {
+					require.NoError(t, err)
+					require.Equal(t, test.version, version)
+				}
+				if test.notErr != nil {
+					require.NotErrorIs(t, err, test.notErr)
+				}
+				time.Sleep(time.Second)
+				shared.setDown(false)
+				version, err = log.Commit(t.Context(), put("2", 2))
+				require.NoError(t, err, "repeating the command settles it")
+				require.Equal(t, uint64(2), version)
+				require.Equal(t, uint64(2), log.State().Version)
+			})
+		})
+	}
+}
+
+// TestRepeatedCommand guards against a command that takes effect twice when it is repeated through another entry.
+func TestRepeatedCommand(t *testing.T) {
+	shared := newTable()
+	first, second := changelog.New(changelog.Config{Table: shared}), changelog.New(changelog.Config{Table: shared})
+	commitAll(t, first, 1, 3)
+	proposal := put("2", 99)
+	proposal.Seen = []fleet.Seen{{Kind: fleet.SubjectTeam, Name: "team-2"}}
+	for _, log := range []*changelog.Log{first, second} {
+		version, err := log.Commit(t.Context(), proposal)
+		require.NoError(t, err)
+		require.Equal(t, uint64(2), version)
+		require.Equal(t, 2, log.State().Teams["team-2"].Quota)
+	}
+}
+
+// TestOperatorsRace guards against an operator who overwrites a change that the operator has not seen.
+func TestOperatorsRace(t *testing.T) {
+	shared := newTable()
+	winner, loser := changelog.New(changelog.Config{Table: shared}), changelog.New(changelog.Config{Table: shared})
+	commitAll(t, winner, 1, 1)
+	require.NoError(t, loser.Poll(t.Context()))
+	seen := []fleet.Seen{{Kind: fleet.SubjectTeam, Name: "team-1", Version: 1}}
+	commit := func(log *changelog.Log, by string) error {
+		_, err := log.Commit(t.Context(), changelog.Proposal{CommandID: by, By: by, Seen: seen, Decide: func(*fleet.State) ([]fleet.Change, error) {
+			return []fleet.Change{{PutTeam: &fleet.Team{Name: "team-1", Quota: 7}}}, nil
+		}})
+		return err
+	}
+	require.NoError(t, commit(winner, "ana"))
+	var race *fleet.RaceError
+	require.ErrorAs(t, commit(loser, "rui"), &race)
+	require.Equal(t, fleet.RaceError{Subject: "Team team-1", By: "ana", Version: 2}, *race)
+}
+
+// TestStaleRefusal guards against a refusal that is based on an old view.
+func TestStaleRefusal(t *testing.T) {
+	shared := newTable()
+	first, second := changelog.New(changelog.Config{Table: shared}), changelog.New(changelog.Config{Table: shared})
+	require.NoError(t, second.Poll(t.Context()))
+	commitAll(t, first, 1, 1)
+	_, err := second.Commit(t.Context(), changelog.Proposal{CommandID: "remove", Decide: func(*fleet.State) ([]fleet.Change, error) {
+		return []fleet.Change{{RemoveTeam: &fleet.RemoveTeam{Name: "team-1"}}}, nil
+	}})
+	require.NoError(t, err)
+}
--- a/changelog/log.go
+++ b/changelog/log.go
@@ -1,15 +1,11 @@
 package changelog
 
 import (
-	"context"
-	"encoding/json"
-	"errors"
-	"fmt"
 	"sync"
 	"sync/atomic"
 	"time"
 
-	"github.com/samber/oops"
+	"golang.org/x/sync/singleflight"
 
 	"github.com/acaciatally/acaciatally"
 	"github.com/acaciatally/acaciatally/fleet"
@@ -20,25 +16,63 @@
 	recordPrefix  = "Changelog/Record/"
 	commandPrefix = "Command/"
 	scanLimit     = 500
-	commitTries   = 8
+	// tailLength bounds the records kept for peers; a peer that is further behind takes the whole state.
+	tailLength = 500
 )
 
 // Config is what a Log needs.
 type Config struct {
-	Table acaciatally.TableService
-	Clock acaciatally.Clock
+	Table   acaciatally.TableService
+	Objects acaciatally.ObjectStore // nil keeps all records and takes no snapshots
+	Clock   acaciatally.Clock
+	// Timeout bounds each call of the platform; the default is 2 s.
+	Timeout time.Duration
+	// SnapshotInterval is the number of versions between two snapshots; the default is 500.
+	SnapshotInterval uint64
+	// Retention is how long records and command ids are kept after a snapshot covers them; the default and least value is 24 h.
+	Retention time.Duration
+	// Archive, when set, stores records before they are pruned; an error keeps them.
+	Archive Archive
+	// Notify, when set, is told each new version; it must not block.
+	Notify func(version uint64)
+}
+
+func (c *Config) setDefaults() {
+	if c.Clock == nil {
+		c.Clock = acaciatally.SystemClock{}
+	}
+	if c.Timeout == 0 {
+		c.Timeout = 2 * time.Second
+	}
+	if c.SnapshotInterval == 0 {
+		c.SnapshotInterval = 500
+	}
+	c.Retention = max(c.Retention, 24*time.Hour)
 }
 
 // Log reads and extends the ordered log; it is safe for concurrent use.
 type Log struct {
-	config Config
-	state  atomic.Pointer[fleet.State]
-	mu     sync.Mutex
-	head   uint64 // row version of the head that belongs to state
+	config  Config
+	view    atomic.Pointer[view]
+	polls   singleflight.Group
+	commits chan struct{} // holds one token; commits of one process do not race with each other
+	count   counters
+
+	mu   sync.Mutex // guards tail and publishing, never held during I/O
+	tail []fleet.Record
+}
+
+// view is a state together with what is known of the head row.
+type view struct {
+	state  *fleet.State
+	head   headRow
+	row    uint64 // row version of the head at state's version; 0 when the state came from a peer
+	readAt time.Time
 }
 
 type headRow struct {
-	Version uint64
+	Version         uint64
+	SnapshotVersion uint64 `json:",omitempty"`
 }
 
 type commandRow struct {
@@ -47,194 +81,92 @@
 
 // New returns a log with the empty state.
 func New(config Config) *Log {
-	if config.Clock == nil {
-		config.Clock = acaciatally.SystemClock{}
-	}
-	log := &Log{config: config}
-	log.state.Store(fleet.New())
+	config.setDefaults()
+	log := &Log{config: config, commits: make(chan struct{}, 1)}
+	log.view.Store(&view{state: fleet.New()})
 	return log
 }
 
-// State returns the newest known state, which never goes back to a lower version.
+// State returns the newest known state, which never goes back to a lower version; it never blocks.
 func (l *Log) State() *fleet.State {
-	return l.state.Load()
-}
-
-// Poll applies all records that the table service holds beyond the known state.
-func (l *Log) Poll(ctx context.Context) (err error) {
-	defer func() { err = oops.In("changelog").Wrapf(err, "poll log") }()
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return l.poll(ctx)
-}
-
-func (l *Log) poll(ctx context.Context) error {
-	rows, err := l.config.Table.Read(ctx, headKey)
-	if err != nil || len(rows) == 0 {
-		return err
-	}
-	var head headRow
-	if err = json.Unmarshal(rows[0].Value, &head); err != nil {
-		return err
-	}
-	state := l.state.Load()
-	for state.Version < head.Version {
-		next, err := l.replay(ctx, state)
-		if err != nil {
-			return err
-		}
-		if next.Version == state.Version {
-			return fmt.Errorf("log ends at %d before its head %d", state.Version, head.Version)
-		}
-		state = next
-	}
-	if state.Version == head.Version {
-		l.head = rows[0].Version
-	}
-	l.state.Store(state)
-	return nil
+	return l.view.Load().state
 }
 
-func (l *Log) replay(ctx context.Context, state *fleet.State) (*fleet.State, error) {
-	rows, err := l.config.Table.Scan(ctx, recordPrefix, recordKey(state.Version), scanLimit)
-	if err != nil {
-		return nil, err
-	}
-	for _, row := range rows {
-		var record fleet.Record
-		if err = json.Unmarshal(row.Value, &record); err != nil {
-			return nil, err
-		}
-		if state, err = state.Apply(record); err != nil {
-			return nil, err
-		}
-	}
-	return state, nil
+// HeadReadAt returns when the last successful read of the head began; it is zero before the first one.
+func (l *Log) HeadReadAt() time.Time {
+	return l.view.Load().readAt
 }
 
-func recordKey(version uint64) string {
-	return fmt.Sprintf("%s%020d", recordPrefix, version)
-}
-
-// Proposal is a set of changes to be committed as one record.
-type Proposal struct {
-	CommandID string
-	By        string
-	Reason    string
-	// Decide returns the changes for a state; it runs again after each lost race. No changes end the proposal without a commit.
-	Decide func(state *fleet.State) (changes []fleet.Change, err error)
-	// Conditions are further rows that must be unchanged, such as a lease.
-	Conditions []acaciatally.Condition
-}
-
-// Commit appends the proposal's changes and returns the version at which the command stands; repeating a command id returns the
-// first version. It fails with acaciatally.ErrUnknownCommit when the outcome could not be read back.
-func (l *Log) Commit(ctx context.Context, proposal Proposal) (version uint64, err error) {
-	defer func() { err = oops.In("changelog").With("command", proposal.CommandID).Wrapf(err, "commit change") }()
+// Tail returns the records after a version; whole is false when some of them are no longer kept in memory.
+func (l *Log) Tail(after uint64) (records []fleet.Record, whole bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	for range commitTries {
-		version, err = l.tryCommit(ctx, proposal)
-		var conflict *acaciatally.ConflictError
-		switch {
-		case errors.As(err, &conflict):
-			if err = l.poll(ctx); err != nil {
-				return 0, err
-			}
-			if known, found, readErr := l.readBack(ctx, proposal.CommandID); readErr == nil && found {
-				return known, nil
-			}
-			err = conflict
-		case errors.Is(err, acaciatally.ErrUnknownCommit):
-			return l.resolve(ctx, proposal.CommandID)
-		default:
-			return version, err
+	version := l.State().Version
+	if after >= version {
+		return nil, true
+	}
+	for _, record := range l.tail {
+		if record.Version > after {
+			records = append(records, record)
 		}
 	}
-	return 0, err
+	return records, uint64(len(records)) == version-after
 }
 
-func (l *Log) tryCommit(ctx context.Context, proposal Proposal) (uint64, error) {
-	state := l.state.Load()
-	changes, err := proposal.Decide(state)
-	if err != nil {
-		return 0, err
-	}
-	if len(changes) == 0 {
-		return state.Version, nil
-	}
-	record := fleet.Record{
-		Version: state.Version + 1, CommandID: proposal.CommandID, By: proposal.By,
-		At: l.config.Clock.Now().UTC().Truncate(time.Millisecond), Reason: proposal.Reason, Changes: changes,
+// publish makes the view the current one unless a newer one is known.
+func (l *Log) publish(next view, records ...fleet.Record) {
+	l.mu.Lock()
+	old := l.view.Load()
+	if next.readAt.Before(old.readAt) {
+		next.readAt = old.readAt
 	}
-	next, err := state.Apply(record)
-	if err != nil {
-		return 0, err
+	newer := next.state.Version > old.state.Version
+	if !newer && (next.state.Version < old.state.Version || next.row <= old.row) {
+		kept := *old
+		kept.readAt = next.readAt
+		next = kept
 	}
-	transaction, err := l.transaction(record, proposal.Conditions)
-	if err != nil {
-		return 0, err
+	l.view.Store(&next)
+	if newer {
+		l.remember(old.state.Version, next.state.Version, records)
 	}
-	rowVersion, err := l.config.Table.Commit(ctx, transaction)
-	if err != nil {
-		return 0, err
+	l.mu.Unlock()
+	if newer && l.config.Notify != nil {
+		l.config.Notify(next.state.Version)
 	}
-	l.head = rowVersion
-	l.state.Store(next)
-	return record.Version, nil
 }
 
-func (l *Log) transaction(record fleet.Record, conditions []acaciatally.Condition) (transaction acaciatally.Transaction, err error) {
-	body, err := json.Marshal(record)
-	if err != nil {
-		return transaction, err
-	}
-	head, err := json.Marshal(headRow{Version: record.Version})
-	if err != nil {
-		return transaction, err
+// remember extends the tail, which always ends at the published version.
+func (l *Log) remember(from, to uint64, records []fleet.Record) {
+	var added []fleet.Record
+	for _, record := range records {
+		if record.Version > from && record.Version <= to {
+			added = append(added, record)
+		}
 	}
-	command, err := json.Marshal(commandRow{Version: record.Version})
-	if err != nil {
-		return transaction, err
+	if uint64(len(added)) != to-from {
+		l.tail = added
+	} else {
+		l.tail = append(l.tail, added...)
 	}
-	transaction = acaciatally.Transaction{
-		ID: record.CommandID,
-		Conditions: append([]acaciatally.Condition{
-			{Key: headKey, Version: l.head},
-			{Key: commandPrefix + record.CommandID},
-		}, conditions...),
-		Writes: []acaciatally.Write{
-			{Key: headKey, Value: head},
-			{Key: recordKey(record.Version), Value: body},
-			{Key: commandPrefix + record.CommandID, Value: command},
-		},
+	if excess := len(l.tail) - tailLength; excess > 0 {
+		l.tail = append([]fleet.Record(nil), l.tail[excess:]...)
 	}
-	return transaction, nil
 }
 
-func (l *Log) readBack(ctx context.Context, command string) (version uint64, found bool, err error) {
-	rows, err := l.config.Table.Read(ctx, commandPrefix+command)
-	if err != nil || len(rows) == 0 {
-		return 0, false, err
-	}
-	var row commandRow
-	if err = json.Unmarshal(rows[0].Value, &row); err != nil {
-		return 0, false, err
-	}
-	return row.Version, true, nil
+// Counters are the numbers of calls and events since the start.
+type Counters struct {
+	Reads, Writes, Conflicts, UnknownCommits, Snapshots, Pruned uint64
 }
 
-// resolve finds out whether a commit with a lost answer took effect.
-func (l *Log) resolve(ctx context.Context, command string) (uint64, error) {
-	version, found, err := l.readBack(ctx, command)
-	if err != nil {
-		return 0, acaciatally.ErrUnknownCommit
-	}
-	if !found {
-		return 0, acaciatally.ErrUnavailable
-	}
-	if err = l.poll(ctx); err != nil {
-		return version, nil //nolint:nilerr // the command is accepted; the next poll brings the state
+type counters struct {
+	reads, writes, conflicts, unknown, snapshots, pruned atomic.Uint64
+}
+
+// Counters returns the present counts.
+func (l *Log) Counters() Counters {
+	return Counters{
+		Reads: l.count.reads.Load(), Writes: l.count.writes.Load(), Conflicts: l.count.conflicts.Load(),
+		UnknownCommits: l.count.unknown.Load(), Snapshots: l.count.snapshots.Load(), Pruned: l.count.pruned.Load(),
 	}
-	return version, nil
 }
--- a/fleet/members.go
+++ b/fleet/members.go
@@ -131,3 +131,10 @@
 	}
 	return ""
 }
+
+// Indexed returns the state with its index computed, as after decoding.
+func (s *State) Indexed() *State {
+	next := *s
+	next.byPool = s.index()
+	return &next
+}
