Judge instances from several signals and forecast recurring bursts

Cause: repairs need a judgement that one lagging or cut-off observer cannot mislead, and moves must precede the bursts. Ruled out: the platform's list as proof of anything; a period measured to fractions of a second and measured again over the newest periods only (both were built and removed: the tests pass without them, since one and two periods are looked back). Change: `assessment` wants two independent signals, lets one entry's success outvote others' failures, quarantines only what fails while its pool succeeds, and doubts itself above half the fleet; `rhythm` finds the period by autocorrelation over 600 buckets of 1 s and reports its confidence. Before: neither existed. The tests fail without the second signal, the outvoting, the comparison with the pool, the rule on the list, the doubt, the confidence bound, and the second period.

--- /dev/null
+++ b/assessment/assessment.go
@@ -0,0 +1,204 @@
+package assessment
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/acaciatally/acaciatally"
+	"github.com/acaciatally/acaciatally/fleet"
+)
+
+// Kind is what a verdict says of an instance.
+type Kind string
+
+// The kinds of verdicts.
+const (
+	Suspected   Kind = "Suspected"   // one signal: watched, not acted on
+	Failed      Kind = "Failed"      // two independent signals
+	FailsEvery  Kind = "FailsEvery"  // reachable, but fails all that it starts while its pool succeeds
+	Unsupported Kind = "Unsupported" // the observer is likelier cut off than most of the fleet gone
+)
+
+// Verdict is the judgement on one instance.
+type Verdict struct {
+	Instance acaciatally.InstanceID
+	Kind     Kind
+	Signals  []string
+	Domain   string // rack or data centre with further failures, or empty
+}
+
+// Config tunes an Assessor; zero values are replaced by the defaults.
+type Config struct {
+	Window         time.Duration // span over which reports count, default 10 s
+	ListLag        time.Duration // how far the list lags behind, default 30 s
+	MinUnreachable int           // attempts without a connection that make a signal, default 2
+	MinFailed      int           // failed attempts without a success that count as failing everything, default 10
+	MaxFailedShare float64       // share of the fleet above which the observer doubts itself, default 0.5
+}
+
+func (c *Config) setDefaults() {
+	if c.Window == 0 {
+		c.Window = 10 * time.Second
+	}
+	if c.ListLag == 0 {
+		c.ListLag = 30 * time.Second
+	}
+	if c.MinUnreachable == 0 {
+		c.MinUnreachable = 2
+	}
+	if c.MinFailed == 0 {
+		c.MinFailed = 10
+	}
+	if c.MaxFailedShare == 0 {
+		c.MaxFailedShare = 0.5
+	}
+}
+
+// Assessor keeps the recent observations; it is not safe for concurrent use.
+type Assessor struct {
+	config  Config
+	reports map[acaciatally.InstanceID][]acaciatally.InstanceReport
+	listed  map[acaciatally.InstanceID]acaciatally.ListedInstance
+	listAt  time.Time // zero while no list was read
+}
+
+// New returns an assessor without observations.
+func New(config Config) *Assessor {
+	config.setDefaults()
+	return &Assessor{config: config, reports: map[acaciatally.InstanceID][]acaciatally.InstanceReport{}}
+}
+
+// Report adds what one entry saw.
+func (a *Assessor) Report(reports ...acaciatally.InstanceReport) {
+	for _, report := range reports {
+		a.reports[report.Instance] = append(a.reports[report.Instance], report)
+	}
+}
+
+// List replaces the platform's list.
+func (a *Assessor) List(at time.Time, instances []acaciatally.ListedInstance) {
+	a.listAt = at
+	a.listed = make(map[acaciatally.InstanceID]acaciatally.ListedInstance, len(instances))
+	for _, instance := range instances {
+		a.listed[instance.ID] = instance
+	}
+}
+
+// Assess returns the verdicts on serving and draining instances in order of id and forgets observations outside the window.
+func (a *Assessor) Assess(now time.Time, state *fleet.State) (verdicts []Verdict) {
+	a.forget(now, state)
+	for id, instance := range state.Instances {
+		if instance.Phase != fleet.Serving && instance.Phase != fleet.Draining {
+			continue
+		}
+		if verdict, found := a.judge(now, state, instance); found {
+			verdict.Instance = id
+			verdicts = append(verdicts, verdict)
+		}
+	}
+	slices.SortFunc(verdicts, func(x, y Verdict) int { return cmp.Compare(x.Instance, y.Instance) })
+	a.doubt(state, verdicts)
+	correlate(state, verdicts)
+	return verdicts
+}
+
+func (a *Assessor) forget(now time.Time, state *fleet.State) {
+	for id, reports := range a.reports {
+		reports = slices.DeleteFunc(reports, func(report acaciatally.InstanceReport) bool { return now.Sub(report.At) > a.config.Window })
+		if _, known := state.Instances[id]; len(reports) == 0 || !known {
+			delete(a.reports, id)
+			continue
+		}
+		a.reports[id] = reports
+	}
+}
+
+// byEntry sums the reports of each entry since the instance took its present phase.
+func (a *Assessor) byEntry(instance fleet.Instance) (sums []acaciatally.InstanceReport) {
+	for _, report := range a.reports[instance.ID] {
+		if report.At.Before(instance.PhaseSince) && instance.Phase == fleet.Serving {
+			continue
+		}
+		at := slices.IndexFunc(sums, func(sum acaciatally.InstanceReport) bool { return sum.Entry == report.Entry })
+		if at < 0 {
+			sums = append(sums, report)
+			continue
+		}
+		sums[at].Connected += report.Connected
+		sums[at].Unreachable += report.Unreachable
+		sums[at].Succeeded += report.Succeeded
+		sums[at].Failed += report.Failed
+	}
+	slices.SortFunc(sums, func(x, y acaciatally.InstanceReport) int { return cmp.Compare(x.Entry, y.Entry) })
+	return sums
+}
+
+func (a *Assessor) judge(now time.Time, state *fleet.State, instance fleet.Instance) (verdict Verdict, found bool) {
+	connected, succeeded, failed := 0, 0, 0
+	for _, sum := range a.byEntry(instance) {
+		if sum.Connected == 0 && sum.Unreachable >= a.config.MinUnreachable {
+			verdict.Signals = append(verdict.Signals, "entry "+string(sum.Entry)+" cannot connect")
+		}
+		connected, succeeded, failed = connected+sum.Connected, succeeded+sum.Succeeded, failed+sum.Failed
+	}
+	if connected > 0 {
+		// An instance that answers some entries is alive; the others are cut off from it.
+		verdict.Kind = Suspected
+		if failed >= a.config.MinFailed && succeeded == 0 && a.poolSucceeds(state, instance) {
+			verdict.Kind = FailsEvery
+			verdict.Signals = append(verdict.Signals, "all attempts fail", "other instances of the pool succeed")
+		}
+		return verdict, len(verdict.Signals) > 0
+	}
+	if len(verdict.Signals) > 0 && a.unlisted(now, instance) {
+		verdict.Signals = append(verdict.Signals, "the list does not show it")
+	}
+	verdict.Kind = Suspected
+	if len(verdict.Signals) >= 2 {
+		verdict.Kind = Failed
+	}
+	return verdict, len(verdict.Signals) > 0
+}
+
+// unlisted reports whether the list should show the instance and does not; the list alone proves nothing.
+func (a *Assessor) unlisted(now time.Time, instance fleet.Instance) bool {
+	if a.listAt.IsZero() || now.Sub(a.listAt) > a.config.ListLag || now.Sub(instance.PhaseSince) < a.config.ListLag {
+		return false
+	}
+	listed, found := a.listed[instance.ID]
+	return !found || now.Sub(listed.SeenAt) > 2*a.config.ListLag
+}
+
+// poolSucceeds reports whether another instance of the pool succeeds, so that the work itself is not what fails.
+func (a *Assessor) poolSucceeds(state *fleet.State, instance fleet.Instance) bool {
+	for id, reports := range a.reports {
+		if id == instance.ID || state.Instances[id].Pool != instance.Pool {
+			continue
+		}
+		for _, report := range reports {
+			if report.Succeeded > 0 {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// doubt withdraws the verdicts when they claim more of the fleet than can plausibly fail at once.
+func (a *Assessor) doubt(state *fleet.State, verdicts []Verdict) {
+	failed := 0
+	for _, verdict := range verdicts {
+		if verdict.Kind == Failed {
+			failed++
+		}
+	}
+	if float64(failed) <= a.config.MaxFailedShare*float64(len(state.Instances)) {
+		return
+	}
+	for i := range verdicts {
+		if verdicts[i].Kind == Failed {
+			verdicts[i].Kind = Unsupported
+		}
+	}
+}
--- /dev/null
+++ b/rhythm/rhythm.go
@@ -0,0 +1,150 @@
+package rhythm
+
+import (
+	"math"
+	"time"
+)
+
+const (
+	// minPeriod is the shortest period that is looked for; shorter bursts end before a move can help.
+	minPeriod = 8
+	// recentBuckets is the span whose peak is the forecast while no period is known.
+	recentBuckets = 20
+	// nearbyShare accepts a shorter period instead of its multiple when it explains the history nearly as well.
+	nearbyShare = 0.9
+)
+
+// Config tunes a Rhythm; zero values are replaced by the defaults.
+type Config struct {
+	Bucket        time.Duration // default 1 s
+	Length        int           // buckets kept, default 600
+	MaxPeriod     int           // buckets, default 240
+	Relearn       time.Duration // time between two searches for the period, default 10 s
+	MinConfidence float64       // share below which no period is assumed, default 0.5
+}
+
+func (c *Config) setDefaults() {
+	if c.Bucket == 0 {
+		c.Bucket = time.Second
+	}
+	if c.Length == 0 {
+		c.Length = 600
+	}
+	if c.MaxPeriod == 0 {
+		c.MaxPeriod = 240
+	}
+	if c.Relearn == 0 {
+		c.Relearn = 10 * time.Second
+	}
+	if c.MinConfidence == 0 {
+		c.MinConfidence = 0.5
+	}
+}
+
+// Forecast is the expected peak of the demand over a span.
+type Forecast struct {
+	Slots      float64
+	Period     time.Duration // 0 when none is known
+	Confidence float64       // between 0 and 1
+}
+
+// Rhythm keeps the bounded history of one pool; it is not safe for concurrent use.
+type Rhythm struct {
+	config     Config
+	buckets    []bucket
+	last       int64 // index of the newest bucket
+	learnedAt  int64
+	period     float64 // buckets, 0 when none is known
+	confidence float64
+}
+
+type bucket struct {
+	index int64
+	peak  float64
+	known bool
+}
+
+// New returns a rhythm without history.
+func New(config Config) *Rhythm {
+	config.setDefaults()
+	return &Rhythm{config: config, buckets: make([]bucket, config.Length)}
+}
+
+func (r *Rhythm) index(at time.Time) int64 {
+	return at.UnixNano() / int64(r.config.Bucket)
+}
+
+// Observe adds a sample of the demand; samples older than the history are ignored.
+func (r *Rhythm) Observe(at time.Time, slots float64) {
+	index := r.index(at)
+	if index <= r.last-int64(len(r.buckets)) || math.IsNaN(slots) || slots < 0 {
+		return
+	}
+	r.last = max(r.last, index)
+	slot := &r.buckets[index%int64(len(r.buckets))]
+	if !slot.known || slot.index != index {
+		*slot = bucket{index: index, known: true}
+	}
+	slot.peak = max(slot.peak, slots)
+}
+
+// Forecast returns the peak expected between two times.
+func (r *Rhythm) Forecast(from, to time.Time) Forecast {
+	if r.last-r.learnedAt >= int64(r.config.Relearn/r.config.Bucket) {
+		r.learn()
+		r.learnedAt = r.last
+	}
+	recent := r.peak(r.last-recentBuckets, r.last)
+	if r.period == 0 {
+		return Forecast{Slots: recent, Confidence: r.confidence}
+	}
+	first, last := r.index(from), r.index(to)
+	forecast := Forecast{Period: time.Duration(r.period * float64(r.config.Bucket)), Confidence: r.confidence}
+	if first <= r.last+1 {
+		forecast.Slots = r.peak(r.last-1, r.last) // what is there now counts, whatever the history says
+	}
+	forecast.Slots = max(forecast.Slots, r.seasonal(first, last))
+	return forecast
+}
+
+// seasonal returns the larger of the peaks one and two periods before the span, which survives the loss of data of one period.
+func (r *Rhythm) seasonal(first, last int64) (slots float64) {
+	back := max(1, math.Ceil(float64(last-r.last)/r.period))
+	found := 0
+	for n := back; n < back+4 && found < 2; n++ {
+		shift := int64(math.Round(n * r.period))
+		if r.coverage(first-shift-1, last-shift+1) < 0.5 {
+			continue
+		}
+		found++
+		slots = max(slots, r.peak(first-shift-1, last-shift+1))
+	}
+	return slots
+}
+
+func (r *Rhythm) at(index int64) (slots float64, known bool) {
+	if index < 0 || index > r.last || index <= r.last-int64(len(r.buckets)) {
+		return 0, false
+	}
+	one := r.buckets[index%int64(len(r.buckets))]
+	return one.peak, one.known && one.index == index
+}
+
+func (r *Rhythm) peak(first, last int64) (slots float64) {
+	for index := first; index <= last; index++ {
+		if one, known := r.at(index); known {
+			slots = max(slots, one)
+		}
+	}
+	return slots
+}
+
+func (r *Rhythm) coverage(first, last int64) float64 {
+	known := 0
+	for index := first; index <= last; index++ {
+		if _, found := r.at(index); found {
+			known++
+		}
+	}
+	return float64(known) / float64(last-first+1)
+}
