Add the steps of the control pipeline

Cause: nothing planned repairs, moves or waves. Ruled out: one lease for each pool (a write for each pool and renewal, while moves and waves weigh all pools together); a second change of state before a reboot (stop and reboot are one record); removal of failed instances while others of their domain are down, since the cause then lies outside.

--- /dev/null
+++ b/control/plan.go
@@ -0,0 +1,139 @@
+package control
+
+import (
+	"context"
+	"strings"
+	"time"
+
+	"github.com/acaciatally/acaciatally"
+	"github.com/acaciatally/acaciatally/approval"
+	"github.com/acaciatally/acaciatally/assessment"
+	"github.com/acaciatally/acaciatally/fleet"
+	"github.com/acaciatally/acaciatally/lifecycle"
+	"github.com/acaciatally/acaciatally/move"
+	"github.com/acaciatally/acaciatally/wave"
+)
+
+// Plan plans repairs, the next steps of instances out of service, moves and waves on one draft, in this order.
+type Plan struct {
+	config *Config
+	moves  *move.Planner
+	waves  *wave.Planner
+}
+
+// NewPlan returns the step.
+func NewPlan(config *Config) *Plan {
+	return &Plan{
+		config: config,
+		moves: move.New(move.Config{
+			Reserve: config.Weights.Reserve, Moves: config.Weights.Moves, Hold: config.Control.MoveHold,
+		}),
+		waves: wave.New(wave.Config{Calm: config.Control.WaveCalm}),
+	}
+}
+
+// String returns the step's name.
+func (p *Plan) String() string { return "plan" }
+
+// Run plans when this entry is in control with a fresh view.
+func (p *Plan) Run(_ context.Context, round *Round) (err error) {
+	if !round.Acting {
+		return nil
+	}
+	draft := round.State.Draft(round.Now)
+	p.failures(round, draft)
+	p.progress(round, draft)
+	round.Actions = append(round.Actions, p.moves.Plan(move.Input{
+		Now: round.Now, Draft: draft, Outlook: p.config.Outlook, Wanted: wave.Wanted(draft.State()),
+	})...)
+	round.Actions = append(round.Actions, p.waves.Plan(round.Now, draft)...)
+	return nil
+}
+
+// failures marks instances as failed, which is a fact, and quarantines others, which is a decision and needs room in the budget.
+func (p *Plan) failures(round *Round, draft *fleet.Draft) {
+	for _, verdict := range round.Verdicts {
+		instance := round.State.Instances[verdict.Instance]
+		phase := fleet.Failed
+		switch verdict.Kind {
+		case assessment.Failed:
+		case assessment.FailsEvery:
+			if instance.Phase != fleet.Serving || draft.State().Allows(instance, fleet.CauseMove) != nil {
+				continue
+			}
+			phase = fleet.Quarantined
+		default:
+			continue
+		}
+		reasons := verdict.Signals
+		if verdict.Domain != "" {
+			reasons = append(reasons, verdict.Domain)
+		}
+		change := fleet.Change{SetPhase: &fleet.SetPhase{ID: instance.ID, Phase: phase}}
+		action := approval.OnInstance(string(phase), instance, strings.Join(reasons, "; "), change)
+		if phase == fleet.Quarantined {
+			action.Check = func(state *fleet.State) error { return state.Allows(state.Instances[instance.ID], fleet.CauseMove) }
+		}
+		p.try(round, draft, action)
+	}
+}
+
+// progress plans the next step of each instance that is out of service.
+func (p *Plan) progress(round *Round, draft *fleet.Draft) {
+	for _, instance := range outOfService(round.State) {
+		if draft.Planned(draft.State().Instances[instance.ID]) {
+			continue
+		}
+		step := lifecycle.Next(instance, p.facts(round, instance), p.config.Limits)
+		if step.Operation != nil {
+			round.Calls = append(round.Calls, *step.Operation)
+		}
+		if step.Action != nil {
+			p.try(round, draft, *step.Action)
+		}
+	}
+}
+
+func (p *Plan) facts(round *Round, instance fleet.Instance) lifecycle.Facts {
+	_, target := round.State.Pools[instance.Target]
+	return lifecycle.Facts{
+		Now:          round.Now,
+		Acknowledged: p.config.Membership.Acknowledged(instance.ID, instance.Version),
+		Operation:    round.Operations[instance.ID],
+		Healthy:      round.Healthy[instance.ID],
+		TargetExists: target,
+		Correlated:   correlated(round.State, instance),
+	}
+}
+
+// correlated reports whether another instance of the rack or data centre failed within ten minutes of this one.
+func correlated(state *fleet.State, instance fleet.Instance) bool {
+	const span = 10 * time.Minute
+	for _, other := range state.Instances {
+		sameDomain := other.Rack == instance.Rack || other.DataCentre == instance.DataCentre
+		if other.ID != instance.ID && sameDomain && other.Phase == fleet.Failed && other.FailedAt.Sub(instance.FailedAt).Abs() < span {
+			return true
+		}
+	}
+	return false
+}
+
+func (p *Plan) try(round *Round, draft *fleet.Draft, action approval.Action) {
+	for _, change := range action.Changes {
+		if draft.Try(change) != nil {
+			return
+		}
+	}
+	round.Actions = append(round.Actions, action)
+}
+
+var _ move.Outlook = (*Outlook)(nil)
+
+// noDemand observes nothing; it stands in where the traffic path is not wired.
+type noDemand struct{}
+
+// NoObserver returns an observer that has seen nothing.
+func NoObserver() acaciatally.Observer { return noDemand{} }
+
+func (noDemand) Demand() []acaciatally.PoolDemand      { return nil }
+func (noDemand) Reports() []acaciatally.InstanceReport { return nil }
--- a/fleet/instance.go
+++ b/fleet/instance.go
@@ -9,9 +9,9 @@
 // nextPhases lists the phases that may follow each phase; Failed and Quarantined may follow any.
 var nextPhases = map[Phase][]Phase{
 	Serving:     {Draining},
-	Draining:    {Serving, Stopping},
+	Draining:    {Serving, Stopping, Checking},
 	Stopping:    {Rebooting},
-	Rebooting:   {Checking, Rebooting},
+	Rebooting:   {Checking},
 	Checking:    {Serving, Rebooting},
 	Failed:      {Rebooting, Checking, Serving},
 	Quarantined: {Draining, Rebooting, Checking, Serving},
@@ -71,7 +71,7 @@
 		instance.Home = move.To
 	}
 	instance.serve(record)
-	instance.MovedAt = record.At
+	instance.MovedAt, instance.MovedFrom = record.At, move.From
 	s.put(instance, record)
 	return nil
 }
--- a/fleet/state.go
+++ b/fleet/state.go
@@ -63,10 +63,11 @@
 	Reboot      bool                 `json:",omitempty"` // a drain of the instance ends in a reboot
 	Attempts    int                  `json:",omitempty"` // reboots since it last served
 	PhaseSince  time.Time
-	Maintained  time.Time `json:",omitzero"` // end of the last maintenance
-	MovedAt     time.Time `json:",omitzero"`
-	FailedAt    time.Time `json:",omitzero"` // start of the last failure or quarantine
-	Version     uint64    // log version of the last change
+	Maintained  time.Time            `json:",omitzero"` // end of the last maintenance
+	MovedAt     time.Time            `json:",omitzero"`
+	MovedFrom   acaciatally.PoolName `json:",omitempty"`
+	FailedAt    time.Time            `json:",omitzero"` // start of the last failure or quarantine
+	Version     uint64               // log version of the last change
 	By          string
 	Reason      string
 }
--- /dev/null
+++ b/move/move.go
@@ -0,0 +1,289 @@
+package move
+
+import (
+	"cmp"
+	"math"
+	"slices"
+	"time"
+
+	"github.com/acaciatally/acaciatally"
+	"github.com/acaciatally/acaciatally/approval"
+	"github.com/acaciatally/acaciatally/fleet"
+	"github.com/acaciatally/acaciatally/rhythm"
+)
+
+// Outlook forecasts the demand of pools.
+type Outlook interface {
+	// Forecast returns the peak of the demand between two times.
+	Forecast(pool acaciatally.PoolName, from, to time.Time) rhythm.Forecast
+}
+
+// Config tunes the planner; zero values are replaced by the defaults.
+type Config struct {
+	Reserve float64       // weight of an instance-second beyond the need, default 1
+	Moves   float64       // weight of a move, default 1
+	Hold    time.Duration // time before a move may be reversed, default 30 s
+	Lead    time.Duration // time from the order of a move to service in the new pool, default 5 s
+	Margin  float64       // share of the demand kept free, default 0.1
+	// MoveCost is the instance time that one move is worth at equal weights, default 10 s: twice its lead.
+	MoveCost time.Duration
+	// MaxPayback bounds the look ahead for a return, default 2 min.
+	MaxPayback time.Duration
+}
+
+func (c *Config) setDefaults() {
+	for _, weight := range []*float64{&c.Reserve, &c.Moves} {
+		if *weight == 0 {
+			*weight = 1
+		}
+	}
+	if c.Hold == 0 {
+		c.Hold = 30 * time.Second
+	}
+	if c.Lead == 0 {
+		c.Lead = 5 * time.Second
+	}
+	if c.Margin == 0 {
+		c.Margin = 0.1
+	}
+	if c.MoveCost == 0 {
+		c.MoveCost = 2 * c.Lead
+	}
+	if c.MaxPayback == 0 {
+		c.MaxPayback = 2 * time.Minute
+	}
+}
+
+// Planner plans moves.
+type Planner struct {
+	config Config
+}
+
+// New returns a planner.
+func New(config Config) *Planner {
+	config.setDefaults()
+	return &Planner{config: config}
+}
+
+// Input is what one plan depends on.
+type Input struct {
+	Now     time.Time
+	Draft   *fleet.Draft
+	Outlook Outlook
+	// Wanted are instances that a pool needs apart from its demand, as for a maintenance wave.
+	Wanted map[acaciatally.PoolName]int
+}
+
+// payback is the idle time of an instance above which a move there and back costs less than keeping it.
+func (p *Planner) payback() time.Duration {
+	return min(p.config.MaxPayback, time.Duration(2*float64(p.config.MoveCost)*p.config.Moves/p.config.Reserve))
+}
+
+// round is the work on one input.
+type round struct {
+	*Planner
+	Input
+	spare   acaciatally.PoolName
+	pools   []*standing
+	actions []approval.Action
+}
+
+// standing is one pool's supply and need, in instances.
+type standing struct {
+	name  acaciatally.PoolName
+	have  int // serving or on their way into the pool
+	soon  int // needed within the lead
+	kept  int // needed within the hold time or the payback, whichever is longer
+	slots float64
+}
+
+// Plan returns the moves to begin now, each of which was tried on the draft.
+func (p *Planner) Plan(input Input) (actions []approval.Action) {
+	r := &round{Planner: p, Input: input, spare: input.Draft.State().SparePool()}
+	if r.spare == "" {
+		return nil
+	}
+	r.survey()
+	r.fill()
+	r.release()
+	return r.actions
+}
+
+func (r *round) survey() {
+	state := r.Draft.State()
+	incoming := map[acaciatally.PoolName]int{}
+	for _, instance := range state.Instances {
+		if instance.Phase == fleet.Draining && instance.Cause == fleet.CauseMove {
+			incoming[instance.Target]++
+		}
+	}
+	for _, name := range state.PoolNames() {
+		if name == r.spare {
+			continue
+		}
+		pool := &standing{name: name, have: state.Available(name) + incoming[name], slots: slotsOf(state.Members(name))}
+		pool.soon = r.need(pool, r.config.Lead)
+		pool.kept = max(pool.soon, r.need(pool, max(r.payback(), r.config.Lead)))
+		r.pools = append(r.pools, pool)
+	}
+}
+
+func slotsOf(members []fleet.Instance) float64 {
+	total := 0
+	for _, member := range members {
+		total += member.Slots
+	}
+	if total == 0 {
+		return 8
+	}
+	return float64(total) / float64(len(members))
+}
+
+// need returns the instances that the pool needs within a span; the wish of a wave counts beside the demand.
+func (r *round) need(pool *standing, span time.Duration) int {
+	forecast := r.Outlook.Forecast(pool.name, r.Now, r.Now.Add(span))
+	demand := int(math.Ceil(forecast.Slots * (1 + r.config.Margin) / pool.slots))
+	return max(1, demand, r.Draft.State().Pools[pool.name].MinAvailable, r.Wanted[pool.name])
+}
+
+// fill closes the gaps of the pools, the relatively largest gap first.
+func (r *round) fill() {
+	for {
+		pool := r.neediest()
+		if pool == nil || !r.bring(pool) {
+			return
+		}
+	}
+}
+
+func (r *round) neediest() (neediest *standing) {
+	worst := 0.0
+	for _, pool := range r.pools {
+		if gap := float64(pool.soon-pool.have) / float64(pool.soon); gap > worst {
+			neediest, worst = pool, gap
+		}
+	}
+	return neediest
+}
+
+// bring moves one instance into the pool: an idle loan of another pool, which saves its way home, else one of the spare pool, else
+// an idle instance of another pool.
+func (r *round) bring(pool *standing) bool {
+	candidates := r.candidates(pool)
+	for _, candidate := range candidates {
+		if r.order(candidate.instance, pool.name) {
+			pool.have++
+			if candidate.from != nil {
+				candidate.from.have--
+			}
+			return true
+		}
+	}
+	pool.soon = pool.have // nothing can be done for this pool in this round
+	return r.neediest() != nil
+}
+
+type candidate struct {
+	instance fleet.Instance
+	from     *standing // nil for the spare pool
+	rank     int
+}
+
+func (r *round) candidates(pool *standing) (candidates []candidate) {
+	state := r.Draft.State()
+	for _, instance := range state.Members(r.spare) {
+		candidates = append(candidates, candidate{instance: instance, rank: spareRank(instance, pool.name, r.spare)})
+	}
+	for _, from := range r.pools {
+		idle := from.have - from.kept
+		if from == pool || idle <= 0 {
+			continue
+		}
+		for _, instance := range state.Members(from.name) {
+			rank := 4
+			if instance.Home != from.name {
+				rank = 0
+			}
+			candidates = append(candidates, candidate{instance: instance, from: from, rank: rank})
+		}
+	}
+	candidates = slices.DeleteFunc(candidates, func(c candidate) bool {
+		return c.instance.Phase != fleet.Serving || r.Draft.Planned(c.instance) || r.reverses(c.instance, pool.name)
+	})
+	slices.SortStableFunc(candidates, func(a, b candidate) int {
+		return cmp.Or(cmp.Compare(a.rank, b.rank), a.instance.MovedAt.Compare(b.instance.MovedAt))
+	})
+	return candidates
+}
+
+// spareRank prefers instances that return to their own pool, then those of the spare pool, then others' parked instances.
+func spareRank(instance fleet.Instance, pool, spare acaciatally.PoolName) int {
+	switch instance.Home {
+	case pool:
+		return 1
+	case spare:
+		return 2
+	}
+	return 3
+}
+
+// reverses reports whether a move would undo the instance's last move before the hold time has passed.
+func (r *round) reverses(instance fleet.Instance, to acaciatally.PoolName) bool {
+	return instance.MovedFrom == to && r.Now.Sub(instance.MovedAt) < r.config.Hold
+}
+
+// release sends instances that are idle longer than a move there and back is worth home or to the spare pool, but keeps as many as
+// other pools will lack meanwhile, since they can go there directly.
+func (r *round) release() {
+	lacking := 0
+	for _, pool := range r.pools {
+		lacking += max(0, pool.kept-pool.have)
+	}
+	for _, pool := range r.pools {
+		for _, instance := range r.idle(pool) {
+			if pool.have <= pool.kept {
+				break
+			}
+			if lacking > 0 {
+				lacking--
+				pool.kept++
+				continue
+			}
+			if r.order(instance, r.spare) {
+				pool.have--
+			}
+		}
+	}
+}
+
+// idle returns the serving instances of a pool that may leave it, loans first.
+func (r *round) idle(pool *standing) (idle []fleet.Instance) {
+	for _, instance := range r.Draft.State().Members(pool.name) {
+		if instance.Phase == fleet.Serving && !r.reverses(instance, r.spare) && !r.Draft.Planned(instance) {
+			idle = append(idle, instance)
+		}
+	}
+	slices.SortStableFunc(idle, func(a, b fleet.Instance) int { return cmp.Compare(native(a), native(b)) })
+	return idle
+}
+
+func native(instance fleet.Instance) int {
+	if instance.Home == instance.Pool {
+		return 1
+	}
+	return 0
+}
+
+// order plans a move that budgets allow.
+func (r *round) order(instance fleet.Instance, to acaciatally.PoolName) bool {
+	drain := fleet.Change{SetPhase: &fleet.SetPhase{ID: instance.ID, Phase: fleet.Draining, Cause: fleet.CauseMove, Target: to, Borrow: true}}
+	if r.Draft.Try(drain) != nil {
+		return false
+	}
+	reason := "capacity for pool " + string(to)
+	if to == r.spare {
+		reason = "idle in pool " + string(instance.Pool)
+	}
+	r.actions = append(r.actions, approval.OnInstance("MoveDrain", instance, reason, drain))
+	return true
+}
--- /dev/null
+++ b/wave/doc.go
@@ -0,0 +1,2 @@
+// Package wave plans maintenance waves over all pools at once within budgets, failure domains and the rule that stops on failures.
+package wave
--- /dev/null
+++ b/wave/hold.go
@@ -0,0 +1,63 @@
+package wave
+
+import (
+	"fmt"
+	"slices"
+	"time"
+
+	"github.com/acaciatally/acaciatally/fleet"
+)
+
+type failure struct {
+	at      time.Time
+	domains []string
+}
+
+// Held reports whether failures stop all waves at a time, and why.
+func (p *Planner) Held(now time.Time, state *fleet.State) (reason string, held bool) {
+	failures := p.recent(now, state)
+	for i := len(failures) - 1; i >= 0; i-- {
+		if reason, found := p.trigger(failures[:i+1]); found {
+			return reason, true
+		}
+	}
+	return "", false
+}
+
+// recent returns the failures in order of time, without those before the last calm.
+func (p *Planner) recent(now time.Time, state *fleet.State) (failures []failure) {
+	for _, instance := range state.Instances {
+		if instance.FailedAt.IsZero() {
+			continue
+		}
+		failures = append(failures, failure{at: instance.FailedAt, domains: []string{
+			"pool " + string(instance.Pool), "rack " + string(instance.Rack), "data centre " + string(instance.DataCentre),
+		}})
+	}
+	slices.SortFunc(failures, func(a, b failure) int { return a.at.Compare(b.at) })
+	next := now
+	for i := len(failures) - 1; i >= 0; i-- {
+		if next.Sub(failures[i].at) >= p.config.Calm {
+			return failures[i+1:]
+		}
+		next = failures[i].at
+	}
+	return failures
+}
+
+// trigger reports whether the last failure is one too many in its pool, rack or data centre.
+func (p *Planner) trigger(failures []failure) (reason string, found bool) {
+	last := failures[len(failures)-1]
+	for _, domain := range last.domains {
+		count := 0
+		for _, other := range failures {
+			if last.at.Sub(other.at) <= p.config.FailureWindow && slices.Contains(other.domains, domain) {
+				count++
+			}
+		}
+		if count >= p.config.FailureLimit {
+			return fmt.Sprintf("%d failures within %s in %s", count, p.config.FailureWindow, domain), true
+		}
+	}
+	return "", false
+}
