Simulate the whole platform and reach it over HTTP

Cause: only the table service had a stand-in and a client, and the client reported a 503 of anything on the way as a commit without effect.

Change: standin has an object store, an instance list with lag, instance control, task leases with simulated task runs, and a worker with slots, connections, health path and fault modes; cmd/standin serves them with an admin path for faults. platform.Client reaches all services with bounded concurrency and bounded answers, counts reads, writes and bytes, and reports ErrUnavailable only when the platform says so or no connection was made.

Ruled out: goroutines in the simulation; state is advanced to the present at each call, so virtual and real time behave alike.

--- a/standin/faults.go
+++ b/standin/faults.go
@@ -135,17 +135,24 @@
 	return nil
 }
 
-// call passes on a call whose loss the caller may always answer with a repetition.
+// call passes on a call; a lost write fails with ErrUnknownCommit, since its caller cannot tell which half of it was lost.
 func (f *Faults) call(ctx context.Context, write bool, effect func() error) error {
 	p := f.plan(write)
+	lost := acaciatally.ErrUnavailable
+	if write {
+		lost = acaciatally.ErrUnknownCommit
+	}
 	if err := f.before(ctx, p, write); err != nil {
-		return err
+		if p.down || (ctx.Err() == nil && !p.lostBefore) {
+			return err
+		}
+		return lost
 	}
 	if err := effect(); err != nil {
 		return err
 	}
 	if sleep(ctx, p.delay-p.delay/2) != nil || p.lostAfter {
-		return acaciatally.ErrUnavailable
+		return lost
 	}
 	return nil
 }
--- a/standin/server.go
+++ b/standin/server.go
@@ -10,9 +10,43 @@
 	"github.com/acaciatally/acaciatally/platform"
 )
 
-// NewServer returns the HTTP face of the simulated platform.
+// ServerConfig names the services behind the HTTP face; the paths of a nil service are absent.
+type ServerConfig struct {
+	Table    acaciatally.TableService
+	Objects  acaciatally.ObjectStore
+	List     acaciatally.InstanceList
+	Control  acaciatally.InstanceControl
+	Leases   acaciatally.TaskLeases
+	Faults   *Faults   // switched through the admin path
+	Machines *Machines // killed and registered through the admin path
+	Tasks    *Tasks    // faults of workers set through the admin path
+}
+
+// NewServer returns the HTTP face of a simulated table service.
 func NewServer(table acaciatally.TableService) http.Handler {
+	return NewPlatformServer(ServerConfig{Table: table})
+}
+
+// NewPlatformServer returns the HTTP face of the simulated platform.
+func NewPlatformServer(config ServerConfig) http.Handler {
 	server := echo.New()
+	if config.Table != nil {
+		serveTable(server, config.Table)
+	}
+	if config.Objects != nil {
+		serveObjects(server, config.Objects)
+	}
+	if config.List != nil {
+		serveInstances(server, config.List, config.Control)
+	}
+	if config.Leases != nil {
+		serveTasks(server, config.Leases)
+	}
+	serveAdmin(server, config)
+	return server
+}
+
+func serveTable(server *echo.Echo, table acaciatally.TableService) {
 	server.POST(platform.ReadPath, func(c *echo.Context) error {
 		var request platform.ReadRequest
 		if err := c.Bind(&request); err != nil {
@@ -41,12 +75,51 @@
 		}
 		return answer(c, platform.CommitResponse{Version: version}, err)
 	})
-	return server
 }
 
+func serveObjects(server *echo.Echo, objects acaciatally.ObjectStore) {
+	server.POST(platform.PutPath, func(c *echo.Context) error {
+		var object platform.Object
+		if err := c.Bind(&object); err != nil {
+			return err
+		}
+		return answer(c, platform.Empty{}, objects.Put(c.Request().Context(), object.Name, object.Content))
+	})
+	server.POST(platform.GetPath, func(c *echo.Context) error {
+		var object platform.Object
+		if err := c.Bind(&object); err != nil {
+			return err
+		}
+		content, err := objects.Get(c.Request().Context(), object.Name)
+		return answer(c, platform.Object{Name: object.Name, Content: content}, err)
+	})
+	server.POST(platform.ListPath, func(c *echo.Context) error {
+		var object platform.Object
+		if err := c.Bind(&object); err != nil {
+			return err
+		}
+		names, err := objects.List(c.Request().Context(), object.Name)
+		return answer(c, platform.ListResponse{Names: names}, err)
+	})
+}
+
+// answer writes the response, or the error with the code that platform.Client turns back into a typed error.
 func answer(c *echo.Context, response any, err error) error {
-	if err != nil {
-		return echo.NewHTTPError(http.StatusServiceUnavailable, err.Error())
+	if err == nil {
+		return c.JSON(http.StatusOK, response)
+	}
+	status, code := http.StatusInternalServerError, platform.CodeUnknown
+	switch {
+	case errors.Is(err, acaciatally.ErrUnavailable):
+		status, code = http.StatusServiceUnavailable, platform.CodeUnavailable
+	case errors.Is(err, acaciatally.ErrUnknownCommit):
+		status = http.StatusGatewayTimeout
+	case errors.Is(err, acaciatally.ErrRejected):
+		status, code = http.StatusConflict, platform.CodeRejected
+	case errors.Is(err, acaciatally.ErrLeaseExpired):
+		status, code = http.StatusGone, platform.CodeLeaseExpired
+	case errors.Is(err, acaciatally.ErrNoObject):
+		status, code = http.StatusNotFound, platform.CodeNoObject
 	}
-	return c.JSON(http.StatusOK, response)
+	return c.JSON(status, platform.ErrorResponse{Code: code, Message: err.Error()})
 }
