--- /dev/null
+++ b/route/doc.go
@@ -0,0 +1,2 @@
+// Package route chooses the worker for a granted slot.
+package route
