Decide admission, queueing and routing

Ruled out: ordering teams by received slot time alone, since a team whose requests do not end is charged too late (a test shows it); a static bound for each team, since it either wastes the queue or lets a flooding team fill its class. Change: class floors, teams ordered by held slots and then by slot time, quotas, deadlines, bounds; routing by distance, load and error rate with load charges for fast failures, probation and a circuit breaker; the filter admit.

--- a/queue/config.go
+++ b/queue/config.go
@@ -6,6 +6,18 @@
 	"github.com/acaciatally/acaciatally"
 )
 
+// The defaults of a Config.
+const (
+	defaultUrgentFloor     = 0.5
+	defaultNormalFloor     = 0.3
+	defaultBackgroundFloor = 0.1
+	defaultMaxLength       = 4096     // requests
+	defaultMaxBytes        = 16 << 20 // bytes
+)
+
+// unknownServiceTime is assumed until the first request has been served.
+const unknownServiceTime = 100 * time.Millisecond
+
 // Bounds limits what may be queued.
 type Bounds struct {
 	Length int   // requests
@@ -37,6 +49,10 @@
 	Idempotent bool
 }
 
+func (i Item) valid() bool {
+	return i.Urgency >= 0 && int(i.Urgency) < acaciatally.UrgencyClasses && i.Bytes >= 0
+}
+
 // Stats counts the queued and granted requests, by class.
 type Stats struct {
 	Queued      [acaciatally.UrgencyClasses]int
@@ -46,3 +62,22 @@
 	Expired     [acaciatally.UrgencyClasses]uint64
 	ServiceTime time.Duration // learned mean
 }
+
+func (c Config) withDefaults() Config {
+	if c.Floors == ([acaciatally.UrgencyClasses]float64{}) {
+		c.Floors = [acaciatally.UrgencyClasses]float64{defaultUrgentFloor, defaultNormalFloor, defaultBackgroundFloor}
+	}
+	if c.MaxLength == 0 {
+		c.MaxLength = defaultMaxLength
+	}
+	if c.MaxBytes == 0 {
+		c.MaxBytes = defaultMaxBytes
+	}
+	if c.Class.Length == 0 {
+		c.Class.Length = max(1, c.MaxLength/acaciatally.UrgencyClasses)
+	}
+	if c.Class.Bytes == 0 {
+		c.Class.Bytes = max(1, c.MaxBytes/acaciatally.UrgencyClasses)
+	}
+	return c
+}
--- /dev/null
+++ b/queue/grant.go
@@ -0,0 +1,134 @@
+package queue
+
+import (
+	"time"
+)
+
+// grant is a slot that an item holds.
+type grant struct {
+	flow    *flow
+	charged time.Duration
+	byFloor bool // the class was below its floor
+}
+
+// Next grants a slot to the next item, unless the items in service hold all of the pool's usable slots already.
+func (q *Queue) Next(now time.Time, slots int) (item Item, found bool) {
+	q.slots = slots
+	q.lapse(now)
+	if q.held >= slots {
+		return Item{}, false
+	}
+	class, byFloor := q.nextClass(slots)
+	if class == nil {
+		return Item{}, false
+	}
+	flow := class.first()
+	class.virtual = max(class.virtual, flow.virtual)
+	ticket := flow.tickets.list[0]
+	q.remove(ticket)
+	q.hold(ticket.item.ID, &grant{flow: flow, charged: q.estimate(flow), byFloor: byFloor})
+	return ticket.item, true
+}
+
+// Hold records a slot that the item holds already, as reported after a change of slot home.
+func (q *Queue) Hold(_ time.Time, item Item) {
+	if _, known := q.grants[item.ID]; known {
+		return
+	}
+	q.Cancel(item.ID)
+	flow := q.flow(item)
+	q.hold(item.ID, &grant{flow: flow, charged: q.estimate(flow)})
+}
+
+// Done returns the slot of a granted item; a service time of zero is not learned from.
+func (q *Queue) Done(_ time.Time, item Item, serviceTime time.Duration) {
+	grant, known := q.grants[item.ID]
+	if !known {
+		return
+	}
+	delete(q.grants, item.ID)
+	flow := grant.flow
+	flow.team.changed(func() {
+		q.countHeld(flow, -1)
+		flow.charge(serviceTime - grant.charged)
+	})
+	if grant.byFloor {
+		flow.class.floorTime += flow.class.floorCost(serviceTime - grant.charged)
+	}
+	q.learn(flow, serviceTime)
+}
+
+func (q *Queue) hold(id string, grant *grant) {
+	q.grants[id] = grant
+	flow := grant.flow
+	flow.team.changed(func() {
+		q.countHeld(flow, 1)
+		flow.charge(grant.charged)
+	})
+	if grant.byFloor {
+		q.floorTime = max(q.floorTime, flow.class.floorTime)
+		flow.class.floorTime = q.floorTime + flow.class.floorCost(grant.charged)
+	}
+}
+
+func (q *Queue) countHeld(flow *flow, sign int) {
+	flow.held += sign
+	flow.team.held += sign
+	flow.class.held += sign
+	q.held += sign
+}
+
+// nextClass returns the class whose turn it is: first those below their floors, then the most urgent.
+func (q *Queue) nextClass(slots int) (next *class, byFloor bool) {
+	for urgency := range q.classes {
+		candidate := &q.classes[urgency]
+		if candidate.length == 0 || !q.belowFloor(urgency, slots) {
+			continue
+		}
+		if next == nil || q.furtherBelow(candidate, next) {
+			next = candidate
+		}
+	}
+	if next != nil {
+		return next, true
+	}
+	return q.mostUrgent(), false
+}
+
+func (q *Queue) mostUrgent() *class {
+	for urgency := range q.classes {
+		if q.classes[urgency].length > 0 {
+			return &q.classes[urgency]
+		}
+	}
+	return nil
+}
+
+func (q *Queue) belowFloor(urgency, slots int) bool {
+	return float64(q.classes[urgency].held) < q.classes[urgency].floor*float64(slots)
+}
+
+// furtherBelow orders two classes below their floors by the slot time that they received for their floors. In small pools,
+// where a floor is less than one slot, the floors are so shares of slot time.
+func (q *Queue) furtherBelow(a, b *class) bool {
+	return max(a.floorTime, q.floorTime) < max(b.floorTime, q.floorTime)
+}
+
+// estimate is the service time that an item of the flow is expected to take.
+func (q *Queue) estimate(flow *flow) time.Duration {
+	for _, known := range []mean{flow.service, flow.class.service, q.service} {
+		if known.samples > 0 {
+			return known.value
+		}
+	}
+	return unknownServiceTime
+}
+
+func (q *Queue) learn(flow *flow, serviceTime time.Duration) {
+	if serviceTime <= 0 {
+		return
+	}
+	flow.service.add(serviceTime)
+	flow.class.service.add(serviceTime)
+	q.service.add(serviceTime)
+}
--- a/route/config.go
+++ b/route/config.go
@@ -15,11 +15,30 @@
 	MaxProbes      int           // probes in progress at once at most, default 5
 
 	ProbationFailures  int           // fast failures in a row that lead to probation, default 3
-	ProbationInterval  time.Duration // time between attempts in probation, default 500 ms
+	ProbationInterval  time.Duration // time between attempts in probation, default 1 s
 	ProbationSuccesses int           // successes in a row that end probation, default 5
-	WithoutProbation   bool          // switches probation and the load charge for failures off, for measurements
+	MaxWithheld        float64       // share of workers above which breakers and probation are ignored, default 0.5
+
+	// WithoutProbation turns probation and the load charge for failures off, for measurements.
+	WithoutProbation bool
+	// WithoutBreaker turns the circuit breakers off, for measurements.
+	WithoutBreaker bool
 }
 
+// The defaults of a Config. The circuit breaker's values are those of the paper, section 4.
+const (
+	defaultBreakerShare       = 0.5
+	defaultBreakerSamples     = 20
+	defaultBreakerWindow      = time.Minute
+	defaultBreakerOpen        = 30 * time.Second
+	defaultMaxProbes          = 5
+	defaultProbationFailures  = 3
+	defaultProbationInterval  = time.Second
+	defaultProbationSuccesses = 5
+	// More than half of a pool failing points to the requests or to the service rather than to single workers.
+	defaultMaxWithheld = 0.5
+)
+
 // Request is what the choice depends on.
 type Request struct {
 	DataCentre acaciatally.DataCentre   // data centre of the entry that will send the request
@@ -33,3 +52,34 @@
 	Slots      int
 	Busy       int // slots granted
 }
+
+func (c Config) withDefaults() Config {
+	share(&c.BreakerShare, defaultBreakerShare)
+	count(&c.BreakerSamples, defaultBreakerSamples)
+	duration(&c.BreakerWindow, defaultBreakerWindow)
+	duration(&c.BreakerOpen, defaultBreakerOpen)
+	count(&c.MaxProbes, defaultMaxProbes)
+	count(&c.ProbationFailures, defaultProbationFailures)
+	duration(&c.ProbationInterval, defaultProbationInterval)
+	count(&c.ProbationSuccesses, defaultProbationSuccesses)
+	share(&c.MaxWithheld, defaultMaxWithheld)
+	return c
+}
+
+func share(value *float64, fallback float64) {
+	if *value == 0 {
+		*value = fallback
+	}
+}
+
+func count(value *int, fallback int) {
+	if *value == 0 {
+		*value = fallback
+	}
+}
+
+func duration(value *time.Duration, fallback time.Duration) {
+	if *value == 0 {
+		*value = fallback
+	}
+}
