Measure the decisions on recorded traces

Cause: the goals for floods and routing need figures against baselines before the decisions are tuned. Ruled out: simulating the processes of the system, since only the decisions and the network delays matter here. Change: a model of workers, callers and network in virtual time, four recorded traces, the experiments routing, flood and failer, and flags, examples and exit codes for cmd/experiment. Before: no figures.

--- /dev/null
+++ b/cmd/experiment/main_test.go
@@ -0,0 +1,44 @@
+package main
+
+import (
+	"bytes"
+	"context"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+)
+
+// TestRun guards against wrong exit codes and against usage errors that run an hour of measurements.
+func TestRun(t *testing.T) {
+	tests := map[string]struct {
+		arguments []string
+		stopped   bool
+		code      int
+		out       string
+		failures  string
+	}{
+		"help":             {arguments: []string{"-help"}, out: "Examples:"},
+		"version":          {arguments: []string{"-version"}, out: "experiment "},
+		"list":             {arguments: []string{"-list"}, out: "routing\nflood\nfailer\n"},
+		"unknown flag":     {arguments: []string{"-nothing"}, code: 2, failures: "not defined"},
+		"unknown name":     {arguments: []string{"-only", "nothing"}, code: 2, failures: `no experiment "nothing"`},
+		"stray argument":   {arguments: []string{"flood"}, code: 2, failures: `unexpected argument "flood"`},
+		"negative seed":    {arguments: []string{"-seed", "-1"}, code: 2, failures: "invalid value"},
+		"interrupted":      {arguments: []string{"-only", "failer"}, stopped: true, code: 1, failures: "context canceled"},
+		"one experiment":   {arguments: []string{"-only", "failer"}, out: "Measure=FailerShare Deployment=Authority Policy=SlotHome"},
+		"another seed too": {arguments: []string{"-only", "failer", "-seed", "3"}, out: "Seed=3"},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			ctx, cancel := context.WithCancel(context.Background())
+			defer cancel()
+			if test.stopped {
+				cancel()
+			}
+			var out, failures bytes.Buffer
+			require.Equal(t, test.code, run(ctx, test.arguments, &out, &failures))
+			require.Contains(t, out.String(), test.out)
+			require.Contains(t, failures.String(), test.failures)
+		})
+	}
+}
--- /dev/null
+++ b/experiment/routing.go
@@ -0,0 +1,50 @@
+package experiment
+
+import (
+	"context"
+
+	"github.com/acaciatally/acaciatally/model"
+	"github.com/acaciatally/acaciatally/trace"
+)
+
+// Routing compares ways to bring requests to slots while each pool in its turn demands five times its mean.
+type Routing struct{}
+
+var routingPolicies = []model.Policy{
+	model.SlotHome, model.WorkerHome, model.SlotCredits, model.BaselineAlone, model.BaselineRoundRobin,
+}
+
+// String returns the experiment's name.
+func (Routing) String() string { return "routing" }
+
+// Run measures refused attempts, waits and hops at both deployments.
+func (Routing) Run(ctx context.Context, seed uint64) (figures []Figure, err error) {
+	for _, deployment := range deployments {
+		recorded, err := trace.Read(deployment + "-rhythm")
+		if err != nil {
+			return nil, err
+		}
+		for _, policy := range routingPolicies {
+			if err := ctx.Err(); err != nil {
+				return nil, err
+			}
+			result, err := run(recorded.Config(policy, seed))
+			if err != nil {
+				return nil, err
+			}
+			figures = append(figures, routingFigures(newSeries(recorded, policy, seed), result)...)
+		}
+	}
+	return figures, nil
+}
+
+func routingFigures(s *series, result model.Result) []Figure {
+	offered := model.Offered(result.Whole.Other)
+	waits := model.AllWaits(result.Whole.Other)
+	s.addRatio("RefusedAttempts", result.RefusedAttempts, result.Attempts, unitShare)
+	s.addRatio("Goodput", model.Goodput(result.Whole.Other), offered, unitShare)
+	s.addTime("WaitP50", waits.Wait(0.5))
+	s.addTime("WaitP99", waits.Wait(0.99))
+	s.addRatio("Hops", result.Hops, offered, unitPer)
+	return s.figures
+}
--- /dev/null
+++ b/model/simulation_test.go
@@ -0,0 +1,103 @@
+package model_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/acaciatally/acaciatally"
+	"github.com/acaciatally/acaciatally/model"
+)
+
+var policies = []model.Policy{
+	model.SlotHome, model.WorkerHome, model.SlotCredits, model.BaselineAlone, model.BaselineRoundRobin,
+	model.BaselineArrivalOrder, model.BaselineStrictPriority,
+}
+
+// overload is a pool of three workers that receives 1.5 times what it holds, and whose first worker fails for a while.
+func overload(policy model.Policy, seed uint64) model.Config {
+	config := model.Config{
+		Policy: policy, Seed: seed, DataCentres: []acaciatally.DataCentre{"a", "b", "c"}, Entries: 9, Duration: 6 * time.Second,
+		Pools: []model.Pool{{Name: "coating", Workers: 3, Slots: 8}}, Teams: []model.Team{{Name: "x", Quota: 8}, {Name: "y"}},
+		Faults:  []model.Fault{{Pool: "coating", Kind: model.FailsFast, From: time.Second, To: 2 * time.Second}, {Pool: "coating", Worker: 1, Kind: model.Slow, From: 3 * time.Second, To: 4 * time.Second}},
+		Windows: []model.Window{{From: 2 * time.Second, To: 4 * time.Second}},
+	}
+	for urgency := range acaciatally.UrgencyClasses {
+		config.Load = append(config.Load, model.Source{
+			Pool: "coating", Teams: []acaciatally.TeamName{"x", "y"}, Urgency: acaciatally.Urgency(urgency), Demand: 0.5,
+			Service: 50 * time.Millisecond, Spread: 0.5, Deadline: time.Second, Otherwise: 1,
+		})
+	}
+	return config
+}
+
+// TestEveryRequestEnds guards against a model that loses or counts requests twice, and so against wrong figures.
+func TestEveryRequestEnds(t *testing.T) {
+	for _, policy := range policies {
+		t.Run(string(policy), func(t *testing.T) {
+			result, err := model.Run(overload(policy, 1))
+			require.NoError(t, err)
+			require.Zero(t, result.Lost)
+			for _, tally := range result.Whole.Other {
+				require.Greater(t, tally.Offered, 1000)
+				require.Equal(t, tally.Offered, tally.Answered+tally.Late+tally.Refused+tally.Expired+tally.Failed)
+			}
+			require.Less(t, model.Offered(result.Windows[0].Other), model.Offered(result.Whole.Other)/2)
+		})
+	}
+}
+
+// TestRepeatable guards against runs that depend on anything but the seed.
+func TestRepeatable(t *testing.T) {
+	for _, policy := range policies {
+		t.Run(string(policy), func(t *testing.T) {
+			first, err := model.Run(overload(policy, 7))
+			require.NoError(t, err)
+			second, err := model.Run(overload(policy, 7))
+			require.NoError(t, err)
+			other, err := model.Run(overload(policy, 8))
+			require.NoError(t, err)
+			require.Equal(t, first, second)
+			require.NotEqual(t, first, other)
+		})
+	}
+}
+
+// TestCapacity guards against a model whose workers serve more than their slots hold or less than they could: 24 slots of 50 ms
+// serve 480 requests a second.
+func TestCapacity(t *testing.T) {
+	config := overload(model.SlotHome, 1)
+	config.Faults = nil
+	result, err := model.Run(config)
+	require.NoError(t, err)
+	require.InDelta(t, 480*6, model.Goodput(result.Whole.Other), 480*1.5)
+	require.Zero(t, result.RefusedAttempts, "one home grants no more than the slots")
+	alone := overload(model.BaselineAlone, 1)
+	result, err = model.Run(alone)
+	require.NoError(t, err)
+	require.Positive(t, result.RefusedAttempts, "entries that do not know of each other overfill workers")
+}
+
+// TestUnknownNames guards against configurations that silently send nothing.
+func TestUnknownNames(t *testing.T) {
+	tests := map[string]func(*model.Config){
+		"policy": func(c *model.Config) { c.Policy = "None" },
+		"pool":   func(c *model.Config) { c.Load[0].Pool = "none" },
+		"team":   func(c *model.Config) { c.Load[0].Teams = []acaciatally.TeamName{"none"} },
+	}
+	for name, change := range tests {
+		t.Run(name, func(t *testing.T) {
+			config := overload(model.SlotHome, 1)
+			change(&config)
+			_, err := model.Run(config)
+			require.Error(t, err)
+		})
+	}
+}
+
+// TestJain guards against a fairness index that hides an unfair division.
+func TestJain(t *testing.T) {
+	require.InDelta(t, 1, model.Jain([]float64{3, 3, 3}), 1e-9)
+	require.InDelta(t, 0.25, model.Jain([]float64{8, 0, 0, 0}), 1e-9)
+}
--- /dev/null
+++ b/model/worker.go
@@ -0,0 +1,80 @@
+package model
+
+import (
+	"net/http"
+	"time"
+
+	"github.com/acaciatally/acaciatally"
+)
+
+// worker is an endpoint that refuses requests beyond its slots.
+type worker struct {
+	id         acaciatally.InstanceID
+	dataCentre acaciatally.DataCentre
+	slots      int
+	active     int
+	faults     []Fault
+	tally      WorkerTally
+}
+
+// fault returns what is wrong with the worker at a time, or the empty kind.
+func (w *worker) fault(now time.Duration) FaultKind {
+	for _, fault := range w.faults {
+		if now >= fault.From && now < fault.To {
+			return fault.Kind
+		}
+	}
+	return ""
+}
+
+// attempt sends a request from an entry to a worker and calls done at the entry with the result.
+func (s *simulation) attempt(request *request, from *entry, worker *worker, done func(acaciatally.AttemptResult)) {
+	s.result.Attempts++
+	request.attempts++
+	delay := s.delay(from.dataCentre, worker.dataCentre)
+	sent := s.clock.now
+	s.hop(delay, func() {
+		s.serve(request, worker, func(result acaciatally.AttemptResult) {
+			s.hop(delay, func() {
+				result.ServiceTime = s.clock.now - sent
+				done(result)
+			})
+		})
+	})
+}
+
+// serve runs a request at a worker until its service time or its deadline has passed.
+func (s *simulation) serve(request *request, worker *worker, done func(acaciatally.AttemptResult)) {
+	if worker.active >= worker.slots {
+		s.result.RefusedAttempts++
+		done(acaciatally.AttemptResult{Outcome: acaciatally.NotRun, Status: http.StatusTooManyRequests, Refused: true})
+		return
+	}
+	worker.active++
+	worker.tally.Attempts++
+	request.start(s.clock.now)
+	duration, result := s.service(request, worker)
+	s.clock.after(duration, func() {
+		worker.active--
+		if result.Outcome != "" {
+			worker.tally.Failed++
+		}
+		request.team.SlotTime += duration
+		done(result)
+	})
+}
+
+// service returns how long the request takes at the worker and how it ends.
+func (s *simulation) service(request *request, worker *worker) (duration time.Duration, result acaciatally.AttemptResult) {
+	duration = request.service
+	switch worker.fault(s.clock.now) {
+	case FailsFast:
+		return fastFailure, acaciatally.AttemptResult{Outcome: acaciatally.Failed, Status: http.StatusInternalServerError}
+	case Slow:
+		duration *= slowFactor
+	}
+	if left := request.deadline - s.clock.now; duration > left {
+		return max(0, left), acaciatally.AttemptResult{Outcome: acaciatally.Unknown}
+	}
+	return duration, acaciatally.AttemptResult{Status: http.StatusOK}
+}
