--- a/request.go
+++ b/request.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"io"
 	"net/http"
 	"net/netip"
 	"time"
@@ -101,11 +102,13 @@
 	ServiceTime time.Duration
 }
 
-// Answer is an endpoint's whole answer.
+// Answer is an endpoint's answer: whole in Body, or longer than the bound on buffered answers, with Rest still to be read.
 type Answer struct {
-	Status int
-	Header http.Header
-	Body   []byte
+	Status  int
+	Header  http.Header
+	Body    []byte
+	Rest    io.ReadCloser // nil when Body is whole; a read error means that the answer broke off
+	Outcome Outcome       // Failed or Unknown when the endpoint's status says so, else empty
 }
 
 // Exchange is one request on its way through the traffic pipeline.
--- /dev/null
+++ b/urgency/doc.go
@@ -0,0 +1,2 @@
+// Package urgency is the filter that reads a request's urgency class, deadline and idempotence.
+package urgency
