--- a/claim/batcher.go
+++ b/claim/batcher.go
@@ -1,6 +1,7 @@
 package claim
 
 import (
+	"fmt"
 	"slices"
 	"time"
 
@@ -68,10 +69,10 @@
 	phase   phase
 	pending []*Operation
 	flight  []*Operation // written by the commit in progress, or to be read back
-	commits uint64
-	next    time.Time // earliest start of the next commit
-	retry   time.Time // earliest start of the next read
-	blocked bool      // the last read failed, so nothing can be committed until one succeeds
+	commits uint64       // makes the transactions' ids differ
+	next    time.Time    // earliest start of the next commit
+	retry   time.Time    // earliest start of the next read
+	blocked bool         // the last read failed, so nothing can be committed until one succeeds
 }
 
 // NewBatcher returns a batcher without operations.
@@ -157,7 +158,8 @@
 }
 
 func (b *Batcher) transaction() *acaciatally.Transaction {
-	transaction := &acaciatally.Transaction{ID: b.flight[0].Row.Nonce}
+	b.commits++
+	transaction := &acaciatally.Transaction{ID: fmt.Sprintf("%s-%d", b.flight[0].Row.Nonce, b.commits)}
 	for _, operation := range b.flight {
 		key := Key(operation.ID)
 		transaction.Conditions = append(transaction.Conditions, acaciatally.Condition{Key: key, Version: operation.Version})
--- a/claim/filter.go
+++ b/claim/filter.go
@@ -1,12 +1,12 @@
 package claim
 
 import (
-	"bytes"
 	"context"
 	"crypto/rand"
 	"errors"
 	"fmt"
 	"net/http"
+	"sync"
 	"time"
 
 	"github.com/acaciatally/acaciatally"
@@ -31,7 +31,10 @@
 }
 
 // Filter claims requests that are not idempotent; it is safe for concurrent use.
-type Filter struct{ config Config }
+type Filter struct {
+	config  Config
+	storing sync.WaitGroup
+}
 
 // New returns a filter over a runner.
 func New(config Config) *Filter {
@@ -139,6 +142,8 @@
 func (f *Filter) settle(exchange *acaciatally.Exchange, claimed Result) {
 	row := claimed.Row
 	switch {
+	case exchange.Answer != nil && exchange.Answer.Outcome == acaciatally.Unknown:
+		return
 	case exchange.Answer != nil:
 		row.State = Done
 		row.Answer = f.keep(exchange)
@@ -156,16 +161,19 @@
 		return
 	}
 	body := exchange.Answer.Body
-	go f.storeAndSettle(settlement, body)
+	f.storing.Go(func() { f.storeAndSettle(settlement, body) })
 }
 
+// Wait returns when every answer of a finished request is handed to the runner.
+func (f *Filter) Wait() { f.storing.Wait() }
+
 func (f *Filter) keep(exchange *acaciatally.Exchange) *Recorded {
 	answer := exchange.Answer
 	recorded := &Recorded{Status: answer.Status}
 	switch {
-	case answer.Rest != nil || answer.Outcome == acaciatally.Unknown:
+	case answer.Rest != nil:
 	case len(answer.Body) <= MaxInline:
-		recorded.Kept, recorded.Header, recorded.Body = true, answer.Header, bytes.Clone(answer.Body)
+		recorded.Kept, recorded.Header, recorded.Body = true, answer.Header, answer.Body
 	case f.config.Objects != nil:
 		recorded.Kept, recorded.Header, recorded.Object = true, answer.Header, true
 	}
@@ -181,4 +189,3 @@
 	}
 	f.config.Runner.Settle(settlement)
 }
-
--- a/cmd/acaciatally/main.go
+++ b/cmd/acaciatally/main.go
@@ -42,6 +42,7 @@
 	}
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	defer stop()
+	context.AfterFunc(ctx, stop) // a second signal ends the process at once
 	client := platform.New(platform.Config{Address: loaded.Platform.Address, Timeout: loaded.Platform.Timeout})
 	process := entry.New(entry.Config{Settings: loaded, Entry: self, Table: client, Logger: &log.DefaultLogger})
 	return process.Run(ctx)
--- a/entry/callers.go
+++ b/entry/callers.go
@@ -1,74 +1,87 @@
 package entry
 
 import (
-	"bytes"
-	"io"
+	"context"
+	"errors"
 	"net/http"
-	"strings"
-	"sync/atomic"
+	"time"
 
 	"github.com/labstack/echo/v5"
 
 	"github.com/acaciatally/acaciatally"
-	"github.com/acaciatally/acaciatally/fleet"
+	"github.com/acaciatally/acaciatally/answer"
 )
 
-const outcomeHeader = "Acaciatally-Outcome"
-
-type counter struct{ atomic.Uint64 }
+const (
+	readHeaderTimeout = 5 * time.Second
+	// readTimeout bounds the time for a body; at 4 MiB a caller needs 140 KiB/s.
+	readTimeout = 30 * time.Second
+	// keepAliveTimeout is longer than the 45 s of this system's own clients, so that the client closes idle connections.
+	keepAliveTimeout = time.Minute
+	// headerSlack lets a header somewhat above the bound be read, so that the refusal carries an outcome.
+	headerSlack = 4
+	// maxInFlight bounds the requests of one entry, and with the bound on a buffered answer their memory.
+	maxInFlight = 4096
+	// busyRetryAfter is the advice to callers beyond maxInFlight.
+	busyRetryAfter = time.Second
+)
 
+// callers returns the handler of the callers' address.
 func (p *Process) callers() http.Handler {
 	server := echo.New()
-	server.Any("/*", p.forward)
+	server.HTTPErrorHandler = func(c *echo.Context, _ error) {
+		answer.Refuse(c.Response(), "", &acaciatally.Refusal{
+			Outcome: acaciatally.NotRun, Status: http.StatusNotFound, Reason: "no pool at this path",
+		})
+	}
+	server.Any("/*", p.receive)
 	return server
 }
 
-// forward sends the request to the pool's serving workers in turn.
-func (p *Process) forward(c *echo.Context) error {
-	request := c.Request()
-	pool, _, _ := strings.Cut(strings.TrimPrefix(request.URL.Path, "/"), "/")
-	worker, found := p.pick(acaciatally.PoolName(pool))
-	if !found {
-		return refuse(c, http.StatusNotFound, acaciatally.NotRun, "no worker serves "+pool)
-	}
-	body, err := io.ReadAll(http.MaxBytesReader(c.Response(), request.Body, int64(p.config.Settings.Traffic.MaxBody)))
-	if err != nil {
-		return refuse(c, http.StatusRequestEntityTooLarge, acaciatally.NotRun, "body too large")
-	}
-	url := "http://" + worker.Address.String() + request.URL.RequestURI()
-	attempt, err := http.NewRequestWithContext(request.Context(), request.Method, url, bytes.NewReader(body))
-	if err != nil {
-		return refuse(c, http.StatusBadRequest, acaciatally.NotRun, "invalid request")
+// receive sends one request through the pipeline.
+func (p *Process) receive(c *echo.Context) error {
+	exchange := &acaciatally.Exchange{HTTP: c.Request(), Writer: c.Response(), Received: p.config.Clock.Now()}
+	select {
+	case p.inFlight <- struct{}{}:
+		defer func() { <-p.inFlight }()
+	default:
+		answer.Refuse(exchange.Writer, "", &acaciatally.Refusal{
+			Outcome: acaciatally.NotRun, Status: http.StatusServiceUnavailable,
+			Reason: "the entry has too many requests in progress", RetryAfter: busyRetryAfter,
+		})
+		return nil
 	}
-	answer, err := http.DefaultClient.Do(attempt)
-	if err != nil {
-		return refuse(c, http.StatusBadGateway, acaciatally.Unknown, "no answer from the endpoint")
+	if err := p.traffic.serve(c.Request().Context(), exchange); err != nil {
+		p.cut.Inc()
+		panic(http.ErrAbortHandler) // cuts the connection, so the caller cannot take a part for the whole
 	}
-	defer func() { _ = answer.Body.Close() }()
-	if answer.StatusCode == http.StatusTooManyRequests {
-		return refuse(c, http.StatusServiceUnavailable, acaciatally.NotRun, "worker is full")
-	}
-	content, err := io.ReadAll(answer.Body)
-	if err != nil {
-		return refuse(c, http.StatusBadGateway, acaciatally.Unknown, "answer broke off")
-	}
-	return c.Blob(answer.StatusCode, answer.Header.Get("Content-Type"), content)
+	return nil
 }
 
-func (p *Process) pick(pool acaciatally.PoolName) (worker fleet.Instance, found bool) {
-	var serving []fleet.Instance
-	for _, member := range p.log.State().Members(pool) {
-		if member.Phase == fleet.Serving {
-			serving = append(serving, member)
-		}
-	}
-	if len(serving) == 0 {
-		return fleet.Instance{}, false
+// callerServer returns the server of the callers' address, bounded against slow callers and long headers.
+func (p *Process) callerServer() *http.Server {
+	return &http.Server{
+		Handler:           p.callers(),
+		ReadHeaderTimeout: readHeaderTimeout,
+		ReadTimeout:       readTimeout,
+		IdleTimeout:       keepAliveTimeout,
+		MaxHeaderBytes:    headerSlack * int(p.config.Settings.Traffic.MaxHeader),
 	}
-	return serving[p.next.Add(1)%uint64(len(serving))], true
 }
 
-func refuse(c *echo.Context, status int, outcome acaciatally.Outcome, reason string) error {
-	c.Response().Header().Set(outcomeHeader, string(outcome))
-	return c.String(status, string(outcome)+": "+reason+"\n")
+// serve listens until stop ends, then finishes the requests in progress.
+func (p *Process) serve(ctx, stop context.Context, address string, server *http.Server) error {
+	listener, err := p.config.Listen(ctx, "tcp", address)
+	if err != nil {
+		return err
+	}
+	stopped := make(chan error, 1)
+	go func() {
+		<-stop.Done()
+		stopped <- server.Shutdown(context.WithoutCancel(ctx))
+	}()
+	if err = server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+		return err
+	}
+	return <-stopped
 }
--- a/entry/operators.go
+++ b/entry/operators.go
@@ -20,6 +20,16 @@
 func (p *Process) operators() http.Handler {
 	server := echo.New()
 	server.GET("/livez", func(c *echo.Context) error { return c.String(http.StatusOK, "ok\n") })
+	server.GET("/readyz", func(c *echo.Context) error {
+		if !p.ready() {
+			return c.String(http.StatusServiceUnavailable, "not ready\n")
+		}
+		return c.String(http.StatusOK, "ready\n")
+	})
+	server.GET("/metrics", func(c *echo.Context) error {
+		p.metrics.WritePrometheus(c.Response())
+		return nil
+	})
 	server.GET("/state", func(c *echo.Context) error { return c.JSON(http.StatusOK, p.log.State()) })
 	server.POST("/load", func(c *echo.Context) error {
 		return p.commit(c, "load-"+p.config.Settings.Deployment, func(state *fleet.State) ([]fleet.Change, error) {
--- a/entry/process.go
+++ b/entry/process.go
@@ -2,52 +2,131 @@
 
 import (
 	"context"
-	"errors"
+	"math/rand/v2"
 	"net"
 	"net/http"
+	"sync/atomic"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	"github.com/phuslu/log"
 	"github.com/samber/oops"
 	"golang.org/x/sync/errgroup"
 
 	"github.com/acaciatally/acaciatally"
+	"github.com/acaciatally/acaciatally/attempt"
 	"github.com/acaciatally/acaciatally/changelog"
+	"github.com/acaciatally/acaciatally/claim"
 	"github.com/acaciatally/acaciatally/settings"
 )
 
-const readHeaderTimeout = 5 * time.Second
-
 // Config is what a Process needs.
 type Config struct {
 	Settings *settings.Settings
 	Entry    settings.Entry
 	Table    acaciatally.TableService
-	Logger   *log.Logger
+	// Objects keeps large answers; without it only their status is kept.
+	Objects acaciatally.ObjectStore
+	Logger  *log.Logger
+	Clock   acaciatally.Clock // nil is the process's own
+	// Dial and Listen replace the network in tests.
+	Dial   attempt.Dial
+	Listen func(ctx context.Context, network, address string) (listener net.Listener, err error)
 }
 
 // Process is one entry.
 type Process struct {
-	config Config
-	log    *changelog.Log
-	next   counter
+	config   Config
+	log      *changelog.Log
+	metrics  *metrics.Set
+	slots    *localSlots
+	claims   *claim.Runner
+	sweeper  *claim.Sweeper
+	traffic  *traffic
+	inFlight chan struct{}
+	cut      *metrics.Counter // callers' connections cut in the middle of an answer
+	stopping atomic.Bool
 }
 
 // New returns an entry that is not yet running.
 func New(config Config) *Process {
-	return &Process{config: config, log: changelog.New(changelog.Config{Table: config.Table})}
+	if config.Clock == nil {
+		config.Clock = acaciatally.SystemClock{}
+	}
+	if config.Listen == nil {
+		config.Listen = (&net.ListenConfig{}).Listen
+	}
+	p := &Process{
+		config:   config,
+		log:      changelog.New(changelog.Config{Table: config.Table, Clock: config.Clock}),
+		metrics:  metrics.NewSet(),
+		inFlight: make(chan struct{}, maxInFlight),
+	}
+	limits := config.Settings.Traffic
+	entries := len(config.Settings.Entries)
+	p.cut = p.metrics.NewCounter("acaciatally_answers_cut_total")
+	p.slots = newLocalSlots(localSlotsConfig{
+		State: p.log.State, Entries: func() int { return entries }, MaxQueue: limits.QueueLength,
+		Clock: config.Clock, Random: newRandom(),
+	})
+	p.claims = claim.NewRunner(claim.RunnerConfig{
+		Table: config.Table, Interval: claim.Interval(limits.ClaimInterval, entries), Clock: config.Clock, Metrics: p.metrics,
+	})
+	p.sweeper = claim.NewSweeper(claim.SweeperConfig{
+		Table: config.Table, Retention: limits.ClaimRetention, MaxDeadline: limits.MaxDeadline,
+		Clock: config.Clock, Random: newRandom(), Metrics: p.metrics,
+	})
+	p.traffic = newTraffic(p)
+	return p
+}
+
+func newRandom() *rand.Rand {
+	return rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
 }
 
 // Run serves callers and operators until ctx ends, then finishes the requests in progress.
 func (p *Process) Run(ctx context.Context) (err error) {
 	defer func() { err = oops.In("entry").With("entry", p.config.Entry.ID).Wrapf(err, "run entry") }()
 	group, ctx := errgroup.WithContext(ctx)
-	group.Go(func() error { return p.poll(ctx) })
-	group.Go(func() error { return serve(ctx, p.config.Entry.CallerAddress.String(), p.callers()) })
-	group.Go(func() error { return serve(ctx, p.config.Entry.OperatorAddress.String(), p.operators()) })
+	drained, finish := context.WithCancel(context.WithoutCancel(ctx)) // ends when no caller's request is in progress
+	defer finish()
+	context.AfterFunc(ctx, func() { p.stopping.Store(true) })
+	group.Go(func() error {
+		defer finish()
+		return p.serveCallers(ctx)
+	})
+	group.Go(func() error { return p.poll(drained) })
+	group.Go(func() error { return p.claims.Run(drained) })
+	group.Go(func() error { return p.sweeper.Run(ctx) })
+	group.Go(func() error {
+		server := &http.Server{Handler: p.operators(), ReadHeaderTimeout: readHeaderTimeout, ReadTimeout: readTimeout}
+		return p.serve(ctx, drained, p.config.Entry.OperatorAddress.String(), server)
+	})
 	return group.Wait()
 }
 
+// serveCallers ends when the last request in progress is finished and its claim handed to the runner.
+func (p *Process) serveCallers(ctx context.Context) error {
+	err := p.serve(ctx, ctx, p.config.Entry.CallerAddress.String(), p.callerServer())
+	p.traffic.claim.Wait()
+	p.traffic.attempt.Close()
+	return err
+}
+
+// ready reports whether the load balancer may send callers here.
+func (p *Process) ready() bool {
+	return !p.stopping.Load() && p.log.State().Version > 0
+}
+
+func (p *Process) known(pool acaciatally.PoolName) bool {
+	_, found := p.log.State().Pools[pool]
+	return found
+}
+
+func (p *Process) provesNotRun(pool acaciatally.PoolName) []int {
+	return p.log.State().Pools[pool].ProvesNotRun
+}
+
 func (p *Process) poll(ctx context.Context) error {
 	ticker := time.NewTicker(p.config.Settings.Control.PollInterval)
 	defer ticker.Stop()
@@ -57,6 +136,7 @@
 			p.config.Logger.Warn().Err(err).Msg("cannot poll the log")
 		}
 		if now := p.log.State().Version; now != version {
+			p.slots.Refresh()
 			p.config.Logger.Info().Uint64("version", now).Msg("configuration in force")
 		}
 		select {
@@ -66,20 +146,3 @@
 		}
 	}
 }
-
-func serve(ctx context.Context, address string, handler http.Handler) error {
-	listener, err := (&net.ListenConfig{}).Listen(ctx, "tcp", address)
-	if err != nil {
-		return err
-	}
-	server := &http.Server{Handler: handler, ReadHeaderTimeout: readHeaderTimeout}
-	stopped := make(chan error, 1)
-	go func() {
-		<-ctx.Done()
-		stopped <- server.Shutdown(context.WithoutCancel(ctx))
-	}()
-	if err = server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
-		return err
-	}
-	return <-stopped
-}
--- a/scripts/run.sh
+++ b/scripts/run.sh
@@ -40,7 +40,7 @@
 curl -sf -X POST http://127.0.0.1:17201/load
 until_ok curl -sf http://127.0.0.1:17102/coating/slots
 echo "request through entry-2:"
-curl -si -d 'mirror 7' http://127.0.0.1:17102/coating/strip | tr -d '\r'
+curl -si -H 'Acaciatally-Idempotent: true' -d 'mirror 7' http://127.0.0.1:17102/coating/strip | tr -d '\r'
 echo
 echo "request to an unknown service:"
 curl -si http://127.0.0.1:17103/nothing/here | tr -d '\r'
