--- a/claim/filter_test.go
+++ b/claim/filter_test.go
@@ -85,15 +85,15 @@
 	return New(Config{Entry: id, Runner: runner, Objects: s.objects})
 }
 
-func (s *scene) exchange(id, body string) *acaciatally.Exchange {
+func (s *scene) exchange(body string) *acaciatally.Exchange {
 	return &acaciatally.Exchange{Request: acaciatally.Request{
 		ID: id, Method: "POST", Path: "/coating/strip", Body: []byte(body), Deadline: time.Now().Add(10 * time.Second),
 	}}
 }
 
 // claim runs the filter and returns the exchange and the refusal, if any.
-func (s *scene) claim(filter *Filter, id, body string) (*acaciatally.Exchange, *acaciatally.Refusal) {
-	exchange := s.exchange(id, body)
+func (s *scene) claim(filter *Filter, body string) (*acaciatally.Exchange, *acaciatally.Refusal) {
+	exchange := s.exchange(body)
 	err := filter.Run(s.t.Context(), exchange)
 	var refusal *acaciatally.Refusal
 	require.True(s.t, err == nil || errors.As(err, &refusal), err)
@@ -153,16 +153,16 @@
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
 			inScene(t, func(s *scene) {
-				first, refusal := s.claim(s.one, id, "mirror 7")
+				first, refusal := s.claim(s.one, "mirror 7")
 				require.Nil(t, refusal)
-				_, refusal = s.claim(s.other, id, "mirror 7")
+				_, refusal = s.claim(s.other, "mirror 7")
 				s.requireRefused(refusal, acaciatally.Unknown, http.StatusConflict)
 				s.finish(first, test.answer, test.refusal)
 				body := test.body
 				if body == "" {
 					body = "mirror 7"
 				}
-				exchange, refusal := s.claim(s.other, id, body)
+				exchange, refusal := s.claim(s.other, body)
 				test.check(s, exchange, refusal)
 			})
 		})
@@ -174,12 +174,12 @@
 	inScene(t, func(s *scene) {
 		s.table.down.Store(true)
 		for range 50 {
-			_, refusal := s.claim(s.one, id, "mirror 7")
+			_, refusal := s.claim(s.one, "mirror 7")
 			s.requireRefused(refusal, acaciatally.NotRun, http.StatusServiceUnavailable)
 		}
 		require.LessOrEqual(t, s.table.calls.Load(), int64(60), "calls while down")
 		s.table.down.Store(false)
-		_, refusal := s.claim(s.one, id, "mirror 7")
+		_, refusal := s.claim(s.one, "mirror 7")
 		require.Nil(t, refusal, "claims work again after the outage")
 	})
 }
@@ -188,12 +188,12 @@
 func TestLostAnswer(t *testing.T) {
 	inScene(t, func(s *scene) {
 		s.table.losing.Store(true)
-		exchange, refusal := s.claim(s.one, id, "mirror 7")
+		exchange, refusal := s.claim(s.one, "mirror 7")
 		require.Nil(t, refusal, "the claim is read back by its nonce")
-		_, refusal = s.claim(s.other, id, "mirror 7")
+		_, refusal = s.claim(s.other, "mirror 7")
 		s.requireRefused(refusal, acaciatally.Unknown, http.StatusConflict)
 		s.finish(exchange, &acaciatally.Answer{Status: 200}, nil)
-		exchange, refusal = s.claim(s.other, id, "mirror 7")
+		exchange, refusal = s.claim(s.other, "mirror 7")
 		require.Nil(t, refusal)
 		require.NotNil(t, exchange.Answer)
 	})
@@ -205,12 +205,12 @@
 	inScene(t, func(s *scene) {
 		s.table.losing.Store(true)
 		s.one.config.Runner.config.Table = &outageAfterCommit{faultyTable: s.table}
-		_, refusal := s.claim(s.one, id, "mirror 7")
+		_, refusal := s.claim(s.one, "mirror 7")
 		s.requireRefused(refusal, acaciatally.NotRun, http.StatusGatewayTimeout)
 		s.table.down.Store(false)
 		s.table.losing.Store(false)
 		time.Sleep(time.Second)
-		_, refusal = s.claim(s.other, id, "mirror 7")
+		_, refusal = s.claim(s.other, "mirror 7")
 		require.Nil(t, refusal, "the abandoned claim is released")
 	})
 }
@@ -228,11 +228,11 @@
 // Guards P5 when the holder dies between claim and send: the claim is never taken over, before or after the deadline.
 func TestDeadHolder(t *testing.T) {
 	inScene(t, func(s *scene) {
-		_, refusal := s.claim(s.one, id, "mirror 7") // the holder never sends
+		_, refusal := s.claim(s.one, "mirror 7") // the holder never sends
 		require.Nil(t, refusal)
 		for _, pause := range []time.Duration{0, time.Minute, 50 * time.Minute} {
 			time.Sleep(pause)
-			_, refusal = s.claim(s.other, id, "mirror 7")
+			_, refusal = s.claim(s.other, "mirror 7")
 			s.requireRefused(refusal, acaciatally.Unknown, http.StatusConflict)
 		}
 		require.Contains(t, refusal.Reason, "entry-1")
