--- a/entry/operators.go
+++ b/entry/operators.go
@@ -23,6 +23,7 @@
 	server.GET("/livez", func(c *echo.Context) error { return c.String(http.StatusOK, "ok\n") })
 	server.GET("/readyz", p.readyz)
 	server.GET("/metrics", func(c *echo.Context) error {
+		p.metrics.WritePrometheus(c.Response())
 		metrics.WritePrometheus(c.Response(), true)
 		return nil
 	})
@@ -35,10 +36,10 @@
 }
 
 func (p *Process) readyz(c *echo.Context) error {
-	if p.log.State().Version == 0 {
-		return c.String(http.StatusServiceUnavailable, "no configuration yet\n")
+	if !p.ready() {
+		return c.String(http.StatusServiceUnavailable, "not ready\n")
 	}
-	return c.String(http.StatusOK, "ok\n")
+	return c.String(http.StatusOK, "ready\n")
 }
 
 func (p *Process) evaluator() *command.Evaluator {
