Add sessions between entries, membership and slot homes

Cause: entries have no means to talk to each other. Change: yamux sessions with an HMAC handshake, the membership state machine with its heartbeat rows, and slot homes with their client.

--- a/fleet/state.go
+++ b/fleet/state.go
@@ -72,9 +72,10 @@
 type Pool struct {
 	Name           acaciatally.PoolName
 	Spare          bool
-	MaxUnavailable int   // instances that may be unavailable at once by plan
-	MinAvailable   int   // instances that must stay available through planned changes
-	ProvesNotRun   []int `json:",omitempty"` // endpoint statuses that prove a request did not run
+	MaxUnavailable int    // instances that may be unavailable at once by plan
+	MinAvailable   int    // instances that must stay available through planned changes
+	ProvesNotRun   []int  `json:",omitempty"` // endpoint statuses that prove a request did not run
+	HealthPath     string `json:",omitempty"` // of the endpoints, which answer 503 there when they leave; empty is not probed
 	Version        uint64
 	By             string
 }
--- /dev/null
+++ b/peer/peerpb/doc.go
@@ -0,0 +1,4 @@
+// Package peerpb holds the generated messages that entries exchange.
+package peerpb
+
+//go:generate protoc --go_out=. --go_opt=paths=source_relative peer.proto
--- a/request.go
+++ b/request.go
@@ -83,6 +83,8 @@
 	Path       string
 	Header     http.Header
 	Body       []byte
+	Retry      bool         // another attempt after one that failed; counts against the retry budget of the pool
+	Tried      []InstanceID // workers that earlier attempts were sent to
 }
 
 // Grant is the right to use one slot of a worker until Release is called.
--- a/settings/default.go
+++ b/settings/default.go
@@ -7,6 +7,7 @@
 	s.Platform.Default()
 	s.Traffic.Default()
 	s.Control.Default()
+	s.Peers.Default()
 	s.Weights.Default()
 	for i := range s.Pools {
 		s.Pools[i].Default()
@@ -66,6 +67,17 @@
 	duration(&c.MoveHold, 30*time.Second)
 }
 
+// Default fills in the intervals between entries.
+func (p *Peers) Default() {
+	duration(&p.HelloInterval, time.Second)
+	duration(&p.HeartbeatInterval, 2*time.Second)
+	duration(&p.KeepAlive, 2*time.Second)
+	duration(&p.WriteTimeout, 2*time.Second)
+	duration(&p.AnswerLimit, 50*time.Millisecond)
+	duration(&p.ProbeInterval, time.Second)
+	duration(&p.HintTerm, time.Minute)
+}
+
 // Default gives each cost the same weight.
 func (w *Weights) Default() {
 	for _, weight := range []*float64{&w.Reserve, &w.Moves, &w.RollOut, &w.Protection} {
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -23,6 +23,7 @@
 	Teams       []Team                   `yaml:"Teams"`
 	Traffic     Traffic                  `yaml:"Traffic"`
 	Control     Control                  `yaml:"Control"`
+	Peers       Peers                    `yaml:"Peers"`
 	Weights     Weights                  `yaml:"Weights"`
 	Operators   []Operator               `yaml:"Operators"`
 }
@@ -55,6 +56,7 @@
 	MaxUnavailable int                  `yaml:"MaxUnavailable"`
 	MinAvailable   int                  `yaml:"MinAvailable"`
 	ProvesNotRun   []int                `yaml:"ProvesNotRun"`
+	HealthPath     string               `yaml:"HealthPath"`
 	Instances      []Instance           `yaml:"Instances"`
 }
 
@@ -112,6 +114,18 @@
 	MoveHold      time.Duration `yaml:"MoveHold"` // time before a moved instance may move again
 }
 
+// Peers tunes the sessions between entries and the slot homes.
+type Peers struct {
+	Key               string        `yaml:"Key"` // shared secret of all entries, at least 16 bytes
+	HelloInterval     time.Duration `yaml:"HelloInterval"`
+	HeartbeatInterval time.Duration `yaml:"HeartbeatInterval"`
+	KeepAlive         time.Duration `yaml:"KeepAlive"`
+	WriteTimeout      time.Duration `yaml:"WriteTimeout"`
+	AnswerLimit       time.Duration `yaml:"AnswerLimit"` // time in which a slot home must answer before the next one is asked
+	ProbeInterval     time.Duration `yaml:"ProbeInterval"`
+	HintTerm          time.Duration `yaml:"HintTerm"`
+}
+
 // Weights are the costs that the policy trades against each other.
 type Weights struct {
 	Reserve    float64 `yaml:"Reserve"`
@@ -155,7 +169,7 @@
 	for _, pool := range s.Pools {
 		changes = append(changes, fleet.Change{PutPool: &fleet.Pool{
 			Name: pool.Name, Spare: pool.Spare, MaxUnavailable: pool.MaxUnavailable,
-			MinAvailable: pool.MinAvailable, ProvesNotRun: pool.ProvesNotRun,
+			MinAvailable: pool.MinAvailable, ProvesNotRun: pool.ProvesNotRun, HealthPath: pool.HealthPath,
 		}})
 		for _, instance := range pool.Instances {
 			changes = append(changes, fleet.Change{AddInstance: instance.member(pool.Name)})
--- /dev/null
+++ b/slot/config.go
@@ -0,0 +1,87 @@
+package slot
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"net/http"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	"github.com/acaciatally/acaciatally"
+	"github.com/acaciatally/acaciatally/fleet"
+	"github.com/acaciatally/acaciatally/peer"
+	"github.com/acaciatally/acaciatally/queue"
+	"github.com/acaciatally/acaciatally/route"
+)
+
+// Sessions opens streams to other entries; *peer.Node is one.
+type Sessions interface {
+	Open(ctx context.Context, to acaciatally.EntryID, kind peer.Kind) (stream *peer.Stream, err error)
+}
+
+// Config is what a Service needs; zero values take the defaults.
+type Config struct {
+	Self       acaciatally.EntryID
+	DataCentre acaciatally.DataCentre
+	Membership acaciatally.Membership
+	// State returns the control state in force.
+	State func() *fleet.State
+	Queue queue.Config
+	Route route.Config
+	// RetryShare is the share of a pool's requests that may be retried, across all entries.
+	RetryShare float64
+	// Fallback grants slots while no slot home answers; the default is a Choice.
+	Fallback acaciatally.SlotSource
+	// Hint is told of instances whose health path answers 503.
+	Hint func(instance acaciatally.InstanceID)
+	// Probe returns the status of a GET; the default uses HTTP.
+	Probe   func(ctx context.Context, url string) (status int, err error)
+	Random  *rand.Rand
+	Metrics *metrics.Set
+
+	AnswerLimit   time.Duration // time in which a slot home must answer, default 50 ms
+	SuspectTerm   time.Duration // time for which a slot home that did not answer is passed over, default 500 ms
+	Handover      time.Duration // time in which a new slot home hears of held slots before it grants, default 200 ms
+	ProbeInterval time.Duration // default 1 s
+}
+
+// Default fills in the values that are left out.
+func (c *Config) Default() {
+	defaults := map[*time.Duration]time.Duration{
+		&c.AnswerLimit: 50 * time.Millisecond, &c.SuspectTerm: 500 * time.Millisecond,
+		&c.Handover: 200 * time.Millisecond, &c.ProbeInterval: time.Second,
+	}
+	for value, fallback := range defaults {
+		if *value == 0 {
+			*value = fallback
+		}
+	}
+	if c.RetryShare == 0 {
+		c.RetryShare = 0.05
+	}
+	if c.Random == nil {
+		c.Random = rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
+	}
+	if c.Metrics == nil {
+		c.Metrics = metrics.NewSet()
+	}
+	if c.Hint == nil {
+		c.Hint = func(acaciatally.InstanceID) {}
+	}
+	if c.Probe == nil {
+		c.Probe = probeHTTP
+	}
+}
+
+func refusalOf(err error) *acaciatally.Refusal {
+	if err == nil {
+		return nil
+	}
+	var refusal *acaciatally.Refusal
+	if errors.As(err, &refusal) {
+		return refusal
+	}
+	return &acaciatally.Refusal{Outcome: acaciatally.NotRun, Status: http.StatusServiceUnavailable, Reason: err.Error()}
+}
--- /dev/null
+++ b/slot/follow.go
@@ -0,0 +1,78 @@
+package slot
+
+import (
+	"context"
+	"time"
+
+	"github.com/acaciatally/acaciatally"
+)
+
+// followInterval is how often held slots are compared with the slot homes; a slot whose home was lost is unaccounted for that long.
+const followInterval = 100 * time.Millisecond
+
+// follow reports held slots to the pool's present slot home whenever it has changed or was lost, until ctx ends.
+func (s *Service) follow(ctx context.Context) {
+	ticker := time.NewTicker(followInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			s.reportHeld()
+		case <-s.circle.current().changed:
+			s.reportHeld()
+		}
+	}
+}
+
+func (s *Service) reportHeld() {
+	s.mu.Lock()
+	loans := make([]*loan, 0, len(s.loans))
+	for l := range s.loans {
+		loans = append(loans, l)
+	}
+	s.mu.Unlock()
+	for _, l := range loans {
+		to, _ := s.pickHome(l.place.request.Pool)
+		if to != "" && l.stray(to) {
+			l.move(to)
+		}
+	}
+}
+
+// stray reports whether the slot is not accounted for at the present slot home.
+func (l *loan) stray(home acaciatally.EntryID) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.home != home {
+		return true
+	}
+	select {
+	case <-l.lease.broken():
+		return true
+	default:
+		return false
+	}
+}
+
+// move reports the slot to the slot home and then gives up the place at the old one, which counts it twice for that moment only.
+func (l *loan) move(to acaciatally.EntryID) {
+	fresh := l.service.open(to, l.place, l.worker)
+	if fresh == nil {
+		return
+	}
+	l.service.counts.reported.Inc()
+	l.mu.Lock()
+	old := l.lease
+	released, result := l.released, l.result
+	if !released {
+		l.lease, l.home = fresh, to
+	}
+	l.mu.Unlock()
+	if released {
+		fresh.end(result)
+		return
+	}
+	old.end(acaciatally.AttemptResult{})
+}
--- /dev/null
+++ b/slot/probe.go
@@ -0,0 +1,75 @@
+package slot
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"strings"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"github.com/acaciatally/acaciatally/fleet"
+)
+
+const (
+	probeLimit    = 900 * time.Millisecond // bound of one probe, shorter than the interval
+	probesAtOnce  = 64
+	maxProbedBody = 4 << 10 // bytes read so that the connection can be used again
+)
+
+// probes asks the health path of the serving workers of the pools whose slot home is here; status 503 means that a worker leaves.
+func (s *Service) probes(ctx context.Context) {
+	ticker := time.NewTicker(s.config.ProbeInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			s.probeAll(ctx)
+		}
+	}
+}
+
+func (s *Service) probeAll(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, probeLimit)
+	defer cancel()
+	var group errgroup.Group
+	group.SetLimit(probesAtOnce)
+	state := s.config.State()
+	for _, pool := range state.Pools {
+		if pool.HealthPath == "" || s.Home(pool.Name) != s.config.Self {
+			continue
+		}
+		for _, member := range state.Members(pool.Name) {
+			if member.Phase == fleet.Serving {
+				group.Go(func() error { return s.probe(ctx, member, pool.HealthPath) })
+			}
+		}
+	}
+	_ = group.Wait()
+}
+
+func (s *Service) probe(ctx context.Context, member fleet.Instance, path string) error {
+	url := "http://" + member.Address.String() + "/" + strings.TrimPrefix(path, "/")
+	status, err := s.config.Probe(ctx, url)
+	if err == nil && status == http.StatusServiceUnavailable {
+		s.config.Hint(member.ID)
+	}
+	return nil
+}
+
+func probeHTTP(ctx context.Context, url string) (status int, err error) {
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
+	if err != nil {
+		return 0, err
+	}
+	answer, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return 0, err
+	}
+	defer func() { _ = answer.Body.Close() }()
+	_, _ = io.Copy(io.Discard, io.LimitReader(answer.Body, maxProbedBody))
+	return answer.StatusCode, nil
+}
--- /dev/null
+++ b/slot/service.go
@@ -0,0 +1,121 @@
+package slot
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/samber/oops"
+
+	"github.com/acaciatally/acaciatally"
+	"github.com/acaciatally/acaciatally/peer"
+)
+
+// Service is this entry's part in lending slots: the slot homes that it runs and the slots that it holds. It implements
+// acaciatally.SlotSource and is safe for concurrent use.
+type Service struct {
+	config  Config
+	circle  *circle
+	counts  *counts
+	running sync.WaitGroup
+
+	mu       sync.Mutex
+	ctx      context.Context // ends with Run; nil before
+	sessions Sessions
+	homes    map[acaciatally.PoolName]*home
+	suspects map[acaciatally.EntryID]time.Time // slot homes that did not answer, until the time
+	loans    map[*loan]struct{}                // slots held by this entry
+}
+
+// New returns a service that is not yet running.
+func New(config Config) *Service {
+	config.Default()
+	service := &Service{
+		config: config, circle: newCircle(config.Self, config.Membership), counts: newCounts(config.Metrics),
+		homes: map[acaciatally.PoolName]*home{}, suspects: map[acaciatally.EntryID]time.Time{}, loans: map[*loan]struct{}{},
+	}
+	if service.config.Fallback == nil {
+		service.config.Fallback = NewChoice(config)
+	}
+	config.Metrics.GetOrCreateGauge("acaciatally_slot_held", func() float64 { return float64(service.Held()) })
+	return service
+}
+
+// Run serves until ctx ends; sessions reaches the other entries.
+func (s *Service) Run(ctx context.Context, sessions Sessions) (err error) {
+	defer func() { err = oops.In("slot").Wrapf(err, "lend slots") }()
+	ctx, cancel := context.WithCancel(ctx)
+	defer s.running.Wait()
+	defer s.close(cancel)
+	s.mu.Lock()
+	s.ctx, s.sessions = ctx, sessions
+	s.mu.Unlock()
+	s.spawn(func(ctx context.Context) { s.probes(ctx) })
+	s.spawn(func(ctx context.Context) { s.circle.run(ctx) })
+	s.follow(ctx)
+	return nil
+}
+
+// close ends the service under the lock, so that nothing is started once the wait for what runs has begun.
+func (s *Service) close(cancel context.CancelFunc) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	cancel()
+}
+
+// spawn runs work that ends with the service and reports whether the service runs.
+func (s *Service) spawn(work func(ctx context.Context)) (started bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.spawnLocked(work)
+}
+
+func (s *Service) spawnLocked(work func(ctx context.Context)) (started bool) {
+	if s.ctx == nil || s.ctx.Err() != nil {
+		return false
+	}
+	ctx := s.ctx
+	s.running.Go(func() { work(ctx) })
+	return true
+}
+
+// Stop gives up this entry's slot homes: requests that wait are sent to the next slot home.
+func (s *Service) Stop() {
+	s.circle.stopping.Store(true)
+	s.circle.refresh()
+}
+
+// Held returns the number of slots that this entry holds.
+func (s *Service) Held() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.loans)
+}
+
+// Home returns the entry that is the pool's slot home in this entry's view.
+func (s *Service) Home(pool acaciatally.PoolName) acaciatally.EntryID {
+	return s.circle.current().first(pool)
+}
+
+// homeOf returns the pool's home in this process, or nil when the pool does not exist or the service does not run.
+func (s *Service) homeOf(pool acaciatally.PoolName) *home {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if known := s.homes[pool]; known != nil {
+		return known
+	}
+	if _, found := s.config.State().Pools[pool]; !found {
+		return nil
+	}
+	created := newHome(s, pool)
+	if !s.spawnLocked(created.run) {
+		return nil
+	}
+	s.homes[pool] = created
+	return created
+}
+
+// Handlers returns the handlers of the stream kinds that the service serves.
+func (s *Service) Handlers() map[peer.Kind]peer.Handler {
+	return map[peer.Kind]peer.Handler{peer.Slot: s.serve, peer.Held: s.serve}
+}
