--- /dev/null
+++ b/entry/peers.go
@@ -0,0 +1,150 @@
+package entry
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/json"
+	"maps"
+	"net"
+
+	"golang.org/x/sync/errgroup"
+
+	"github.com/acaciatally/acaciatally"
+	"github.com/acaciatally/acaciatally/changelog"
+	"github.com/acaciatally/acaciatally/fleet"
+	"github.com/acaciatally/acaciatally/membership"
+	"github.com/acaciatally/acaciatally/peer"
+	"github.com/acaciatally/acaciatally/peer/peerpb"
+	"github.com/acaciatally/acaciatally/queue"
+	"github.com/acaciatally/acaciatally/slot"
+)
+
+// peers is this entry's part in the group of entries: sessions, membership and slot homes.
+type peers struct {
+	config Config
+	log    *changelog.Log
+	self   membership.Entry
+	keeper *membership.Keeper
+	slots  *slot.Service
+}
+
+// newPeers composes the parts; nothing runs yet.
+func newPeers(config Config, log *changelog.Log) *peers {
+	p := &peers{config: config, log: log, self: membership.Entry{
+		ID: config.Entry.ID, Incarnation: rand.Text(), Address: config.Entry.PeerAddress, DataCentre: config.Entry.DataCentre,
+	}}
+	limits := config.Settings.Peers
+	p.keeper = membership.New(membership.Config{
+		Self: p.self, Seeds: p.seeds(), Table: config.Table, Views: views{log}, Busy: p.busy, Logger: config.Logger,
+		HelloInterval: limits.HelloInterval, HeartbeatInterval: limits.HeartbeatInterval,
+		Rules: membership.Rules{ViewLimit: config.Settings.Control.ViewLimit, HintTerm: limits.HintTerm},
+	})
+	p.slots = slot.New(p.slotConfig())
+	return p
+}
+
+func (p *peers) slotConfig() slot.Config {
+	limits, traffic := p.config.Settings.Peers, p.config.Settings.Traffic
+	floors := [acaciatally.UrgencyClasses]float64{traffic.Floors.Urgent, traffic.Floors.Normal, traffic.Floors.Background}
+	return slot.Config{
+		Self: p.self.ID, DataCentre: p.self.DataCentre, Membership: p.keeper, State: p.log.State, Hint: p.keeper.Hint,
+		Queue:      queue.Config{Floors: floors, MaxLength: traffic.QueueLength, MaxBytes: int64(traffic.QueueBytes)},
+		RetryShare: traffic.RetryBudget, AnswerLimit: limits.AnswerLimit, ProbeInterval: limits.ProbeInterval,
+	}
+}
+
+func (p *peers) seeds() (seeds []membership.Entry) {
+	for _, entry := range p.config.Settings.Entries {
+		seeds = append(seeds, membership.Entry{ID: entry.ID, Address: entry.PeerAddress, DataCentre: entry.DataCentre})
+	}
+	return seeds
+}
+
+// busy is called before slots is set while the keeper is being composed.
+func (p *peers) busy() []acaciatally.InstanceID {
+	if p.slots == nil {
+		return nil
+	}
+	return p.slots.Busy()
+}
+
+// run keeps the sessions until drained ends, and gives up the slot homes when ctx ends.
+func (p *peers) run(ctx, drained context.Context) error {
+	listener, err := (&net.ListenConfig{}).Listen(ctx, "tcp", p.self.Address.String())
+	if err != nil {
+		return err
+	}
+	handlers := p.keeper.Handlers()
+	maps.Copy(handlers, p.slots.Handlers())
+	limits := p.config.Settings.Peers
+	node, err := peer.New(peer.Config{
+		Deployment: p.config.Settings.Deployment, Entry: p.self.ID, Incarnation: p.self.Incarnation, Key: []byte(limits.Key),
+		Listener: listener, Handlers: handlers, Logger: p.config.Logger, KeepAlive: limits.KeepAlive, WriteTimeout: limits.WriteTimeout,
+	})
+	if err != nil {
+		_ = listener.Close()
+		return err
+	}
+	context.AfterFunc(ctx, p.stop)
+	var group errgroup.Group
+	group.Go(func() error { return node.Run(drained) })
+	group.Go(func() error { return p.keeper.Run(drained, node) })
+	group.Go(func() error { return p.slots.Run(drained, node) })
+	return group.Wait()
+}
+
+func (p *peers) stop() {
+	p.slots.Stop()
+	p.keeper.Stop()
+}
+
+// polled tells the membership how fresh the view is.
+func (p *peers) polled() {
+	p.keeper.HeadRead(p.log.HeadReadAt())
+}
+
+// views lets other entries fetch the control state from this one.
+type views struct{ log *changelog.Log }
+
+// Version returns the version in force.
+func (v views) Version() uint64 { return v.log.State().Version }
+
+// Poll brings in what the table service has.
+func (v views) Poll(ctx context.Context) (err error) { return v.log.Poll(ctx) }
+
+// Export returns the records after from, or a snapshot when they are no longer kept.
+func (v views) Export(from uint64) (view *peerpb.View, err error) {
+	records, whole := v.log.Tail(from)
+	state := v.log.State()
+	view = &peerpb.View{Version: state.Version}
+	if !whole {
+		view.Snapshot, err = json.Marshal(state)
+		return view, err
+	}
+	for _, record := range records {
+		encoded, err := json.Marshal(record)
+		if err != nil {
+			return nil, err
+		}
+		view.Records = append(view.Records, encoded)
+	}
+	return view, nil
+}
+
+// Import brings in a view from another entry; it never goes back.
+func (v views) Import(view *peerpb.View) (err error) {
+	if len(view.Snapshot) > 0 {
+		state := fleet.New()
+		if err = json.Unmarshal(view.Snapshot, state); err != nil {
+			return err
+		}
+		v.log.Import(state)
+	}
+	records := make([]fleet.Record, len(view.Records))
+	for i, encoded := range view.Records {
+		if err = json.Unmarshal(encoded, &records[i]); err != nil {
+			return err
+		}
+	}
+	return v.log.ImportRecords(records...)
+}
--- a/entry/process.go
+++ b/entry/process.go
@@ -30,20 +30,30 @@
 type Process struct {
 	config Config
 	log    *changelog.Log
+	peers  *peers
 	next   counter
 }
 
 // New returns an entry that is not yet running.
 func New(config Config) *Process {
-	return &Process{config: config, log: changelog.New(changelog.Config{Table: config.Table})}
+	p := &Process{config: config}
+	p.log = changelog.New(changelog.Config{Table: config.Table, Notify: func(uint64) { p.peers.keeper.Changed() }})
+	p.peers = newPeers(config, p.log)
+	return p
 }
 
 // Run serves callers and operators until ctx ends, then finishes the requests in progress.
 func (p *Process) Run(ctx context.Context) (err error) {
 	defer func() { err = oops.In("entry").With("entry", p.config.Entry.ID).Wrapf(err, "run entry") }()
 	group, ctx := errgroup.WithContext(ctx)
-	group.Go(func() error { return p.poll(ctx) })
-	group.Go(func() error { return serve(ctx, p.config.Entry.CallerAddress.String(), p.callers()) })
+	drained, finish := context.WithCancel(context.WithoutCancel(ctx)) // ends when no caller's request is in progress
+	defer finish()
+	group.Go(func() error { return p.poll(drained) })
+	group.Go(func() error { return p.peers.run(ctx, drained) })
+	group.Go(func() error {
+		defer finish()
+		return serve(ctx, p.config.Entry.CallerAddress.String(), p.callers())
+	})
 	group.Go(func() error { return serve(ctx, p.config.Entry.OperatorAddress.String(), p.operators()) })
 	return group.Wait()
 }
@@ -56,6 +66,7 @@
 		if err := p.log.Poll(ctx); err != nil && ctx.Err() == nil {
 			p.config.Logger.Warn().Err(err).Msg("cannot poll the log")
 		}
+		p.peers.polled()
 		if now := p.log.State().Version; now != version {
 			p.config.Logger.Info().Uint64("version", now).Msg("configuration in force")
 		}
--- a/membership/gossip.go
+++ b/membership/gossip.go
@@ -25,8 +25,9 @@
 func (k *Keeper) hellos(ctx context.Context, sessions Sessions) {
 	var partners []acaciatally.EntryID
 	var addresses []peer.Address
+	view, busy := k.status()
 	k.with(func(m *Machine, _ time.Time) {
-		m.SetView(k.config.Views.Version(), k.config.Busy())
+		m.SetView(view, busy)
 		partners = m.Partners()
 		addresses = m.addresses(partners)
 	})
@@ -117,7 +118,7 @@
 // Handlers returns the handlers of the stream kinds that the keeper serves.
 func (k *Keeper) Handlers() map[peer.Kind]peer.Handler {
 	return map[peer.Kind]peer.Handler{
-		peer.Hello: k.serveHello, peer.ViewPush: k.servePush, peer.ViewFetch: k.serveFetch,
+		peer.Hello: k.serveHello, peer.ViewFetch: k.serveFetch,
 	}
 }
 
@@ -139,14 +140,6 @@
 	}
 }
 
-func (k *Keeper) servePush(_ context.Context, from acaciatally.EntryID, stream *peer.Stream) {
-	_ = stream.SetReceiveDeadline(time.Now().Add(fetchLimit))
-	var push peerpb.ViewPush
-	if err := stream.Receive(&push); err == nil && push.View > k.config.Views.Version() {
-		k.fetch(from)
-	}
-}
-
 func (k *Keeper) serveFetch(_ context.Context, _ acaciatally.EntryID, stream *peer.Stream) {
 	_ = stream.SetReceiveDeadline(time.Now().Add(fetchLimit))
 	var fetch peerpb.ViewFetch
@@ -161,11 +154,6 @@
 	_ = stream.Send(view)
 }
 
-// push tells the partners that a new version is in force here; they pass it on once it is in force there.
-func (k *Keeper) push() {
-	k.helloNow()
-}
-
 // fetch asks for the newer view of an entry; a fetch in progress picks up later news by itself.
 func (k *Keeper) fetch(from acaciatally.EntryID) {
 	select {
--- a/membership/keeper.go
+++ b/membership/keeper.go
@@ -8,7 +8,6 @@
 
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/phuslu/log"
-	"google.golang.org/protobuf/proto"
 
 	"github.com/acaciatally/acaciatally"
 	"github.com/acaciatally/acaciatally/peer"
@@ -31,7 +30,6 @@
 type Sessions interface {
 	SetPeers(peers []peer.Address)
 	Open(ctx context.Context, to acaciatally.EntryID, kind peer.Kind) (stream *peer.Stream, err error)
-	Post(ctx context.Context, to acaciatally.EntryID, kind peer.Kind, message proto.Message) (err error)
 }
 
 // Config is what a Keeper needs; zero durations take the defaults.
@@ -127,6 +125,13 @@
 	k.serveUntil.Store(int64(k.machine.ServeUntil(now).Sub(k.started)))
 }
 
+// status reads the version before the busy instances, so that a request that began under an older version is listed as busy. It
+// must be called without the lock, because the source of the busy instances asks for the hints.
+func (k *Keeper) status() (view uint64, busy []acaciatally.InstanceID) {
+	view = k.config.Views.Version()
+	return view, k.config.Busy()
+}
+
 // Live returns the peers heard recently, without this entry, in order of id.
 func (k *Keeper) Live() (peers []acaciatally.Peer) {
 	k.with(func(m *Machine, now time.Time) { peers = m.Live(now) })
@@ -146,8 +151,9 @@
 
 // Acknowledged reports whether no entry sends new work to an instance that left service at version, or has work in progress on it.
 func (k *Keeper) Acknowledged(instance acaciatally.InstanceID, version uint64) (acknowledged bool) {
+	view, busy := k.status()
 	k.with(func(m *Machine, now time.Time) {
-		m.SetView(k.config.Views.Version(), k.config.Busy())
+		m.SetView(view, busy)
 		acknowledged = m.Acknowledged(now, instance, version)
 	})
 	return acknowledged
@@ -170,16 +176,18 @@
 
 // HeadRead tells that this entry applied the head of the log that it began to read at that time.
 func (k *Keeper) HeadRead(at time.Time) {
+	view, busy := k.status()
 	k.with(func(m *Machine, _ time.Time) {
-		m.SetView(k.config.Views.Version(), k.config.Busy())
+		m.SetView(view, busy)
 		m.HeadRead(at)
 	})
 }
 
-// Changed tells that a new version is in force here; the other entries learn it at once.
+// Changed tells that a new version is in force here; the partners learn it at once by a Hello and pass it on in the same way.
 func (k *Keeper) Changed() {
-	k.with(func(m *Machine, _ time.Time) { m.SetView(k.config.Views.Version(), k.config.Busy()) })
-	k.push()
+	view, busy := k.status()
+	k.with(func(m *Machine, _ time.Time) { m.SetView(view, busy) })
+	k.helloNow()
 }
 
 // Stop tells the other entries that this one shuts down, so that it is no slot home any more.
--- a/membership/row.go
+++ b/membership/row.go
@@ -66,7 +66,7 @@
 	ctx, cancel := context.WithTimeout(ctx, k.config.CallTimeout)
 	defer cancel()
 	own := k.config.Self
-	own.View, own.Busy = k.config.Views.Version(), k.config.Busy()
+	own.View, own.Busy = k.status()
 	start := time.Now()
 	err := k.table.write(ctx, own)
 	k.with(func(m *Machine, _ time.Time) {
--- a/peer/config.go
+++ b/peer/config.go
@@ -23,13 +23,12 @@
 // The kinds of streams; streams of other kinds are closed.
 const (
 	Hello     Kind = 1
-	ViewPush  Kind = 2
-	ViewFetch Kind = 3
-	Slot      Kind = 4
-	Held      Kind = 5
+	ViewFetch Kind = 2
+	Slot      Kind = 3
+	Held      Kind = 4
 )
 
-var kindNames = map[Kind]string{Hello: "Hello", ViewPush: "ViewPush", ViewFetch: "ViewFetch", Slot: "Slot", Held: "Held"}
+var kindNames = map[Kind]string{Hello: "Hello", ViewFetch: "ViewFetch", Slot: "Slot", Held: "Held"}
 
 // String returns the kind's name.
 func (k Kind) String() string {
--- a/peer/node.go
+++ b/peer/node.go
@@ -9,7 +9,6 @@
 	"sync"
 
 	"github.com/samber/oops"
-	"google.golang.org/protobuf/proto"
 
 	"github.com/acaciatally/acaciatally"
 )
@@ -225,13 +224,3 @@
 		}
 	}
 }
-
-// Post opens a stream, sends one message and closes the stream.
-func (n *Node) Post(ctx context.Context, to acaciatally.EntryID, kind Kind, message proto.Message) (err error) {
-	stream, err := n.Open(ctx, to, kind)
-	if err != nil {
-		return err
-	}
-	defer stream.Close()
-	return stream.Send(message)
-}
--- a/slot/client.go
+++ b/slot/client.go
@@ -178,8 +178,10 @@
 
 // take turns a grant into the right to use the worker, unless this entry's own view forbids it.
 func (s *Service) take(l lease, to acaciatally.EntryID, p place, worker acaciatally.InstanceID) *acaciatally.Grant {
-	member, found := s.config.State().Instances[worker]
-	if !found || !serves(member, p.request.Pool, s.config.Membership.Leaving()) || !s.config.Membership.MayServe() {
+	s.use(worker)
+	member, allowed := s.usable(p.request.Pool, worker)
+	if !allowed {
+		s.leave(worker)
 		l.end(acaciatally.AttemptResult{})
 		s.counts.unusable.Inc()
 		return nil
@@ -200,7 +202,7 @@
 	grant, err = s.config.Fallback.Acquire(bounded, request)
 	switch {
 	case err == nil:
-		return grant, nil
+		return s.takeFallback(grant, request.Pool), nil
 	case ctx.Err() != nil:
 		return nil, ctx.Err()
 	case errors.Is(err, context.DeadlineExceeded):
@@ -209,6 +211,23 @@
 	return nil, err
 }
 
+// takeFallback counts the use of a worker granted by the fallback; no grant means that this entry's view forbids it by now.
+func (s *Service) takeFallback(inner *acaciatally.Grant, pool acaciatally.PoolName) *acaciatally.Grant {
+	s.use(inner.Worker)
+	var once sync.Once
+	grant := &acaciatally.Grant{Worker: inner.Worker, Address: inner.Address, Release: func(result acaciatally.AttemptResult) {
+		once.Do(func() {
+			inner.Release(result)
+			s.leave(inner.Worker)
+		})
+	}}
+	if _, allowed := s.usable(pool, inner.Worker); !allowed {
+		grant.Release(acaciatally.AttemptResult{})
+		return nil
+	}
+	return grant
+}
+
 // loan is a slot that this entry holds.
 type loan struct {
 	service *Service
@@ -235,6 +254,7 @@
 	l.service.mu.Lock()
 	delete(l.service.loans, l)
 	l.service.mu.Unlock()
+	l.service.leave(l.worker)
 }
 
 func sleep(ctx context.Context, wait time.Duration) (finished bool) {
--- a/slot/service.go
+++ b/slot/service.go
@@ -2,12 +2,14 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
 	"github.com/samber/oops"
 
 	"github.com/acaciatally/acaciatally"
+	"github.com/acaciatally/acaciatally/fleet"
 	"github.com/acaciatally/acaciatally/peer"
 )
 
@@ -25,6 +27,7 @@
 	homes    map[acaciatally.PoolName]*home
 	suspects map[acaciatally.EntryID]time.Time // slot homes that did not answer, until the time
 	loans    map[*loan]struct{}                // slots held by this entry
+	inUse    map[acaciatally.InstanceID]int    // requests in progress, whoever granted the slot
 }
 
 // New returns a service that is not yet running.
@@ -33,6 +36,7 @@
 	service := &Service{
 		config: config, circle: newCircle(config.Self, config.Membership), counts: newCounts(config.Metrics),
 		homes: map[acaciatally.PoolName]*home{}, suspects: map[acaciatally.EntryID]time.Time{}, loans: map[*loan]struct{}{},
+		inUse: map[acaciatally.InstanceID]int{},
 	}
 	if service.config.Fallback == nil {
 		service.config.Fallback = NewChoice(config)
@@ -92,6 +96,43 @@
 	return len(s.loans)
 }
 
+// Busy returns the instances out of service on which this entry has requests in progress, in order of id. A use is counted before
+// the control state is checked, so that Busy never misses one that began under a version older than the one read before the call.
+func (s *Service) Busy() (busy []acaciatally.InstanceID) {
+	state := s.config.State()
+	leaving := s.config.Membership.Leaving()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for worker := range s.inUse {
+		if member, found := state.Instances[worker]; !found || !serves(member, member.Pool, leaving) {
+			busy = append(busy, worker)
+		}
+	}
+	slices.Sort(busy)
+	return busy
+}
+
+func (s *Service) use(worker acaciatally.InstanceID) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.inUse[worker]++
+}
+
+func (s *Service) leave(worker acaciatally.InstanceID) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.inUse[worker]--; s.inUse[worker] <= 0 {
+		delete(s.inUse, worker)
+	}
+}
+
+// usable reports whether this entry may send new work of the pool to the worker now.
+func (s *Service) usable(pool acaciatally.PoolName, worker acaciatally.InstanceID) (member fleet.Instance, allowed bool) {
+	members := s.config.Membership
+	member, found := s.config.State().Instances[worker]
+	return member, found && serves(member, pool, members.Leaving()) && members.MayServe()
+}
+
 // Home returns the entry that is the pool's slot home in this entry's view.
 func (s *Service) Home(pool acaciatally.PoolName) acaciatally.EntryID {
 	return s.circle.current().first(pool)
