--- a/membership/hello.go
+++ b/membership/hello.go
@@ -1,8 +1,8 @@
 package membership
 
 import (
+	"cmp"
 	"slices"
-	"strings"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -169,21 +169,23 @@
 
 // Rendezvous returns up to count entries in the order of their hashes with the key, highest first.
 func Rendezvous(key string, ids []acaciatally.EntryID, count int) []acaciatally.EntryID {
-	hashes := make(map[acaciatally.EntryID]uint64, len(ids))
-	for _, id := range ids {
-		hashes[id] = xxhash.Sum64String(key + "\x00" + string(id))
-	}
-	ordered := slices.Clone(ids)
-	slices.SortFunc(ordered, func(a, b acaciatally.EntryID) int {
-		switch {
-		case hashes[a] > hashes[b]:
-			return -1
-		case hashes[a] < hashes[b]:
-			return 1
-		}
-		return strings.Compare(string(a), string(b))
+	ordered := make([]ranked, len(ids))
+	for i, id := range ids {
+		ordered[i] = ranked{id: id, hash: xxhash.Sum64String(key + "\x00" + string(id))}
+	}
+	slices.SortFunc(ordered, func(a, b ranked) int {
+		return cmp.Or(cmp.Compare(b.hash, a.hash), cmp.Compare(a.id, b.id))
 	})
-	return ordered[:min(count, len(ordered))]
+	first := make([]acaciatally.EntryID, min(count, len(ordered)))
+	for i := range first {
+		first[i] = ordered[i].id
+	}
+	return first
+}
+
+type ranked struct {
+	id   acaciatally.EntryID
+	hash uint64
 }
 
 func instanceIDs(names []string) (ids []acaciatally.InstanceID) {
--- a/membership/machine.go
+++ b/membership/machine.go
@@ -175,8 +175,9 @@
 		if present[id] {
 			continue
 		}
+		left := known.registered && known.stopping // an entry deletes its row after its last request
 		known.registered = false
-		if start.Sub(known.contact()) > m.rules.ForgetAfter {
+		if left || start.Sub(known.contact()) > m.rules.ForgetAfter {
 			delete(m.entries, id)
 		}
 	}
