Merge the sessions, membership and slot homes of entries

Cause: requests of different entries competed for a worker's slots without knowing of each other. Ruled out: keeping the local slots as the main source (they know only their own entry's requests). Conclusion: routing goes through slot homes.

--- a/entry/operators.go
+++ b/entry/operators.go
@@ -44,9 +44,12 @@
 
 func (p *Process) evaluator() *command.Evaluator {
 	return command.New(command.Config{
-		Log:   p.log,
-		Audit: p.trail,
-		Self:  acaciatally.Peer{ID: p.config.Entry.ID, DataCentre: p.config.Entry.DataCentre},
+		Log:        p.log,
+		Audit:      p.trail,
+		Membership: p.peers.keeper,
+		Hints:      p.peers,
+		Self:       acaciatally.Peer{ID: p.config.Entry.ID, DataCentre: p.config.Entry.DataCentre},
+		Clock:      p.config.Clock,
 	})
 }
 
--- a/entry/process.go
+++ b/entry/process.go
@@ -41,7 +41,8 @@
 	log      *changelog.Log
 	trail    *audit.Trail
 	metrics  *metrics.Set
-	slots    *localSlots
+	peers    *peers
+	local    *localSlots // grants slots while no slot home answers
 	claims   *claim.Runner
 	sweeper  *claim.Sweeper
 	traffic  *traffic
@@ -60,18 +61,21 @@
 	}
 	p := &Process{
 		config:   config,
-		log:      changelog.New(changelog.Config{Table: config.Table, Clock: config.Clock}),
 		trail:    audit.New(audit.Config{Table: config.Table, Objects: config.Objects}),
 		metrics:  metrics.NewSet(),
 		inFlight: make(chan struct{}, maxInFlight),
 	}
 	limits := config.Settings.Traffic
 	entries := len(config.Settings.Entries)
+	p.log = changelog.New(changelog.Config{
+		Table: config.Table, Clock: config.Clock, Notify: func(uint64) { p.peers.keeper.Changed() },
+	})
 	p.cut = p.metrics.NewCounter("acaciatally_answers_cut_total")
-	p.slots = newLocalSlots(localSlotsConfig{
-		State: p.log.State, Entries: func() int { return entries }, MaxQueue: limits.QueueLength,
+	p.local = newLocalSlots(localSlotsConfig{
+		State: p.log.State, Entries: func() int { return 1 + len(p.peers.keeper.Live()) }, MaxQueue: limits.QueueLength,
 		Clock: config.Clock, Random: newRandom(),
 	})
+	p.peers = newPeers(config, p.log, p.local, p.metrics)
 	p.claims = claim.NewRunner(claim.RunnerConfig{
 		Table: config.Table, Interval: claim.Interval(limits.ClaimInterval, entries), Clock: config.Clock, Metrics: p.metrics,
 	})
@@ -102,6 +106,7 @@
 		p.loadDeployment(ctx)
 		return p.poll(drained)
 	})
+	group.Go(func() error { return p.peers.run(ctx, drained) })
 	group.Go(func() error { return p.claims.Run(drained) })
 	group.Go(func() error { return p.sweeper.Run(ctx) })
 	group.Go(func() error {
@@ -121,7 +126,7 @@
 
 // ready reports whether the load balancer may send callers here.
 func (p *Process) ready() bool {
-	return !p.stopping.Load() && p.log.State().Version > 0
+	return !p.stopping.Load() && p.log.State().Version > 0 && p.peers.keeper.MayServe()
 }
 
 func (p *Process) known(pool acaciatally.PoolName) bool {
@@ -141,8 +146,9 @@
 		if err := p.log.Poll(ctx); err != nil && ctx.Err() == nil {
 			p.config.Logger.Warn().Err(err).Msg("cannot poll the log")
 		}
+		p.peers.polled()
 		if now := p.log.State().Version; now != version {
-			p.slots.Refresh()
+			p.local.Refresh()
 			p.config.Logger.Info().Uint64("version", now).Msg("configuration in force")
 		}
 		select {
--- a/settings/check_test.go
+++ b/settings/check_test.go
@@ -15,6 +15,7 @@
 Platform: {Address: "127.0.0.1:7000"}
 Entries:
   - {ID: entry-1, DataCentre: hall-a, CallerAddress: "127.0.0.1:1", OperatorAddress: "127.0.0.1:2", PeerAddress: "127.0.0.1:3"}
+Peers: {Key: 0123456789abcdef}
 `
 
 // TestProblems guards against settings errors that are reported one at a time, without their line or with a wrong one.
@@ -26,15 +27,15 @@
 		"valid": {content: smallest},
 		"misspelt key names the nearest one": {
 			content:  smallest + "Traffic:\n  MaxBdy: 4MiB\n",
-			problems: []string{`line 7: Traffic.MaxBdy: unknown key "MaxBdy", did you mean MaxBody?`},
+			problems: []string{`line 8: Traffic.MaxBdy: unknown key "MaxBdy", did you mean MaxBody?`},
 		},
 		"every error at once": {
 			content: smallest + "Traffic:\n  MaxBody: 4MB\n  DefaultDeadline: soon\n  QueueLength: many\nWeights:\n  Moves: -1\n",
 			problems: []string{
-				`line 7: Traffic.MaxBody: invalid size "4MB", want a number with KiB, MiB or GiB`,
-				`line 8: Traffic.DefaultDeadline: want a duration such as 1.5s, found "soon"`,
-				`line 9: Traffic.QueueLength: want a whole number, found "many"`,
-				`line 11: Weights.Moves: is negative`,
+				`line 8: Traffic.MaxBody: invalid size "4MB", want a number with KiB, MiB or GiB`,
+				`line 9: Traffic.DefaultDeadline: want a duration such as 1.5s, found "soon"`,
+				`line 10: Traffic.QueueLength: want a whole number, found "many"`,
+				`line 12: Weights.Moves: is negative`,
 			},
 		},
 		"unknown data centre": {
@@ -47,11 +48,11 @@
 		},
 		"duplicated key": {
 			content:  smallest + "Deployment: again\n",
-			problems: []string{`line 6: file: mapping key "Deployment" already defined at [1:1]`},
+			problems: []string{`line 7: file: mapping key "Deployment" already defined at [1:1]`},
 		},
 		"list where a mapping is wanted": {
 			content:  smallest + "Traffic: [1]\n",
-			problems: []string{`line 6: Traffic: want keys and values`},
+			problems: []string{`line 7: Traffic: want keys and values`},
 		},
 		"empty file": {content: "", problems: []string{`line 1: file: is empty`}},
 	}
--- a/settings/rules.go
+++ b/settings/rules.go
@@ -8,6 +8,9 @@
 	"github.com/acaciatally/acaciatally"
 )
 
+// minPeerKey is the shortest shared key in bytes that the peers' handshake accepts.
+const minPeerKey = 16
+
 // check reports every value that no deployment can run with.
 func (s *Settings) check(problems *problems) {
 	if s.Deployment == "" {
@@ -21,6 +24,7 @@
 	s.checkTeams(problems)
 	s.Traffic.check(problems)
 	s.Control.check(problems)
+	s.Peers.check(problems)
 	s.Weights.check(problems)
 	for i, operator := range s.Operators {
 		if operator.Name == "" || operator.Token == "" {
@@ -171,6 +175,12 @@
 	}
 }
 
+func (p Peers) check(problems *problems) {
+	if len(p.Key) < minPeerKey {
+		problems.at("Peers.Key", "must have at least %d characters", minPeerKey)
+	}
+}
+
 func (w Weights) check(problems *problems) {
 	for _, weight := range []struct {
 		name  string
