Run the control path in every entry, fed by what all entries observe

Cause: the control pipeline had no source of demand and of instance reports, and a move ordered by an operator stayed undone. Ruled out: asking slot homes for demand (a home that changes loses its history), and reporting to all entries at any size (bytes grow with the square of the entries; beyond 12 peers only the holder of the control lease is told). Before: a move stayed in phase Draining. On a cold start one instance is lent to the spare pool without any history of demand; the planner needs a minimum of history first.

--- a/audit/trail.go
+++ b/audit/trail.go
@@ -137,8 +137,7 @@
 	if err != nil {
 		return 0, err
 	}
-	archived, err = t.lastArchived(ctx)
-	if err != nil {
+	if archived, err = t.lastArchived(ctx); err != nil {
 		return 0, err
 	}
 	for archived+BlockRecords <= head {
@@ -150,6 +149,21 @@
 	return archived, nil
 }
 
+// Store archives whole blocks and fails while the records are not all part of one, so that the log keeps them.
+func (t *Trail) Store(ctx context.Context, records []fleet.Record) (err error) {
+	if len(records) == 0 {
+		return nil
+	}
+	archived, err := t.Archive(ctx)
+	if err != nil {
+		return err
+	}
+	if last := records[len(records)-1].Version; last > archived {
+		return oops.In("audit").Errorf("records up to %d are archived, not yet %d", archived, last)
+	}
+	return nil
+}
+
 func (t *Trail) lastArchived(ctx context.Context) (uint64, error) {
 	names, err := t.config.Objects.List(ctx, archivePrefix)
 	if err != nil || len(names) == 0 {
--- a/changelog/lease.go
+++ b/changelog/lease.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"sync/atomic"
 	"time"
 
 	"github.com/samber/oops"
@@ -25,7 +26,7 @@
 	Timeout time.Duration // bound of each call, default 2 s
 }
 
-// Lease is one process's part in a named lease; one goroutine uses it.
+// Lease is one process's part in a named lease; one goroutine uses it, but Holder may be called from any.
 //
 // No wall clocks are compared: a holder counts its term from before its last renewal began, and others take the lease only after
 // they have seen the same row for a whole term.
@@ -38,6 +39,7 @@
 	seenSince time.Time // when another holder's row was first seen at version
 	nextAt    time.Time
 	uncertain bool // the answer of the last write was lost
+	holder    atomic.Value
 }
 
 type leaseRow struct {
@@ -81,6 +83,12 @@
 	}, true
 }
 
+// Holder returns the holder that was last seen, or the empty name.
+func (l *Lease) Holder() string {
+	holder, _ := l.holder.Load().(string)
+	return holder
+}
+
 // Tend renews the lease, or takes it when it is free or has lapsed; it does nothing before the next renewal is due.
 func (l *Lease) Tend(ctx context.Context) (err error) {
 	defer func() { err = oops.In("changelog").With("lease", l.config.Name).Wrapf(err, "tend lease") }()
@@ -124,6 +132,7 @@
 		l.seenSince = now
 	}
 	l.row, l.version, l.uncertain, l.held = row, version, false, false
+	l.holder.Store(row.Holder)
 	return nil
 }
 
@@ -155,6 +164,7 @@
 		return err
 	}
 	l.row, l.version, l.uncertain = row, version, false
+	l.holder.Store(row.Holder)
 	l.held, l.expires, l.seenSince = row.Holder == l.config.Holder, now.Add(l.config.Term), now
 	return nil
 }
--- a/entry/control.go
+++ b/entry/control.go
@@ -1,8 +1,14 @@
 package entry
 
 import (
+	"context"
+	"strings"
+
+	"github.com/acaciatally/acaciatally"
 	"github.com/acaciatally/acaciatally/assessment"
+	"github.com/acaciatally/acaciatally/changelog"
 	"github.com/acaciatally/acaciatally/control"
+	"github.com/acaciatally/acaciatally/observation"
 )
 
 // NewControl returns the control pipeline in the order in which its steps run.
@@ -19,3 +25,54 @@
 		control.NewRecord(&config),
 	)
 }
+
+// holderSeparator stands between the entry and its incarnation in the name of a lease's holder.
+const holderSeparator = "/"
+
+func newControlLease(p *Process) *changelog.Lease {
+	limits := p.config.Settings.Control
+	return changelog.NewLease(changelog.LeaseConfig{
+		Table: p.config.Table, Clock: p.config.Clock, Name: control.LeaseName, Term: limits.LeaseTerm, Renewal: limits.LeaseRenewal,
+		Holder: string(p.config.Entry.ID) + holderSeparator + p.peers.self.Incarnation,
+	})
+}
+
+// watch is what this entry notes of its traffic and hears of the traffic of others.
+type watch struct {
+	recorder  *observation.Recorder
+	collector *observation.Collector
+	sharer    *observation.Sharer
+}
+
+func newWatch(p *Process) *watch {
+	w := &watch{
+		recorder: observation.NewRecorder(observation.RecorderConfig{
+			Entry: p.config.Entry.ID, Slots: p.peers.slots, Clock: p.config.Clock,
+		}),
+		collector: observation.NewCollector(p.config.Clock),
+	}
+	w.sharer = observation.NewSharer(observation.SharerConfig{
+		Recorder: w.recorder, Collector: w.collector, Entry: p.config.Entry.ID, Membership: p.peers.keeper, Holder: p.holder,
+	})
+	return w
+}
+
+// holder returns the entry that holds the control lease as far as it is known.
+func (p *Process) holder() acaciatally.EntryID {
+	entry, _, _ := strings.Cut(p.lease.Holder(), holderSeparator)
+	return acaciatally.EntryID(entry)
+}
+
+// runControl takes part in control until ctx ends.
+func (p *Process) runControl(ctx context.Context) error {
+	if p.config.Instances == nil || p.config.List == nil {
+		return nil
+	}
+	controller := NewControl(control.Config{
+		Log: p.log, Lease: p.lease, Membership: p.peers.keeper, Observer: p.watch.collector, List: p.config.List,
+		Instances: p.config.Instances, Health: newHealth(p.log.State, p.config.Dial), Clock: p.config.Clock,
+		Control: p.config.Settings.Control, Weights: p.config.Settings.Weights,
+		By: string(p.config.Entry.ID), Logger: p.config.Logger,
+	})
+	return controller.Run(ctx)
+}
--- a/entry/peers.go
+++ b/entry/peers.go
@@ -15,6 +15,7 @@
 	"github.com/acaciatally/acaciatally/changelog"
 	"github.com/acaciatally/acaciatally/fleet"
 	"github.com/acaciatally/acaciatally/membership"
+	"github.com/acaciatally/acaciatally/observation"
 	"github.com/acaciatally/acaciatally/peer"
 	"github.com/acaciatally/acaciatally/peer/peerpb"
 	"github.com/acaciatally/acaciatally/queue"
@@ -72,13 +73,14 @@
 }
 
 // run keeps the sessions until drained ends, and gives up the slot homes when ctx ends.
-func (p *peers) run(ctx, drained context.Context) error {
+func (p *peers) run(ctx, drained context.Context, sharer *observation.Sharer) error {
 	listener, err := p.config.Listen(ctx, "tcp", p.self.Address.String())
 	if err != nil {
 		return err
 	}
 	handlers := p.keeper.Handlers()
 	maps.Copy(handlers, p.slots.Handlers())
+	maps.Copy(handlers, sharer.Handlers())
 	limits := p.config.Settings.Peers
 	node, err := peer.New(peer.Config{
 		Deployment: p.config.Settings.Deployment, Entry: p.self.ID, Incarnation: p.self.Incarnation, Key: []byte(limits.Key),
@@ -93,6 +95,7 @@
 	group.Go(func() error { return node.Run(drained) })
 	group.Go(func() error { return p.keeper.Run(drained, node) })
 	group.Go(func() error { return p.slots.Run(drained, node) })
+	group.Go(func() error { return sharer.Run(drained, node) })
 	return group.Wait()
 }
 
--- a/entry/process.go
+++ b/entry/process.go
@@ -26,6 +26,9 @@
 	Settings *settings.Settings
 	Entry    settings.Entry
 	Table    acaciatally.TableService
+	// List and Instances are the platform's instances; without them this entry takes no part in control.
+	List      acaciatally.InstanceList
+	Instances acaciatally.InstanceControl
 	// Objects keeps large answers; without it only their status is kept.
 	Objects acaciatally.ObjectStore
 	Logger  *log.Logger
@@ -42,6 +45,8 @@
 	trail    *audit.Trail
 	metrics  *metrics.Set
 	peers    *peers
+	watch    *watch
+	lease    *changelog.Lease
 	local    *localSlots // grants slots while no slot home answers
 	claims   *claim.Runner
 	sweeper  *claim.Sweeper
@@ -68,7 +73,7 @@
 	limits := config.Settings.Traffic
 	entries := len(config.Settings.Entries)
 	p.log = changelog.New(changelog.Config{
-		Table: config.Table, Clock: config.Clock, Notify: func(uint64) { p.peers.keeper.Changed() },
+		Table: config.Table, Objects: config.Objects, Clock: config.Clock, Archive: p.trail, Notify: func(uint64) { p.peers.keeper.Changed() },
 	})
 	p.cut = p.metrics.NewCounter("acaciatally_answers_cut_total")
 	p.local = newLocalSlots(localSlotsConfig{
@@ -76,6 +81,8 @@
 		Clock: config.Clock, Random: newRandom(),
 	})
 	p.peers = newPeers(config, p.log, p.local, p.metrics)
+	p.lease = newControlLease(p)
+	p.watch = newWatch(p)
 	p.claims = claim.NewRunner(claim.RunnerConfig{
 		Table: config.Table, Interval: claim.Interval(limits.ClaimInterval, entries), Clock: config.Clock, Metrics: p.metrics,
 	})
@@ -106,7 +113,8 @@
 		p.loadDeployment(ctx)
 		return p.poll(drained)
 	})
-	group.Go(func() error { return p.peers.run(ctx, drained) })
+	group.Go(func() error { return p.peers.run(ctx, drained, p.watch.sharer) })
+	group.Go(func() error { return p.runControl(ctx) })
 	group.Go(func() error { return p.claims.Run(drained) })
 	group.Go(func() error { return p.sweeper.Run(ctx) })
 	group.Go(func() error {
--- a/entry/traffic.go
+++ b/entry/traffic.go
@@ -44,7 +44,7 @@
 			Entry: p.config.Entry.ID, Runner: p.claims, Objects: p.config.Objects, Clock: p.config.Clock,
 		}),
 		attempt: attempt.New(attempt.Config{
-			Slots: p.peers.slots, Dial: p.config.Dial, ProvesNotRun: p.provesNotRun, Budget: attempt.NewBudget(limits.RetryBudget),
+			Slots: p.watch.recorder, Dial: p.config.Dial, ProvesNotRun: p.provesNotRun, Budget: attempt.NewBudget(limits.RetryBudget),
 			MaxRetries: limits.MaxRetries, MaxAnswer: int64(limits.MaxAnswer), MaxConnections: fallbackConnections,
 			ConnectTimeout: limits.ConnectTimeout, IdleTimeout: idleTimeout,
 			Clock: p.config.Clock, Random: rand.Float64, Metrics: p.metrics,
--- /dev/null
+++ b/observation/doc.go
@@ -0,0 +1,2 @@
+// Package observation collects what the traffic of all entries shows about demand and instances.
+package observation
--- a/peer/config.go
+++ b/peer/config.go
@@ -26,9 +26,12 @@
 	ViewFetch Kind = 2
 	Slot      Kind = 3
 	Held      Kind = 4
+
+	// Observation streams carry what an entry's traffic shows; they are numbered apart from the streams that keep the group.
+	Observation Kind = 16
 )
 
-var kindNames = map[Kind]string{Hello: "Hello", ViewFetch: "ViewFetch", Slot: "Slot", Held: "Held"}
+var kindNames = map[Kind]string{Hello: "Hello", ViewFetch: "ViewFetch", Slot: "Slot", Held: "Held", Observation: "Observation"}
 
 // String returns the kind's name.
 func (k Kind) String() string {
