--- /dev/null
+++ b/task/cancel.go
@@ -0,0 +1,143 @@
+package task
+
+import (
+	"context"
+	"errors"
+	"slices"
+
+	"github.com/oklog/ulid/v2"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/acaciatally/acaciatally"
+)
+
+// stopsInFlight bounds the orders that a wave of cancellations sends to the platform at once.
+const stopsInFlight = 16
+
+// cancel writes each cancelled task once, and then stops the attempts that were running.
+func (d *Desk) cancel(ctx context.Context, batch []*cancellation) {
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), deskTries*d.config.Timeout)
+	defer cancel()
+	outcome := acaciatally.NotRun
+	for range deskTries {
+		open := openCancellations(batch)
+		if len(open) == 0 {
+			break
+		}
+		err := d.tryCancel(ctx, open)
+		if errors.Is(err, acaciatally.ErrUnknownCommit) {
+			outcome = acaciatally.Unknown
+		}
+		if err != nil {
+			pause(ctx)
+		}
+	}
+	for _, call := range batch {
+		call.settle(Record{}, refusal(outcome, "the platform cannot cancel the task now; cancel it again"))
+		close(call.done)
+	}
+	d.stopAll(ctx, batch)
+}
+
+func openCancellations(batch []*cancellation) (open []*cancellation) {
+	for _, call := range batch {
+		if !call.settled {
+			open = append(open, call)
+		}
+	}
+	return open
+}
+
+func (c *cancellation) settle(record Record, err error) {
+	if !c.settled {
+		c.settled, c.record, c.err = true, record, err
+	}
+}
+
+func (d *Desk) tryCancel(ctx context.Context, open []*cancellation) error {
+	ids := make([]string, 0, len(open))
+	for _, call := range open {
+		ids = append(ids, call.id)
+	}
+	rows, err := d.find(ctx, ids)
+	if err != nil {
+		return err
+	}
+	found := map[string]stored{}
+	for _, row := range rows {
+		found[row.record.Spec.ID] = row
+	}
+	transaction := acaciatally.Transaction{ID: ulid.Make().String()}
+	next := map[string]Record{}
+	for _, call := range open {
+		row, exists := found[call.id]
+		switch {
+		case !exists || row.record.Spec.Team != call.team:
+			call.settle(Record{}, ErrNoTask)
+		case row.record.Phase.Ended():
+			call.settle(row.record, nil)
+		case next[call.id].Phase == "":
+			record := row.record.decided(d.config.Clock.Now(), Cancelled, "cancelled by its team")
+			next[call.id] = record
+			key := RowKey(record.Spec.Pool, call.id)
+			transaction.Conditions = append(transaction.Conditions, acaciatally.Condition{Key: key, Version: row.version})
+			transaction.Writes = append(transaction.Writes, acaciatally.Write{Key: key, Value: record.Encode()})
+		}
+	}
+	return d.commitCancelled(ctx, open, transaction, next)
+}
+
+// commitCancelled writes the rows; rows that others have just written are left for the next try.
+func (d *Desk) commitCancelled(ctx context.Context, open []*cancellation, transaction acaciatally.Transaction, next map[string]Record) error {
+	for len(transaction.Writes) > 0 {
+		commitCtx, cancel := context.WithTimeout(ctx, d.config.Timeout)
+		_, err := d.config.Table.Commit(commitCtx, transaction)
+		cancel()
+		var conflict *acaciatally.ConflictError
+		if errors.As(err, &conflict) {
+			transaction = without(transaction, conflict.Keys)
+			continue
+		}
+		if err != nil {
+			return err
+		}
+		for _, call := range open {
+			record, wanted := next[call.id]
+			written := func(write acaciatally.Write) bool { return write.Key == RowKey(record.Spec.Pool, call.id) }
+			if wanted && slices.ContainsFunc(transaction.Writes, written) {
+				call.settle(record, nil)
+			}
+		}
+		return nil
+	}
+	return nil
+}
+
+func without(transaction acaciatally.Transaction, keys []string) acaciatally.Transaction {
+	rest := acaciatally.Transaction{ID: ulid.Make().String()}
+	for i, write := range transaction.Writes {
+		if !slices.Contains(keys, write.Key) {
+			rest.Conditions = append(rest.Conditions, transaction.Conditions[i])
+			rest.Writes = append(rest.Writes, write)
+		}
+	}
+	return rest
+}
+
+// stopAll ends the attempts of the cancelled tasks at once; where it fails, the controller of the pool finds the row in its sweep.
+func (d *Desk) stopAll(ctx context.Context, batch []*cancellation) {
+	var group errgroup.Group
+	group.SetLimit(stopsInFlight)
+	for _, call := range batch {
+		if call.err != nil || call.record.Phase != Cancelled || call.record.Worker == "" {
+			continue
+		}
+		group.Go(func() error {
+			stopCtx, cancel := context.WithTimeout(ctx, d.config.Timeout)
+			defer cancel()
+			_ = d.config.Leases.Stop(stopCtx, call.record.Spec.ID, call.record.Attempt)
+			return nil
+		})
+	}
+	_ = group.Wait()
+}
