--- a/task/arrange.go
+++ b/task/arrange.go
@@ -124,7 +124,7 @@
 		room.Probed = room.Probed || (j.attempt.peak.Memory == 0 && !m.learner.Known(j.record.Spec))
 		room.Tenants = append(room.Tenants, Tenant{
 			Task: j.record.Spec.ID, Team: j.record.Spec.Team, Urgency: j.record.Spec.Urgency, Holds: holds,
-			Share: min(j.attempt.share, j.attempt.want), CanStop: j.canStop(), WorkSince: j.workSince(),
+			Share: j.attempt.want, CanStop: j.canStop(), WorkSince: j.workSince(),
 		})
 	}
 	return rooms
@@ -178,7 +178,7 @@
 // relieveOverloads takes from the least urgent attempts what the reported use of a worker exceeds: memory from any, since its lack
 // kills, and processors from those that slow down more urgent ones.
 func (m *Machine) relieveOverloads(now time.Time) {
-	loads := m.loads()
+	loads := m.loads((*job).holds)
 	live := m.sortedLive()
 	top := map[acaciatally.InstanceID]acaciatally.Urgency{}
 	for _, j := range live {
@@ -201,6 +201,7 @@
 		if slows && at.used.Processors > at.capacity.Processors+roundingSlack {
 			at.used.Processors -= j.holds().Processors
 			j.attempt.want = throttledShare
+			at.used.Processors += j.holds().Processors
 			j.note(now, "throttled, since the tasks on the worker use more processors than it has")
 		}
 	}
--- a/task/attempt.go
+++ b/task/attempt.go
@@ -12,8 +12,9 @@
 	maybe      bool // a start may have reached the platform
 	confirmed  bool // a start, a renewal or a report shows that it was started
 	over       time.Time
-	stopped    bool // the platform confirmed that it will not run any more
-	endsBy     time.Time
+	stopped    bool      // the platform confirmed that it will not run any more
+	heardAt    time.Time // last report, or order that was carried out
+	endsBy     time.Time // the lease ends by then at the latest
 	renewAt    time.Time
 	orderAt    time.Time // no order before it, after a failed one
 	share      float64   // of the processors, as ordered last
@@ -30,7 +31,7 @@
 // newAttempt returns the knowledge of an attempt of which only the row is known; an own one has not been started yet.
 func (m *Machine) newAttempt(record Record, now time.Time, own bool) attempt {
 	a := attempt{
-		since: now, share: 1, want: 1, askedAt: now,
+		since: now, heardAt: now, share: 1, want: 1, askedAt: now,
 		maybe:      !own,
 		endsBy:     record.StartBy,
 		renewAt:    record.StartBy.Add(-m.config.Term / 2),
@@ -61,13 +62,22 @@
 	return held
 }
 
-// holds is what the attempt takes of its worker now.
+// holds is what the attempt will take of its worker once its orders are carried out.
 func (j *job) holds() acaciatally.Resources {
+	return j.taking(j.attempt.want)
+}
+
+// takes is what the attempt may be taking now, whichever of its orders have been carried out.
+func (j *job) takes() acaciatally.Resources {
+	return j.taking(max(j.attempt.share, j.attempt.want))
+}
+
+func (j *job) taking(share float64) acaciatally.Resources {
 	if j.attempt.stopped {
 		return acaciatally.Resources{}
 	}
 	held := j.need()
-	held.Processors *= min(j.attempt.share, j.attempt.want)
+	held.Processors *= share
 	return held
 }
 
--- a/task/health.go
+++ b/task/health.go
@@ -19,6 +19,8 @@
 	probationWait   = time.Second // doubled by each failure in a row
 	maxProbation    = time.Minute
 	rejectionWait   = 10 * time.Second
+	silenceWait     = time.Minute // doubled by each attempt of which nothing was heard again
+	maxSilence      = 10 * time.Minute
 	maxStreak       = 16
 )
 
@@ -27,6 +29,8 @@
 	worker      Worker
 	streak      []failedAttempt // failures since the last success
 	refusedAt   time.Time       // last time that it rejected a start
+	silences    int             // attempts in a row of which nothing was heard again
+	silentAt    time.Time       // when the last of them was given up
 	quarantined bool
 	announced   bool // the quarantine was ordered
 }
@@ -82,6 +86,22 @@
 	w.streak = nil
 }
 
+// silent counts an attempt of which nothing was heard again.
+func (w *workerView) silent(now time.Time) {
+	w.silences++
+	w.silentAt = now
+}
+
+// heard ends the suspicion that orders do not reach the worker.
+func (w *workerView) heard() {
+	w.silences = 0
+}
+
+func (w *workerView) silenced(now time.Time) bool {
+	wait := min(silenceWait<<min(max(w.silences-1, 0), maxStreak), maxSilence)
+	return w.silences > 0 && now.Sub(w.silentAt) < wait
+}
+
 // teams counts the teams that have a task in the streak.
 func (w *workerView) teams() int {
 	var teams []acaciatally.TeamName
@@ -105,7 +125,7 @@
 
 // starts returns how many attempts the worker may be given now; negative is any number.
 func (w *workerView) starts(now time.Time) int {
-	if w.worker.State != Serving || w.quarantined || now.Sub(w.refusedAt) < rejectionWait {
+	if w.worker.State != Serving || w.quarantined || w.silenced(now) || now.Sub(w.refusedAt) < rejectionWait {
 		return 0
 	}
 	count := len(w.streak)
--- a/task/machine.go
+++ b/task/machine.go
@@ -71,6 +71,8 @@
 	fleet   Fleet
 	learner *Learner
 	expired []Save // rows past their retention
+	// Reports have come without a gap from reportsSince to reportedAt.
+	reportsSince, reportedAt time.Time
 }
 
 // job is what the controller knows of one task.
@@ -111,7 +113,11 @@
 
 // Load takes in rows as they are in the table; a row that is known at its version changes nothing.
 func (m *Machine) Load(rows []acaciatally.Row, now time.Time) (err error) {
+	prefix := RowKey(m.config.Pool, "")
 	for _, row := range rows {
+		if known, found := m.jobs[strings.TrimPrefix(row.Key, prefix)]; found && known.version >= row.Version {
+			continue
+		}
 		record, decodeErr := Decode(row.Value)
 		if decodeErr != nil {
 			err = decodeErr
@@ -125,9 +131,6 @@
 func (m *Machine) load(record Record, version uint64, now time.Time) {
 	id := record.Spec.ID
 	known, found := m.jobs[id]
-	if found && known.version >= version {
-		return
-	}
 	if record.Phase.Ended() && m.retire(record, version, now) {
 		return
 	}
@@ -196,8 +199,9 @@
 	j.notes = append(j.notes, Decision{At: now, Phase: j.record.Phase, Worker: j.record.Worker, Reason: reason})
 }
 
-// Saves returns up to limit rows that are to be written, the most urgent tasks first.
-func (m *Machine) Saves(limit int) (saves []Save) {
+// Saves returns up to limit rows that are to be written, the most urgent tasks first. An end counts from when it is written, so that
+// an outage does not use up the retention.
+func (m *Machine) Saves(now time.Time, limit int) (saves []Save) {
 	pending := make([]*job, 0, len(m.dirty))
 	for _, j := range m.dirty {
 		pending = append(pending, j)
@@ -206,6 +210,9 @@
 		return cmp.Or(cmp.Compare(a.record.Spec.Urgency, b.record.Spec.Urgency), cmp.Compare(a.record.Spec.ID, b.record.Spec.ID))
 	})
 	for _, j := range pending[:min(limit, len(pending))] {
+		if j.next.Phase.Ended() {
+			j.next.Ended = now
+		}
 		saves = append(saves, Save{Key: RowKey(m.config.Pool, j.record.Spec.ID), Version: j.version, Value: j.next.Encode()})
 	}
 	expired := min(limit-len(saves), len(m.expired))
--- a/task/order.go
+++ b/task/order.go
@@ -43,7 +43,7 @@
 
 // Orders returns up to limit orders that follow from the saved rows, the most pressing ones first.
 func (m *Machine) Orders(now time.Time, limit int) (orders []Order) {
-	loads := m.loads()
+	loads := m.loads((*job).takes)
 	for _, j := range m.sortedLive() {
 		if order, found := m.nextOrder(j, loads, now); found {
 			order.urgency = j.record.Spec.Urgency
@@ -79,20 +79,21 @@
 	return orders
 }
 
-// load is what the attempts on a worker use at this moment.
+// load is what the attempts on a worker take.
 type load struct {
 	capacity acaciatally.Resources
 	used     acaciatally.Resources
 }
 
-func (m *Machine) loads() map[acaciatally.InstanceID]*load {
+// loads sums up what the started attempts take by the measure.
+func (m *Machine) loads(measure func(j *job) acaciatally.Resources) map[acaciatally.InstanceID]*load {
 	loads := map[acaciatally.InstanceID]*load{}
 	for id, worker := range m.workers {
 		loads[id] = &load{capacity: worker.worker.Capacity}
 	}
 	for _, j := range m.sortedLive() {
 		if at, found := loads[j.record.Worker]; found && j.began() {
-			at.used = plus(at.used, j.holds())
+			at.used = plus(at.used, measure(j))
 		}
 	}
 	return loads
@@ -111,13 +112,24 @@
 	case Placed:
 		order, found = m.placedOrder(j, loads, now)
 	}
-	if !found && j.began() && !now.Before(a.renewAt) {
-		order, found = j.order(OrderRenew), true
-		order.Lease.Expires = now.Add(m.config.Term)
+	if !found && m.renewalDue(j, now) {
+		return m.renewal(j, now), true
 	}
 	return order, found
 }
 
+// renewalDue reports whether the lease is to be extended; an attempt of which nothing is heard is left to lapse.
+func (m *Machine) renewalDue(j *job, now time.Time) bool {
+	a := &j.attempt
+	return j.began() && !now.Before(a.renewAt) && now.Sub(a.heardAt) < m.config.Term+m.config.ReportGrace
+}
+
+func (m *Machine) renewal(j *job, now time.Time) Order {
+	order := j.order(OrderRenew)
+	order.Lease.Expires = now.Add(m.config.Term)
+	return order
+}
+
 func (j *job) order(kind OrderKind) Order {
 	return Order{Kind: kind, Lease: acaciatally.TaskLease{
 		Task: j.record.Spec.ID, Attempt: j.record.Attempt, Worker: j.record.Worker, Resources: j.record.Granted,
@@ -179,12 +191,9 @@
 // the rows say. Losing them would end every long task in an outage of the table.
 func (m *Machine) Renewals(now time.Time, limit int) (orders []Order) {
 	for _, j := range m.sortedLive() {
-		a := &j.attempt
-		due := !now.Before(a.renewAt) && !now.Before(a.orderAt)
-		if len(orders) < limit && j.record.Phase.Live() && j.began() && a.over.IsZero() && due {
-			order := j.order(OrderRenew)
-			order.Lease.Expires = now.Add(m.config.Term)
-			orders = append(orders, order)
+		allowed := !now.Before(j.attempt.orderAt) && j.attempt.over.IsZero() && j.record.Phase.Live()
+		if len(orders) < limit && allowed && m.renewalDue(j, now) {
+			orders = append(orders, m.renewal(j, now))
 		}
 	}
 	return orders
@@ -211,6 +220,7 @@
 
 func (m *Machine) accepted(j *job, order Order, now time.Time) {
 	a := &j.attempt
+	a.heardAt = now
 	switch order.Kind {
 	case OrderStart:
 		a.confirmed, a.maybe = true, true
--- a/task/plan.go
+++ b/task/plan.go
@@ -90,6 +90,9 @@
 const (
 	// throttledShare keeps a throttled task alive for its lease and its reports.
 	throttledShare = 0.1
+	// reserveAfter is the wait after which a task that found no room has a worker kept free for it, so that small tasks do not pass
+	// a large one for ever.
+	reserveAfter = 30 * time.Second
 	// maxMisses bounds the tasks of a class that are tried in vain in one round.
 	maxMisses = 64
 )
@@ -197,12 +200,15 @@
 // planClass places the tasks of one class, the team with the smallest load first.
 func (p *planner) planClass(class acaciatally.Urgency) {
 	queues := p.queues(class)
-	misses, failed := 0, []Demand(nil)
+	misses, failed, reserved := 0, []Demand(nil), false
 	for queues.Len() > 0 && misses < maxMisses && len(p.plan.Starts) < p.problem.MaxStarts {
 		queue := heap.Pop(queues).(*teamQueue)
 		demand := queue.demands[0]
 		queue.demands = queue.demands[1:]
 		if reason := p.try(demand, queue, failed); reason != "" {
+			if !reserved && p.problem.Now.Sub(demand.Since) >= reserveAfter {
+				reserved = p.reserve(demand)
+			}
 			misses++
 			failed = append(failed, demand)
 			p.plan.Waits = append(p.plan.Waits, Wait{Task: demand.Task, Reason: reason})
@@ -243,6 +249,26 @@
 	return "no worker has " + describe(demand.Need) + " free, and less urgent tasks cannot make room"
 }
 
+// reserve keeps the emptiest worker that could hold the task from less urgent tasks and later ones of its class.
+func (p *planner) reserve(demand Demand) bool {
+	var best *Room
+	bestFree := 0.0
+	for i := range p.problem.Rooms {
+		room := &p.problem.Rooms[i]
+		if !room.admits(demand) || !fits(demand.Need, room.Capacity) {
+			continue
+		}
+		if free := 1 - dominantShare(minus(room.Capacity, room.Free), room.Capacity); best == nil || free > bestFree {
+			best, bestFree = room, free
+		}
+	}
+	if best == nil {
+		return false
+	}
+	best.Starts = 0
+	return true
+}
+
 // hopeless reports whether a task of the same class that needs no more has already found no room in this round.
 func hopeless(demand Demand, failed []Demand) bool {
 	for _, other := range failed {
--- a/task/report.go
+++ b/task/report.go
@@ -15,6 +15,10 @@
 
 // Report takes in the workers' lagged reports; reports on other than the present attempt are ignored.
 func (m *Machine) Report(usage []acaciatally.TaskUsage, now time.Time) {
+	if now.Sub(m.reportedAt) > m.config.ReportGrace {
+		m.reportsSince = now
+	}
+	m.reportedAt = now
 	for _, report := range usage {
 		j, found := m.jobs[report.Task]
 		if !found || report.Attempt != j.record.Attempt || m.live[report.Task] == nil {
@@ -30,7 +34,9 @@
 // observe keeps what a report says about the use of resources and the checkpoints.
 func (m *Machine) observe(j *job, report acaciatally.TaskUsage) {
 	a := &j.attempt
+	m.worker(j.record.Worker).heard()
 	a.confirmed = true
+	a.heardAt = laterOf(a.heardAt, report.ReportedAt)
 	a.peak = largest(a.peak, report.Used)
 	if report.Checkpoint != "" {
 		a.checkpoint = report.Checkpoint
@@ -116,18 +122,24 @@
 	if !a.over.IsZero() {
 		heardBy = a.over
 	}
-	if now.Before(heardBy.Add(m.config.ReportGrace)) {
+	if now.Before(heardBy.Add(m.config.ReportGrace)) || !m.reportsFlow(now) {
 		return
 	}
 	state := acaciatally.TaskLeaseExpired
 	if a.stopped {
 		state = acaciatally.TaskStopped
 	}
+	m.worker(j.record.Worker).silent(now)
 	record := j.record
 	record.Peak = largest(record.Peak, a.peak)
 	m.propose(j, m.afterStop(j, record, state, now))
 }
 
+// reportsFlow tells silence of an attempt from silence of all reports.
+func (m *Machine) reportsFlow(now time.Time) bool {
+	return now.Sub(m.reportedAt) <= m.config.ReportGrace && now.Sub(m.reportsSince) >= m.config.ReportGrace
+}
+
 // startPatience bounds the wait of a placed task for the room that others make for it.
 const startPatience = 10 * time.Second
 
--- a/task/runner.go
+++ b/task/runner.go
@@ -171,7 +171,7 @@
 // act writes the proposed rows and sends the orders that follow, until nothing is left to do.
 func (r *Runner) act(ctx context.Context) {
 	for range maxPasses {
-		saves := r.machine.Saves(maxRows)
+		saves := r.machine.Saves(r.config.Clock.Now(), maxRows)
 		hold, held := r.config.Lease.Hold()
 		if !held || (len(saves)+len(r.handled) > 0 && !r.commit(ctx, hold, saves)) {
 			return
--- a/task/runner_test.go
+++ b/task/runner_test.go
@@ -100,13 +100,13 @@
 					return one
 				})
 				w.submit(specs...)
-				w.until(test.within, func() bool { return w.phases(specs)[task.Done] == len(specs) })
+				took := w.untilDone(specs, test.within)
 				attempts := 0
 				for _, one := range specs {
 					attempts += len(w.tasks.Trace(one.ID))
 				}
 				require.LessOrEqual(t, attempts, len(specs)+len(w.fleet.Workers), "attempts were lost to a lack of memory")
-				t.Logf("excess %+v, attempts %d", w.tasks.Excess(), attempts)
+				t.Logf("took %v, excess %+v, attempts %d", took, w.tasks.Excess(), attempts)
 			})
 		})
 	}
@@ -162,7 +162,7 @@
 			return one
 		})
 		w.submit(specs...)
-		w.until(10*time.Minute, func() bool { return w.phases(specs)[task.Done] == len(specs) })
+		took := w.untilDone(specs, 10*time.Minute)
 		failed := 0
 		for _, one := range specs {
 			for _, trace := range w.tasks.Trace(one.ID) {
@@ -175,5 +175,6 @@
 		require.Len(t, w.quaran, 1)
 		// The worker holds 16 tasks, which may all be lost before the first lagged report.
 		require.LessOrEqual(t, failed, 24)
+		t.Logf("took %v, %d attempts failed", took, failed)
 	})
 }
--- a/task/world_test.go
+++ b/task/world_test.go
@@ -4,6 +4,8 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"slices"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -30,6 +32,7 @@
 	faults *standin.Faults // between the system and the platform
 	fleet  *task.Fleet
 	desk   *task.Desk
+	mu     sync.Mutex // guards fleet
 	quaran map[acaciatally.InstanceID]string
 }
 
@@ -53,7 +56,25 @@
 	return w
 }
 
+func (w *world) view() task.Fleet {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return task.Fleet{Workers: slices.Clone(w.fleet.Workers), Elsewhere: w.fleet.Elsewhere, Quotas: w.fleet.Quotas}
+}
+
+func (w *world) setState(id acaciatally.InstanceID, state task.WorkerState) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for i := range w.fleet.Workers {
+		if w.fleet.Workers[i].ID == id {
+			w.fleet.Workers[i].State = state
+		}
+	}
+}
+
 func (w *world) addWorker(id acaciatally.InstanceID, size acaciatally.Resources) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
 	w.tasks.AddWorker(id, size)
 	w.fleet.Workers = append(w.fleet.Workers, task.Worker{ID: id, Capacity: size})
 }
@@ -61,17 +82,17 @@
 // control starts a controller that runs until the returned function is called.
 func (w *world) control(holder string) (stop func()) {
 	ctx, cancel := context.WithCancel(w.ctx)
-	runner := w.runner(holder, w.faults)
+	runner := w.runnerOver(holder, w.faults, w.faults)
 	ended := make(chan struct{})
 	go func() { _ = runner.Run(ctx); close(ended) }()
 	return func() { cancel(); <-ended }
 }
 
-func (w *world) runner(holder string, faults *standin.Faults) *task.Runner {
+func (w *world) runnerOver(holder string, table acaciatally.TableService, leases acaciatally.TaskLeases) *task.Runner {
 	return task.NewRunner(task.RunnerConfig{
-		Machine: task.MachineConfig{Pool: pool}, Table: faults, Leases: faults,
-		Lease: &testLease{table: faults, holder: holder},
-		Fleet: func() task.Fleet { return *w.fleet },
+		Machine: task.MachineConfig{Pool: pool}, Table: table, Leases: leases,
+		Lease: &testLease{table: table, holder: holder},
+		Fleet: w.view,
 		Quarantine: func(_ context.Context, worker acaciatally.InstanceID, reason string) error {
 			w.quaran[worker] = reason
 			return nil
@@ -128,6 +149,17 @@
 	}
 }
 
+// untilDone waits until all tasks have run to their end, and returns how long it took.
+func (w *world) untilDone(specs []task.Spec, limit time.Duration) time.Duration {
+	w.t.Helper()
+	began := time.Now()
+	for w.phases(specs)[task.Done] < len(specs) {
+		require.Less(w.t, time.Since(began), limit, "%v", w.phases(specs))
+		time.Sleep(5 * time.Second)
+	}
+	return time.Since(began)
+}
+
 func (w *world) untilPhase(id string, phase task.Phase, limit time.Duration) task.Record {
 	w.t.Helper()
 	w.until(limit, func() bool { return w.record(id).Phase == phase })
