Keep work over a quota out of other teams' floors

The flood holds the floor and the rest of the urgent class, 60 % of the slots, although its teams are far over their quotas, while normal work needs more than its own floor of 30 %. Change: in all classes, work of teams within their quotas comes before work of teams over theirs; within each kind the floors hold as before. The property test states the floors for each kind and the order of the kinds, which is stricter than before. Taken out, the change makes TestAnyOperations and TestShares fail.

--- a/queue/flow.go
+++ b/queue/flow.go
@@ -126,14 +126,6 @@
 	return &c.under
 }
 
-// first returns the flow whose turn it is.
-func (c *class) first() *flow {
-	if c.under.Len() > 0 {
-		return c.under.list[0]
-	}
-	return c.over.list[0]
-}
-
 // floorCost is a slot time in seconds divided by the floor.
 func (c *class) floorCost(amount time.Duration) float64 { return amount.Seconds() / c.floor }
 
--- a/queue/grant.go
+++ b/queue/grant.go
@@ -18,11 +18,11 @@
 	if q.held >= slots {
 		return Item{}, false
 	}
-	class, byFloor := q.nextClass(slots)
-	if class == nil {
+	flow, byFloor := q.nextFlow(slots)
+	if flow == nil {
 		return Item{}, false
 	}
-	flow := class.first()
+	class := flow.class
 	class.virtual = max(class.virtual, flow.virtual)
 	ticket := flow.tickets.list[0]
 	q.remove(ticket)
@@ -78,26 +78,38 @@
 	q.held += sign
 }
 
-// nextClass returns the class whose turn it is: first those below their floors, then the most urgent.
-func (q *Queue) nextClass(slots int) (next *class, byFloor bool) {
+// nextFlow returns the flow whose turn it is. Work of teams within their quotas comes before that of teams over theirs in all
+// classes: otherwise a team that floods an urgent class would take the whole of that class's floor from other teams' work.
+func (q *Queue) nextFlow(slots int) (next *flow, byFloor bool) {
+	for _, over := range []bool{false, true} {
+		if class := q.furthestBelow(slots, over); class != nil {
+			return class.line(over).list[0], true
+		}
+		if class := q.mostUrgent(over); class != nil {
+			return class.line(over).list[0], false
+		}
+	}
+	return nil, false
+}
+
+// furthestBelow returns the class below its floor whose turn it is, or nil.
+func (q *Queue) furthestBelow(slots int, over bool) (next *class) {
 	for urgency := range q.classes {
 		candidate := &q.classes[urgency]
-		if candidate.length == 0 || !q.belowFloor(urgency, slots) {
+		if candidate.line(over).Len() == 0 || !q.belowFloor(urgency, slots) {
 			continue
 		}
 		if next == nil || q.furtherBelow(candidate, next) {
 			next = candidate
 		}
 	}
-	if next != nil {
-		return next, true
-	}
-	return q.mostUrgent(), false
+	return next
 }
 
-func (q *Queue) mostUrgent() *class {
+// mostUrgent returns the most urgent class with work queued, or nil.
+func (q *Queue) mostUrgent(over bool) *class {
 	for urgency := range q.classes {
-		if q.classes[urgency].length > 0 {
+		if q.classes[urgency].line(over).Len() > 0 {
 			return &q.classes[urgency]
 		}
 	}
--- a/queue/property_test.go
+++ b/queue/property_test.go
@@ -26,7 +26,7 @@
 	pushed int
 	queued map[string]queue.Item
 	held   map[string]queue.Item
-	gone   map[string]bool
+	quotas map[acaciatally.TeamName]int
 }
 
 func newMachine(t *rapid.T) *machine {
@@ -37,11 +37,17 @@
 	}
 	return &machine{
 		queue: queue.New(config), config: config, now: testStart, slots: rapid.IntRange(0, 20).Draw(t, "slots"),
-		queued: map[string]queue.Item{}, held: map[string]queue.Item{}, gone: map[string]bool{},
+		queued: map[string]queue.Item{}, held: map[string]queue.Item{}, quotas: map[acaciatally.TeamName]int{},
 	}
 }
 
 func (m *machine) Push(t *rapid.T) {
+	for range rapid.IntRange(1, 8).Draw(t, "pushes") {
+		m.push(t)
+	}
+}
+
+func (m *machine) push(t *rapid.T) {
 	m.pushed++
 	item := queue.Item{
 		ID: fmt.Sprint(m.pushed), Team: acaciatally.TeamName(rapid.StringMatching("[a-e]").Draw(t, "team")),
@@ -81,16 +87,35 @@
 	m.held[item.ID] = item
 }
 
-// checkFloors fails when a class at or above its floor is served before one below its floor.
+// checkFloors fails when work over a quota is served before work within one, or a class at or above its floor before one below
+// its floor with work of the same kind. The floors hold for work within quotas first.
 func (m *machine) checkFloors(t *rapid.T, granted queue.Item, stats queue.Stats) {
 	below := func(urgency acaciatally.Urgency) bool {
 		return float64(stats.Held[urgency]) < testFloors[urgency]*float64(m.slots)
 	}
 	for _, waiting := range m.alive() {
+		if m.over(waiting.Team) != m.over(granted.Team) {
+			require.False(t, m.over(granted.Team), "work over a quota served while work within one waits")
+			continue
+		}
 		if below(waiting.Urgency) {
 			require.True(t, below(granted.Urgency), "%s served above its floor while %s waits below its", granted.Urgency, waiting.Urgency)
 		}
+		if !below(granted.Urgency) {
+			require.LessOrEqual(t, granted.Urgency, waiting.Urgency, "the rest goes to the most urgent class")
+		}
+	}
+}
+
+// over reports whether the team holds its whole quota.
+func (m *machine) over(team acaciatally.TeamName) bool {
+	held := 0
+	for _, item := range m.held {
+		if item.Team == team {
+			held++
+		}
 	}
+	return m.quotas[team] > 0 && held >= m.quotas[team]
 }
 
 func (m *machine) Done(t *rapid.T) {
@@ -101,7 +126,6 @@
 	m.queue.Done(m.now, item, time.Duration(rapid.IntRange(0, 3000).Draw(t, "service"))*time.Millisecond)
 	m.queue.Done(m.now, item, time.Second) // a repeated return must change nothing
 	delete(m.held, item.ID)
-	m.gone[item.ID] = true
 }
 
 func (m *machine) Cancel(t *rapid.T) {
@@ -113,7 +137,6 @@
 	require.True(t, m.queue.Cancel(item.ID) || lapsed)
 	if !lapsed {
 		delete(m.queued, item.ID)
-		m.gone[item.ID] = true
 	}
 }
 
@@ -131,14 +154,14 @@
 		require.Contains(t, m.queued, item.ID)
 		require.False(t, item.Deadline.After(m.now))
 		delete(m.queued, item.ID)
-		m.gone[item.ID] = true
 	}
 	require.Len(t, m.alive(), len(m.queued), "an expired item is still queued")
 }
 
 func (m *machine) Configure(t *rapid.T) {
 	team := acaciatally.TeamName(rapid.StringMatching("[a-e]").Draw(t, "team"))
-	m.queue.SetQuota(team, rapid.IntRange(0, 6).Draw(t, "quota"))
+	m.quotas[team] = rapid.IntRange(0, 6).Draw(t, "quota")
+	m.queue.SetQuota(team, m.quotas[team])
 	m.slots = rapid.IntRange(0, 20).Draw(t, "slots")
 }
 
@@ -201,7 +224,7 @@
 	rapid.Check(t, func(t *rapid.T) {
 		m := newMachine(t)
 		t.Repeat(map[string]func(*rapid.T){
-			"Push": m.Push, "Push2": m.Push, "PushAgain": m.PushAgain, "Next": m.Next, "Next2": m.Next, "Done": m.Done,
+			"Push": m.Push, "PushAgain": m.PushAgain, "Next": m.Next, "Next2": m.Next, "Next3": m.Next, "Done": m.Done,
 			"Cancel": m.Cancel, "Hold": m.Hold, "Expire": m.Expire, "Configure": m.Configure, "": m.Check,
 		})
 		m.drain(t)
--- a/queue/queue_test.go
+++ b/queue/queue_test.go
@@ -109,6 +109,16 @@
 			teams: []queue.Item{{Team: "a", Urgency: 1}},
 			want:  map[string]float64{"a/Normal": 1},
 		},
+		"urgent work over its quota takes no floor": {
+			slots: 20, service: constant, quotas: map[acaciatally.TeamName]int{"a": 2},
+			teams: []queue.Item{{Team: "a", Urgency: 0}, {Team: "b", Urgency: 1}},
+			want:  map[string]float64{"a/Urgent": 0.1, "b/Normal": 0.9},
+		},
+		"floors hold among teams over their quotas": {
+			slots: 20, service: constant, quotas: map[acaciatally.TeamName]int{"a": 1, "b": 1, "c": 1},
+			teams: []queue.Item{{Team: "a", Urgency: 0}, {Team: "b", Urgency: 1}, {Team: "c", Urgency: 2}},
+			want:  map[string]float64{"a/Urgent": 0.6, "b/Normal": 0.3, "c/Background": 0.1},
+		},
 		"requests that do not end take no more slots": {
 			slots: 20, teams: []queue.Item{{Team: "a", Urgency: 1}, {Team: "b", Urgency: 1}},
 			service: func(item queue.Item) time.Duration {
