Share a part of the queue's room among the classes

Ruled out: bounding a class by the room that the pool has left. Change: each class has a quarter of the bounds for itself, and the last quarter is shared. Taken out, the change makes TestRoomOfClasses fail, and the bound of teams TestRoomOfTeams.

--- a/queue/admit.go
+++ b/queue/admit.go
@@ -29,29 +29,59 @@
 
 // exceeded names the bound that the item would exceed, or returns the empty string.
 func (q *Queue) exceeded(item Item, flow *flow) string {
-	class := flow.class
-	switch {
-	case len(q.tickets) >= q.config.MaxLength || q.bytes+item.Bytes > q.config.MaxBytes:
+	pool := Bounds{Length: q.config.MaxLength, Bytes: q.config.MaxBytes}
+	if !pool.fits(len(q.tickets), q.bytes, item) {
 		return "pool"
-	case class.length >= q.config.Class.Length || class.bytes+item.Bytes > q.config.Class.Bytes:
+	}
+	class := q.config.Class.or(q.classBounds(flow.class))
+	if !class.fits(flow.class.length, flow.class.bytes, item) {
 		return "class"
-	case q.teamExceeds(item, flow):
+	}
+	team := q.config.Team.or(class.room(flow.class.length, flow.class.bytes))
+	if !team.fits(flow.tickets.Len(), flow.bytes, item) {
 		return "team"
 	}
 	return ""
 }
 
-// teamExceeds bounds a team by the configuration or else by the room that its class has left. The latter keeps room for
-// other teams in a flood and still lets a team that is alone use half of the class's bound.
-func (q *Queue) teamExceeds(item Item, flow *flow) bool {
-	class, bounds := flow.class, q.config.Team
-	if bounds.Length == 0 {
-		bounds.Length = q.config.Class.Length - class.length
+// classBounds is a class's own part of the pool's bounds and what the other classes leave of the shared part.
+func (q *Queue) classBounds(of *class) (bounds Bounds) {
+	const parts = acaciatally.UrgencyClasses + 1
+	own := Bounds{Length: q.config.MaxLength / parts, Bytes: q.config.MaxBytes / parts}
+	bounds = Bounds{
+		Length: q.config.MaxLength - (parts-2)*own.Length,
+		Bytes:  q.config.MaxBytes - (parts-2)*own.Bytes,
+	}
+	for urgency := range q.classes {
+		other := &q.classes[urgency]
+		if other != of {
+			bounds.Length -= max(0, other.length-own.Length)
+			bounds.Bytes -= max(0, other.bytes-own.Bytes)
+		}
+	}
+	return bounds
+}
+
+// room is what the bounds leave beside the given amounts. As the bound of a team it keeps room for other teams in a flood and
+// lets a team that is alone use half of what its class has.
+func (b Bounds) room(length int, bytes int64) Bounds {
+	return Bounds{Length: b.Length - length, Bytes: b.Bytes - bytes}
+}
+
+// or returns the bounds with what they leave open taken from others.
+func (b Bounds) or(others Bounds) Bounds {
+	if b.Length == 0 {
+		b.Length = others.Length
 	}
-	if bounds.Bytes == 0 {
-		bounds.Bytes = q.config.Class.Bytes - class.bytes
+	if b.Bytes == 0 {
+		b.Bytes = others.Bytes
 	}
-	return flow.tickets.Len() >= bounds.Length || flow.bytes+item.Bytes > bounds.Bytes
+	return b
+}
+
+// fits reports whether one more item keeps the given amounts within the bounds.
+func (b Bounds) fits(length int, bytes int64, item Item) bool {
+	return length < b.Length && bytes+item.Bytes <= b.Bytes
 }
 
 // ExpectedWait returns the time that the item would wait if it were queued now.
--- a/queue/config.go
+++ b/queue/config.go
@@ -32,7 +32,7 @@
 	MaxLength int
 	// MaxBytes bounds the queued bytes of the pool.
 	MaxBytes int64
-	// Class bounds each class; the default is an equal part of the pool's bounds, so that no class can crowd out another.
+	// Class bounds each class; without it each class has a quarter of the pool's bounds, and all share the last quarter.
 	Class Bounds
 	// Team bounds each team in each class; without it a team may queue as much as its class has room left.
 	Team Bounds
@@ -73,11 +73,5 @@
 	if c.MaxBytes == 0 {
 		c.MaxBytes = defaultMaxBytes
 	}
-	if c.Class.Length == 0 {
-		c.Class.Length = max(1, c.MaxLength/acaciatally.UrgencyClasses)
-	}
-	if c.Class.Bytes == 0 {
-		c.Class.Bytes = max(1, c.MaxBytes/acaciatally.UrgencyClasses)
-	}
 	return c
 }
--- a/queue/queue_test.go
+++ b/queue/queue_test.go
@@ -257,3 +257,45 @@
 	received := server.run(10 * time.Second)
 	require.InDelta(t, 5, received["a/Urgent"].Seconds(), 0.3)
 }
+
+// TestRoomOfClasses guards against a flood in one class that fills the room of the others, and against room left unused.
+func TestRoomOfClasses(t *testing.T) {
+	tests := map[string]struct {
+		order [acaciatally.UrgencyClasses]acaciatally.Urgency
+		want  [acaciatally.UrgencyClasses]int // accepted, in that order
+	}{
+		"urgent first":     {order: [3]acaciatally.Urgency{0, 1, 2}, want: [3]int{8, 4, 4}},
+		"background first": {order: [3]acaciatally.Urgency{2, 0, 1}, want: [3]int{8, 4, 4}},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			q := queue.New(queue.Config{MaxLength: 16})
+			for i, urgency := range test.order {
+				accepted := 0
+				for team := range 40 {
+					id := fmt.Sprint(urgency, "-", team)
+					if q.Push(testStart, queue.Item{ID: id, Team: acaciatally.TeamName(id), Urgency: urgency}) == nil {
+						accepted++
+					}
+				}
+				require.Equal(t, test.want[i], accepted, urgency.String())
+			}
+		})
+	}
+}
+
+// TestRoomOfTeams guards against a team whose flood leaves no room in its class for other teams.
+func TestRoomOfTeams(t *testing.T) {
+	q := queue.New(queue.Config{MaxLength: 160})
+	accepted := func(team acaciatally.TeamName) (count int) {
+		for i := range 200 {
+			if q.Push(testStart, queue.Item{ID: fmt.Sprint(team, i), Team: team}) == nil {
+				count++
+			}
+		}
+		return count
+	}
+	require.Equal(t, 40, accepted("first"), "half of the 80 of its class")
+	require.Equal(t, 20, accepted("second"))
+	require.Equal(t, 10, accepted("third"))
+}
