Test the whole path of requests under faults

Cause: the pipeline had no test across entries, workers and the table service. Ruled out: real sockets and clocks for it; the processes are connected by net.Pipe in virtual time. Change: three entries, four workers and thirty callers through lost answers, an outage, the death of an entry and of a worker; a graceful stop in virtual time; tests of the answer filter. Before and after: no behaviour changes.

--- a/attempt/filter_test.go
+++ b/attempt/filter_test.go
@@ -369,9 +369,24 @@
 				rest, err := io.ReadAll(exchange.Answer.Rest)
 				require.Equal(t, test.broken, err != nil)
 				require.Equal(t, long, string(exchange.Answer.Body)+string(rest))
+				_ = exchange.Answer.Rest.Close()
 				exchange.Finish()
 				require.Len(t, f.released, 1)
 			})
 		})
 	}
 }
+
+// Guards P3 against an answer that came before its request left; net/http notices it only while no request waits.
+func TestEarlyAnswer(t *testing.T) {
+	for name, early := range map[string]bool{"early": true, "in time": false} {
+		t.Run(name, func(t *testing.T) {
+			attempt := &sending{connection: &connection{}, request: acaciatally.Request{Method: http.MethodGet}}
+			attempt.connection.wrote.Store(!early)
+			attempt.connection.record()
+			attempt.connection.wrote.Store(true)
+			err := attempt.check(&http.Response{StatusCode: http.StatusOK})
+			require.Equal(t, early, errors.Is(err, errForeign))
+		})
+	}
+}
--- /dev/null
+++ b/entry/network_test.go
@@ -0,0 +1,260 @@
+package entry
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"net/netip"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/phuslu/log"
+	"github.com/stretchr/testify/require"
+
+	"github.com/acaciatally/acaciatally"
+	"github.com/acaciatally/acaciatally/changelog"
+	"github.com/acaciatally/acaciatally/fleet"
+	"github.com/acaciatally/acaciatally/settings"
+	"github.com/acaciatally/acaciatally/standin"
+)
+
+// The first summary of a window starts a goroutine that never ends, so it is started outside of the tests' bubbles.
+var _ = metrics.NewSet().NewSummary("first")
+
+// network connects processes by net.Pipe.
+type network struct {
+	mu        sync.Mutex
+	listeners map[string]*listener
+}
+
+type listener struct {
+	network *network
+	address string
+	accept  chan net.Conn
+	closed  chan struct{}
+	once    sync.Once
+}
+
+func (l *listener) Accept() (net.Conn, error) {
+	select {
+	case connection := <-l.accept:
+		return connection, nil
+	case <-l.closed:
+		return nil, net.ErrClosed
+	}
+}
+
+func (l *listener) Close() error {
+	l.once.Do(func() { close(l.closed) })
+	return nil
+}
+
+func (l *listener) Addr() net.Addr {
+	return net.TCPAddrFromAddrPort(netip.MustParseAddrPort(l.address))
+}
+
+// host is one process's access to the network; when it dies, its connections break.
+type host struct {
+	*network
+	mu          sync.Mutex
+	dead        bool
+	connections []net.Conn
+}
+
+func (h *host) keep(connection net.Conn) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.dead {
+		_ = connection.Close()
+		return false
+	}
+	h.connections = append(h.connections, connection)
+	return true
+}
+
+func (h *host) die() {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.dead = true
+	for _, connection := range h.connections {
+		_ = connection.Close()
+	}
+}
+
+func (h *host) Listen(_ context.Context, _, address string) (net.Listener, error) {
+	h.network.mu.Lock()
+	defer h.network.mu.Unlock()
+	l := &listener{network: h.network, address: address, accept: make(chan net.Conn), closed: make(chan struct{})}
+	h.listeners[address] = l
+	return &hostListener{listener: l, host: h}, nil
+}
+
+type hostListener struct {
+	*listener
+	host *host
+}
+
+func (l *hostListener) Accept() (net.Conn, error) {
+	for {
+		connection, err := l.listener.Accept()
+		if err != nil || l.host.keep(connection) {
+			return connection, err
+		}
+	}
+}
+
+func (h *host) Dial(ctx context.Context, _, address string) (net.Conn, error) {
+	h.network.mu.Lock()
+	l, found := h.listeners[address]
+	h.network.mu.Unlock()
+	if !found {
+		return nil, errors.New("connection refused")
+	}
+	near, far := net.Pipe()
+	if !h.keep(near) {
+		return nil, errors.New("host is dead")
+	}
+	select {
+	case l.accept <- far:
+		return near, nil
+	case <-l.closed:
+		return nil, errors.New("connection refused")
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
+}
+
+// faultyTable is an entry's access to the table service.
+type faultyTable struct {
+	acaciatally.TableService
+	host   *host
+	faults *tableFaults
+}
+
+type tableFaults struct{ down, losing atomic.Bool }
+
+func (f *faultyTable) unreachable() bool {
+	f.host.mu.Lock()
+	defer f.host.mu.Unlock()
+	return f.host.dead || f.faults.down.Load()
+}
+
+func (f *faultyTable) Read(ctx context.Context, keys ...string) ([]acaciatally.Row, error) {
+	time.Sleep(2 * time.Millisecond)
+	if f.unreachable() {
+		return nil, acaciatally.ErrUnavailable
+	}
+	return f.TableService.Read(ctx, keys...)
+}
+
+func (f *faultyTable) Commit(ctx context.Context, transaction acaciatally.Transaction) (uint64, error) {
+	time.Sleep(2 * time.Millisecond)
+	if f.unreachable() {
+		return 0, acaciatally.ErrUnavailable
+	}
+	version, err := f.TableService.Commit(ctx, transaction)
+	if f.faults.losing.Load() || f.unreachable() {
+		return 0, errors.Join(acaciatally.ErrUnknownCommit, err)
+	}
+	return version, err
+}
+
+// deployment is entries and workers in one bubble.
+type deployment struct {
+	t        *testing.T
+	settings *settings.Settings
+	network  *network
+	table    *standin.Table
+	faults   tableFaults
+	hosts    []*host // of the entries
+	workers  []*host
+	stop     []context.CancelFunc
+	ended    []chan error
+}
+
+func address(kind, i int) netip.AddrPort {
+	return netip.AddrPortFrom(netip.MustParseAddr("127.0.0.1"), uint16(kind+i))
+}
+
+const (
+	callerPorts   = 100
+	operatorPorts = 200
+	workerPorts   = 300
+)
+
+func newDeployment(t *testing.T, entries, workers int, endpoint http.Handler) *deployment {
+	d := &deployment{t: t, network: &network{listeners: map[string]*listener{}}, table: standin.NewTable(), settings: &settings.Settings{}}
+	pool := settings.Pool{Name: "coating"}
+	for i := range workers {
+		pool.Instances = append(pool.Instances, settings.Instance{
+			ID: acaciatally.InstanceID(rune('a' + i)), Address: address(workerPorts, i),
+		})
+		d.startWorker(i, endpoint)
+	}
+	d.settings.Pools = []settings.Pool{pool}
+	for i := range entries {
+		d.settings.Entries = append(d.settings.Entries, settings.Entry{
+			ID: acaciatally.EntryID(rune('1' + i)), CallerAddress: address(callerPorts, i), OperatorAddress: address(operatorPorts, i),
+		})
+	}
+	d.settings.Default()
+	d.load()
+	for i := range entries {
+		d.startEntry(i)
+	}
+	time.Sleep(100 * time.Millisecond)
+	return d
+}
+
+func (d *deployment) load() {
+	_, err := changelog.New(changelog.Config{Table: d.table}).Commit(d.t.Context(), changelog.Proposal{
+		CommandID: "load", Decide: func(*fleet.State) ([]fleet.Change, error) { return d.settings.Changes(), nil },
+	})
+	require.NoError(d.t, err)
+}
+
+func (d *deployment) startWorker(i int, endpoint http.Handler) {
+	h := &host{network: d.network}
+	l, err := h.Listen(d.t.Context(), "tcp", address(workerPorts, i).String())
+	require.NoError(d.t, err)
+	server := &http.Server{Handler: endpoint, ReadHeaderTimeout: time.Minute}
+	go func() { _ = server.Serve(l) }()
+	d.workers = append(d.workers, h)
+	d.stop = append(d.stop, func() { _ = server.Close() })
+}
+
+func (d *deployment) startEntry(i int) {
+	h := &host{network: d.network}
+	process := New(Config{
+		Settings: d.settings, Entry: d.settings.Entries[i], Seed: 1, Dial: h.Dial, Listen: h.Listen,
+		Table:  &faultyTable{TableService: d.table, host: h, faults: &d.faults},
+		Logger: &log.Logger{Writer: &log.IOWriter{Writer: io.Discard}},
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan error, 1)
+	go func() { ended <- process.Run(ctx) }()
+	d.hosts, d.stop, d.ended = append(d.hosts, h), append(d.stop, cancel), append(d.ended, ended)
+}
+
+// close stops the entries and waits for them, then the workers.
+func (d *deployment) close() {
+	workers := len(d.workers)
+	for i, ended := range d.ended {
+		d.stop[workers+i]()
+		require.NoError(d.t, <-ended)
+	}
+	for _, stop := range d.stop[:workers] {
+		stop()
+	}
+}
+
+// client returns a caller's client; it must be closed by CloseIdleConnections.
+func (d *deployment) client() *http.Client {
+	h := &host{network: d.network}
+	return &http.Client{Transport: &http.Transport{DialContext: h.Dial}}
+}
--- a/entry/process.go
+++ b/entry/process.go
@@ -29,6 +29,7 @@
 	Objects acaciatally.ObjectStore
 	Logger  *log.Logger
 	Clock   acaciatally.Clock // nil is the process's own
+	Seed    uint64            // of random choices; 0 draws one
 	// Dial and Listen replace the network in tests.
 	Dial   attempt.Dial
 	Listen func(ctx context.Context, network, address string) (listener net.Listener, err error)
@@ -67,21 +68,24 @@
 	p.cut = p.metrics.NewCounter("acaciatally_answers_cut_total")
 	p.slots = newLocalSlots(localSlotsConfig{
 		State: p.log.State, Entries: func() int { return entries }, MaxQueue: limits.QueueLength,
-		Clock: config.Clock, Random: newRandom(),
+		Clock: config.Clock, Random: newRandom(config.Seed),
 	})
 	p.claims = claim.NewRunner(claim.RunnerConfig{
 		Table: config.Table, Interval: claim.Interval(limits.ClaimInterval, entries), Clock: config.Clock, Metrics: p.metrics,
 	})
 	p.sweeper = claim.NewSweeper(claim.SweeperConfig{
 		Table: config.Table, Retention: limits.ClaimRetention, MaxDeadline: limits.MaxDeadline,
-		Clock: config.Clock, Random: newRandom(), Metrics: p.metrics,
+		Clock: config.Clock, Random: newRandom(config.Seed), Metrics: p.metrics,
 	})
 	p.traffic = newTraffic(p)
 	return p
 }
 
-func newRandom() *rand.Rand {
-	return rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
+func newRandom(seed uint64) *rand.Rand {
+	if seed == 0 {
+		seed = rand.Uint64()
+	}
+	return rand.New(rand.NewPCG(seed, seed))
 }
 
 // Run serves callers and operators until ctx ends, then finishes the requests in progress.
--- /dev/null
+++ b/entry/traffic_test.go
@@ -0,0 +1,220 @@
+package entry
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/oklog/ulid/v2"
+	"github.com/stretchr/testify/require"
+
+	"github.com/acaciatally/acaciatally"
+)
+
+// callHeader numbers the callers' calls, so that the endpoint can tell a call from its repetition under the same id.
+const callHeader = "X-Call"
+
+// endpoint counts what ran.
+type endpoint struct {
+	mu    sync.Mutex
+	ids   map[string]int
+	calls map[string]int
+	busy  int
+}
+
+func (e *endpoint) ServeHTTP(writer http.ResponseWriter, request *http.Request) {
+	_, _ = io.Copy(io.Discard, request.Body)
+	if !e.begin(request) {
+		writer.WriteHeader(http.StatusTooManyRequests)
+		return
+	}
+	time.Sleep(20 * time.Millisecond)
+	e.mu.Lock()
+	e.busy--
+	e.mu.Unlock()
+	_, _ = io.WriteString(writer, request.Header.Get(acaciatally.RequestIDHeader))
+}
+
+func (e *endpoint) begin(request *http.Request) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.busy >= 24 {
+		return false
+	}
+	e.busy++
+	e.ids[request.Header.Get(acaciatally.RequestIDHeader)]++
+	e.calls[request.Header.Get(callHeader)]++
+	return true
+}
+
+// reply is what a caller got: an outcome, a whole answer, or neither when the connection was cut.
+type reply struct {
+	call, id   string
+	idempotent bool
+	entry      int
+	outcome    acaciatally.Outcome
+	answer     string
+	cut        bool
+}
+
+type caller struct {
+	d       *deployment
+	random  *rand.Rand
+	name    string
+	client  *http.Client
+	calls   int
+	replies []reply
+}
+
+// work sends requests until the time; a request that may not have run is repeated through another entry under its id.
+func (c *caller) work(until time.Time) {
+	for time.Now().Before(until) {
+		id, idempotent := ulid.MustNewDefault(time.Now()).String(), c.random.IntN(2) == 0
+		for range 4 {
+			r := c.call(id, idempotent, c.random.IntN(len(c.d.hosts)))
+			c.replies = append(c.replies, r)
+			if r.answer != "" {
+				break
+			}
+			time.Sleep(time.Duration(c.random.IntN(500)) * time.Millisecond)
+		}
+		time.Sleep(time.Duration(c.random.IntN(50)) * time.Millisecond)
+	}
+	c.client.CloseIdleConnections()
+}
+
+func (c *caller) call(id string, idempotent bool, entry int) reply {
+	c.calls++
+	r := reply{call: fmt.Sprint(c.name, c.calls), id: id, idempotent: idempotent, entry: entry}
+	ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
+	defer cancel()
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address(callerPorts, entry).String()+"/coating/", strings.NewReader(id))
+	require.NoError(c.d.t, err)
+	request.Header.Set(acaciatally.RequestIDHeader, id)
+	request.Header.Set(callHeader, r.call)
+	request.Header.Set(acaciatally.DeadlineHeader, "2s")
+	if idempotent {
+		request.Header.Set(acaciatally.IdempotentHeader, "true")
+	}
+	response, err := c.client.Do(request)
+	if err != nil {
+		r.cut = true
+		return r
+	}
+	defer func() { _ = response.Body.Close() }()
+	content, err := io.ReadAll(response.Body)
+	r.cut = err != nil
+	if r.outcome = acaciatally.Outcome(response.Header.Get(acaciatally.OutcomeHeader)); r.outcome == "" {
+		r.answer = string(content)
+	}
+	return r
+}
+
+// Guards P3, P4 and P5 on the whole path through lost answers, an outage, the death of an entry and of a worker: nothing runs
+// twice, each call ends, each NotRun is true, and each answer belongs to its request.
+func TestFaultsOnTheWholePath(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		e := &endpoint{ids: map[string]int{}, calls: map[string]int{}}
+		d := newDeployment(t, 3, 4, e)
+		start := time.Now()
+		time.AfterFunc(1*time.Second, func() { d.faults.losing.Store(true) })
+		time.AfterFunc(2*time.Second, func() { d.faults.losing.Store(false) })
+		time.AfterFunc(3*time.Second, func() { d.faults.down.Store(true) })
+		time.AfterFunc(5*time.Second, func() { d.faults.down.Store(false) })
+		time.AfterFunc(6*time.Second, d.hosts[0].die)
+		time.AfterFunc(7*time.Second, d.workers[0].die)
+		callers := make([]*caller, 30)
+		var group sync.WaitGroup
+		for i := range callers {
+			callers[i] = &caller{d: d, name: string(rune('A' + i)), client: d.client(), random: rand.New(rand.NewPCG(1, uint64(i)))}
+			group.Go(func() { callers[i].work(start.Add(9 * time.Second)) })
+		}
+		group.Wait()
+		d.close()
+		cut, counts := 0, map[acaciatally.Outcome]int{}
+		for _, c := range callers {
+			for _, r := range c.replies {
+				counts[r.outcome]++
+				if r.cut {
+					cut++
+				}
+				e.require(t, r)
+			}
+		}
+		answered := counts[""] - cut
+		require.Greater(t, answered, 500, "most calls are answered")
+		require.Greater(t, counts[acaciatally.NotRun], 50, "the outage refuses some")
+		require.Positive(t, counts[acaciatally.Unknown]+cut, "the deaths leave some unknown")
+		t.Log(answered, cut, counts)
+	})
+}
+
+func (e *endpoint) require(t *testing.T, r reply) {
+	if !r.idempotent {
+		require.LessOrEqual(t, e.ids[r.id], 1, "request %s ran twice", r.id)
+	}
+	switch {
+	case r.outcome == acaciatally.NotRun:
+		require.Zero(t, e.calls[r.call], "a call refused as not run did run")
+	case r.outcome == "" && !r.cut:
+		require.Equal(t, r.id, r.answer, "an answer to another request")
+	case r.cut:
+		require.Equal(t, 0, r.entry, "a call through a live entry was cut")
+	}
+}
+
+// Guards P7 for entries: a stop answers the requests in progress, reports not ready meanwhile, and settles their claims.
+func TestGracefulStop(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		d := newDeployment(t, 2, 1, http.HandlerFunc(func(writer http.ResponseWriter, _ *http.Request) {
+			time.Sleep(3 * time.Second)
+			_, _ = io.WriteString(writer, "done")
+		}))
+		c := &caller{d: d, client: d.client(), random: rand.New(rand.NewPCG(1, 1))}
+		d.settings.Traffic.DefaultDeadline = time.Minute
+		id := ulid.MustNewDefault(time.Now()).String()
+		answered := make(chan reply, 1)
+		go func() {
+			request, _ := http.NewRequestWithContext(context.Background(), http.MethodPost, "http://127.0.0.1:100/coating/", http.NoBody)
+			request.Header.Set(acaciatally.RequestIDHeader, id)
+			answered <- c.do(request)
+		}()
+		time.Sleep(time.Second)
+		require.Equal(t, "ready\n", c.get("http://127.0.0.1:200/readyz").answer)
+		d.stop[1]()
+		time.Sleep(time.Second)
+		require.Equal(t, "not ready\n", c.get("http://127.0.0.1:200/readyz").answer)
+		require.True(t, c.get("http://127.0.0.1:100/coating/").cut, "a stopping entry accepts a connection")
+		require.Equal(t, "done", (<-answered).answer)
+		require.NoError(t, <-d.ended[0])
+		d.ended[0] <- nil
+		request, _ := http.NewRequestWithContext(context.Background(), http.MethodPost, "http://127.0.0.1:101/coating/", http.NoBody)
+		request.Header.Set(acaciatally.RequestIDHeader, id)
+		require.Equal(t, "done", c.do(request).answer, "the answer is recorded")
+		c.client.CloseIdleConnections()
+		d.close()
+	})
+}
+
+func (c *caller) get(url string) reply {
+	request, err := http.NewRequestWithContext(context.Background(), http.MethodGet, url, nil)
+	require.NoError(c.d.t, err)
+	return c.do(request)
+}
+
+func (c *caller) do(request *http.Request) reply {
+	response, err := c.client.Do(request)
+	if err != nil {
+		return reply{cut: true}
+	}
+	defer func() { _ = response.Body.Close() }()
+	content, err := io.ReadAll(response.Body)
+	return reply{answer: string(content), cut: err != nil}
+}
