--- a/cmd/acaciatally/main.go
+++ b/cmd/acaciatally/main.go
@@ -40,10 +40,20 @@
 	if err != nil {
 		return err
 	}
-	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
-	defer stop()
-	context.AfterFunc(ctx, stop) // a second signal ends the process at once
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	go stopOnSignal(cancel)
 	client := platform.New(platform.Config{Address: loaded.Platform.Address, Timeout: loaded.Platform.Timeout})
 	process := entry.New(entry.Config{Settings: loaded, Entry: self, Table: client, Logger: &log.DefaultLogger})
 	return process.Run(ctx)
 }
+
+// stopOnSignal ends the context at the first signal and the process at the second.
+func stopOnSignal(cancel context.CancelFunc) {
+	signals := make(chan os.Signal, 2)
+	signal.Notify(signals, syscall.SIGTERM, os.Interrupt)
+	<-signals
+	cancel()
+	<-signals
+	os.Exit(1)
+}
--- a/entry/network_test.go
+++ b/entry/network_test.go
@@ -166,15 +166,17 @@
 
 // deployment is entries and workers in one bubble.
 type deployment struct {
-	t        *testing.T
-	settings *settings.Settings
-	network  *network
-	table    *standin.Table
-	faults   tableFaults
-	hosts    []*host // of the entries
-	workers  []*host
-	stop     []context.CancelFunc
-	ended    []chan error
+	t         *testing.T
+	settings  *settings.Settings
+	network   *network
+	table     *standin.Table
+	faults    tableFaults
+	hosts     []*host // of the entries
+	processes []*Process
+	workers   []*host
+	closed    bool
+	stop      []context.CancelFunc
+	ended     []chan error
 }
 
 func address(kind, i int) netip.AddrPort {
@@ -208,6 +210,7 @@
 		d.startEntry(i)
 	}
 	time.Sleep(100 * time.Millisecond)
+	t.Cleanup(d.close)
 	return d
 }
 
@@ -235,6 +238,7 @@
 		Table:  &faultyTable{TableService: d.table, host: h, faults: &d.faults},
 		Logger: &log.Logger{Writer: &log.IOWriter{Writer: io.Discard}},
 	})
+	d.processes = append(d.processes, process)
 	ctx, cancel := context.WithCancel(context.Background())
 	ended := make(chan error, 1)
 	go func() { ended <- process.Run(ctx) }()
@@ -243,6 +247,10 @@
 
 // close stops the entries and waits for them, then the workers.
 func (d *deployment) close() {
+	if d.closed {
+		return
+	}
+	d.closed = true
 	workers := len(d.workers)
 	for i, ended := range d.ended {
 		d.stop[workers+i]()
--- a/urgency/urgency.go
+++ b/urgency/urgency.go
@@ -46,7 +46,7 @@
 		return err
 	}
 	if !class.Idempotent {
-		id, err := f.config.claimableID(request.ID)
+		id, err := f.config.claimableID(request.Header)
 		if err != nil {
 			return err
 		}
@@ -114,11 +114,13 @@
 	}
 }
 
-// claimableID returns the one spelling of a ULID, since two spellings of one id would give two claims.
-func (c Config) claimableID(text string) (id string, err error) {
+// claimableID returns the one spelling of the caller's ULID, since two spellings of one id would give two claims. An id that
+// an entry made would not let the caller ask again.
+func (c Config) claimableID(header http.Header) (id string, err error) {
+	text := header.Get(acaciatally.RequestIDHeader)
 	parsed, err := ulid.ParseStrict(text)
 	if err != nil {
-		return "", refuse("%s: %q is not a ULID, which a request that is not idempotent needs", acaciatally.RequestIDHeader, text)
+		return "", refuse("%s: %q is not a ULID, which a request that is not idempotent needs from its caller", acaciatally.RequestIDHeader, text)
 	}
 	age := c.Clock.Now().Sub(ulid.Time(parsed.Time()))
 	if age > c.ClaimRetention {
