--- a/console/serve.go
+++ b/console/serve.go
@@ -41,10 +41,9 @@
 }
 
 func runEntry(loaded *settings.Settings, self settings.Entry) error {
-	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
-	defer stop()
-	// A second signal ends the process at once, since the default action is restored after the first.
-	context.AfterFunc(ctx, stop)
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	go stopOnSignal(cancel)
 	logger := &log.Logger{
 		Level: log.InfoLevel, TimeFormat: "2006-01-02T15:04:05.000Z07:00", Writer: &log.IOWriter{Writer: os.Stderr},
 		Context: log.NewContext(nil).Str("entry", string(self.ID)).Value(),
@@ -58,3 +57,13 @@
 	}
 	return nil
 }
+
+// stopOnSignal ends the context at the first signal and the process at the second.
+func stopOnSignal(cancel context.CancelFunc) {
+	signals := make(chan os.Signal, 2)
+	signal.Notify(signals, syscall.SIGTERM, os.Interrupt)
+	<-signals
+	cancel()
+	<-signals
+	os.Exit(ExitRefused)
+}
--- a/entry/slots.go
+++ b/entry/slots.go
@@ -6,6 +6,8 @@
 	"fmt"
 	"math/rand/v2"
 	"net/http"
+	"slices"
+	"strings"
 	"sync"
 	"time"
 
@@ -137,6 +139,9 @@
 			s.pools[instance.Pool] = append(s.pools[instance.Pool], instance)
 		}
 	}
+	for _, workers := range s.pools {
+		slices.SortFunc(workers, func(a, b fleet.Instance) int { return strings.Compare(string(a.ID), string(b.ID)) })
+	}
 	for pool := range s.queues {
 		s.serveQueue(pool)
 	}
@@ -151,10 +156,13 @@
 
 // choose takes the less loaded of two random workers, or any with room.
 func (s *localSlots) choose(workers []fleet.Instance) (worker fleet.Instance, found bool) {
-	one := workers[s.config.Random.IntN(len(workers))]
-	other := workers[s.config.Random.IntN(len(workers))]
-	if s.worse(one, other) {
-		one = other
+	first := s.config.Random.IntN(len(workers))
+	one := workers[first]
+	if len(workers) > 1 {
+		second := (first + 1 + s.config.Random.IntN(len(workers)-1)) % len(workers)
+		if other := workers[second]; s.worse(one, other) {
+			one = other
+		}
 	}
 	if s.free(one) && !s.rests(one) {
 		return one, true
--- a/task/runner_test.go
+++ b/task/runner_test.go
@@ -27,9 +27,9 @@
 	})
 }
 
-func batch(prefix string, count int, make func(i int) task.Spec) (specs []task.Spec) {
+func batch(prefix string, count int, specOf func(i int) task.Spec) (specs []task.Spec) {
 	for i := range count {
-		one := make(i)
+		one := specOf(i)
 		one.ID = fmt.Sprintf("%s-%04d", prefix, i)
 		specs = append(specs, one)
 	}
