--- a/claim/filter.go
+++ b/claim/filter.go
@@ -109,7 +109,7 @@
 }
 
 func (f *Filter) recorded(ctx context.Context, id string, recorded Recorded) (answer *acaciatally.Answer, err error) {
-	answer = &acaciatally.Answer{Status: recorded.Status, Header: http.Header{}, Body: recorded.Body}
+	answer = &acaciatally.Answer{Status: recorded.Status, Outcome: recorded.Outcome, Header: http.Header{}, Body: recorded.Body}
 	if !recorded.Kept {
 		answer.Header.Set(acaciatally.AnswerHeader, acaciatally.AnswerNotKept)
 		return answer, nil
@@ -153,7 +153,7 @@
 		row.State = NotRun
 	default:
 		row.State = Done
-		row.Answer = &Recorded{Status: exchange.Refusal.Status}
+		row.Answer = &Recorded{Status: exchange.Refusal.Status, Outcome: exchange.Refusal.Outcome}
 	}
 	settlement := &Operation{ID: claimed.Operation.ID, Row: row, Version: claimed.Version}
 	if row.Answer == nil || !row.Answer.Object {
@@ -169,7 +169,7 @@
 
 func (f *Filter) keep(exchange *acaciatally.Exchange) *Recorded {
 	answer := exchange.Answer
-	recorded := &Recorded{Status: answer.Status}
+	recorded := &Recorded{Status: answer.Status, Outcome: answer.Outcome}
 	switch {
 	case answer.Rest != nil:
 	case len(answer.Body) <= MaxInline:
@@ -185,7 +185,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), putTimeout)
 	defer cancel()
 	if err := f.config.Objects.Put(ctx, objectPrefix+settlement.ID, body); err != nil {
-		settlement.Row.Answer = &Recorded{Status: settlement.Row.Answer.Status}
+		settlement.Row.Answer = &Recorded{Status: settlement.Row.Answer.Status, Outcome: settlement.Row.Answer.Outcome}
 	}
 	f.config.Runner.Settle(settlement)
 }
--- a/claim/row.go
+++ b/claim/row.go
@@ -39,11 +39,12 @@
 
 // Recorded is what is kept of an answer for the caller's retries.
 type Recorded struct {
-	Status int
-	Header http.Header `json:",omitempty"`
-	Body   []byte      `json:",omitempty"`
-	Object bool        `json:",omitempty"` // the body is the object Answer/<request id>
-	Kept   bool        // false when only the status is kept
+	Status  int
+	Outcome acaciatally.Outcome `json:",omitempty"` // set when the status tells of a failure
+	Header  http.Header         `json:",omitempty"`
+	Body    []byte              `json:",omitempty"`
+	Object  bool                `json:",omitempty"` // the body is the object Answer/<request id>
+	Kept    bool                // false when only the status is kept
 }
 
 // Key returns the key of a request's claim.
--- a/cmd/acaciatally/main_test.go
+++ b/cmd/acaciatally/main_test.go
@@ -10,6 +10,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -63,11 +64,20 @@
 	return r
 }
 
+// nextPort counts up below the ports that the system gives to connections, so that tests that run at the same time never share one.
+var nextPort atomic.Uint32
+
+const firstPort = 20000
+
 func freeAddress(t *testing.T) string {
-	listener, err := (&net.ListenConfig{}).Listen(t.Context(), "tcp", "127.0.0.1:0")
-	require.NoError(t, err)
-	defer func() { _ = listener.Close() }()
-	return listener.Addr().String()
+	for {
+		address := fmt.Sprintf("127.0.0.1:%d", firstPort+nextPort.Add(1))
+		listener, err := (&net.ListenConfig{}).Listen(t.Context(), "tcp", address)
+		if err == nil {
+			require.NoError(t, listener.Close())
+			return address
+		}
+	}
 }
 
 func (r *running) request(method, address, path string) (status int, body string) {
