--- a/cmd/acaciatally/cluster_test.go
+++ b/cmd/acaciatally/cluster_test.go
@@ -43,7 +43,7 @@
 	client    *http.Client
 }
 
-func newCluster(t *testing.T) *cluster {
+func newCluster(t *testing.T, entries int) *cluster {
 	c := &cluster{t: t, machines: standin.NewMachines(standin.MachinesConfig{ListLag: time.Second, RebootTime: time.Second})}
 	c.client = &http.Client{Timeout: 10 * time.Second}
 	t.Cleanup(c.client.CloseIdleConnections)
@@ -58,7 +58,7 @@
 	fmt.Fprintf(&settings, "Deployment: test\nDataCentres: [hall-a, hall-b, annex]\nPlatform: {Address: %q}\n", platform.Listener.Addr())
 	fmt.Fprintf(&settings, "Peers: {Key: 0123456789abcdef}\nOperators: [{Name: maria, Token: %s}]\n", operatorToken)
 	c.startWorkers(&settings)
-	c.startEntries(&settings)
+	c.startEntries(&settings, entries)
 	return c
 }
 
@@ -80,20 +80,20 @@
 	}
 }
 
-func (c *cluster) startEntries(settings *strings.Builder) {
+func (c *cluster) startEntries(settings *strings.Builder, entries int) {
 	settings.WriteString("Entries:\n")
-	for i := range clusterEntries {
+	for i := range entries {
 		c.callers, c.operators = append(c.callers, freeAddress(c.t)), append(c.operators, freeAddress(c.t))
 		fmt.Fprintf(settings, "- {ID: entry-%d, DataCentre: %s, CallerAddress: %q, OperatorAddress: %q, PeerAddress: %q}\n",
-			i+1, halls[i], c.callers[i], c.operators[i], freeAddress(c.t))
+			i+1, halls[i%len(halls)], c.callers[i], c.operators[i], freeAddress(c.t))
 	}
 	c.settings = filepath.Join(c.t.TempDir(), "settings.yaml")
 	require.NoError(c.t, os.WriteFile(c.settings, []byte(settings.String()), 0o600))
-	c.entries = make([]*exec.Cmd, clusterEntries)
-	for i := range clusterEntries {
+	c.entries = make([]*exec.Cmd, entries)
+	for i := range entries {
 		c.startEntry(i)
 	}
-	for i := range clusterEntries {
+	for i := range entries {
 		c.untilReady(i)
 	}
 }
@@ -170,7 +170,7 @@
 
 func (c *cluster) persist(r *request, first int) {
 	for try := range callerTries {
-		answer := c.send((first+try)%clusterEntries, r.id, r.body, r.idempotent)
+		answer := c.send((first+try)%len(c.entries), r.id, r.body, r.idempotent)
 		r.replies = append(r.replies, answer)
 		if answer.status == http.StatusOK {
 			return
--- a/cmd/acaciatally/faults_test.go
+++ b/cmd/acaciatally/faults_test.go
@@ -68,7 +68,7 @@
 	for name, fault := range faults {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
-			c := newCluster(t)
+			c := newCluster(t, clusterEntries)
 			for _, r := range c.load(clusterRequests, func() { fault(c) }) {
 				c.check(r)
 			}
@@ -98,7 +98,7 @@
 
 // TestTerminateUnderLoad guards P7: an entry that is stopped by SIGTERM cuts no request that it had accepted.
 func TestTerminateUnderLoad(t *testing.T) {
-	c := newCluster(t)
+	c := newCluster(t, clusterEntries)
 	requests := c.load(clusterRequests, func() { c.signal(0, syscall.SIGTERM) })
 	for _, r := range requests {
 		c.check(r)
