Refuse work that would start too late to finish

Cause: in floods without quotas, normal work beyond its floor waits up to its deadline, starts just before it and is cut off; its slot time is lost. Ruled out: the median of the class for teams with few samples, and a median that is forgotten after 5 s without samples: with either, long requests of others refuse a short request with a short deadline for ever. Change: the queue learns each team's median service time in each class and sets a request aside when less than that is left, but never before half of the request's own time has passed. Taken out, the change makes TestTooLateToStart fail, and the limit of half the time TestPromptStart.

--- a/queue/admit.go
+++ b/queue/admit.go
@@ -10,14 +10,18 @@
 )
 
 // forbids returns why the item may not be queued, or nil.
-func (q *Queue) forbids(now time.Time, item Item, flow *flow) *acaciatally.Refusal {
+func (q *Queue) forbids(now time.Time, ticket *ticket) *acaciatally.Refusal {
+	item := ticket.item
 	if q.knows(item.ID) {
 		return &acaciatally.Refusal{Outcome: acaciatally.NotRun, Status: http.StatusConflict, Reason: "a request with this id is in progress"}
 	}
 	wait := q.ExpectedWait(now, item)
-	if bound := q.exceeded(item, flow); bound != "" {
+	if bound := q.exceeded(item, ticket.flow); bound != "" {
 		return admission.Full(fmt.Sprintf("the queue of the %s is full", bound), wait)
 	}
+	if wait > 0 {
+		wait += ticket.leastTime()
+	}
 	return admission.Late(now, item.Deadline, wait)
 }
 
@@ -146,10 +150,10 @@
 
 func (q *Queue) classServiceTime(class *class) time.Duration {
 	if class.service.samples > 0 {
-		return class.service.value
+		return class.service.mean
 	}
 	if q.service.samples > 0 {
-		return q.service.value
+		return q.service.mean
 	}
 	return unknownServiceTime
 }
--- a/queue/flow.go
+++ b/queue/flow.go
@@ -55,7 +55,7 @@
 	bytes    int64
 	held     int
 	virtual  float64 // slot time received, in seconds divided by weight
-	service  mean
+	service  serviceTimes
 	position int // in the class's heap
 }
 
@@ -114,7 +114,7 @@
 	held        int
 	virtual     float64 // virtual time of the flow served last
 	floorTime   float64 // slot time received below the floor, in seconds divided by the floor
-	service     mean
+	service     serviceTimes
 	refused     uint64
 	expired     uint64
 }
@@ -129,24 +129,41 @@
 // floorCost is a slot time in seconds divided by the floor.
 func (c *class) floorCost(amount time.Duration) float64 { return amount.Seconds() / c.floor }
 
-// mean is a running mean that follows changes after some samples.
-type mean struct {
-	value   time.Duration
+// serviceTimes is what is learned about the service times of a flow, a class or the pool.
+type serviceTimes struct {
+	mean    time.Duration
+	median  time.Duration
 	samples int
 }
 
-// meanSamples is the number of samples over which a mean follows a change of the service time.
-const meanSamples = 64
+const (
+	// meanSamples is the number of samples over which a mean follows a change of the service time.
+	meanSamples = 64
+	// medianStep is the part by which a sample raises or lowers the median.
+	medianStep = 0.05
+	// fewSamples is the number of samples below which the median is not relied on.
+	fewSamples = 16
+)
 
-func (m *mean) add(sample time.Duration) {
-	m.samples = min(m.samples+1, meanSamples)
-	m.value += (sample - m.value) / time.Duration(m.samples)
+func (s *serviceTimes) add(sample time.Duration) {
+	s.samples = min(s.samples+1, meanSamples)
+	s.mean += (sample - s.mean) / time.Duration(s.samples)
+	switch {
+	case s.samples == 1:
+		s.median = sample
+	case sample > s.median:
+		s.median += time.Duration(medianStep * float64(s.median))
+	default:
+		s.median -= time.Duration(medianStep * float64(s.median))
+	}
 }
 
+const noDeadline = math.MaxInt64
+
 // due returns a deadline as a number that orders items; items without a deadline come last.
 func due(deadline time.Time) int64 {
 	if deadline.IsZero() {
-		return math.MaxInt64
+		return noDeadline
 	}
 	return deadline.UnixNano()
 }
--- a/queue/grant.go
+++ b/queue/grant.go
@@ -18,16 +18,42 @@
 	if q.held >= slots {
 		return Item{}, false
 	}
-	flow, byFloor := q.nextFlow(slots)
-	if flow == nil {
-		return Item{}, false
+	for {
+		flow, byFloor := q.nextFlow(slots)
+		if flow == nil {
+			return Item{}, false
+		}
+		ticket := flow.tickets.list[0]
+		if q.tooLate(now, ticket) {
+			q.setAside(ticket)
+			continue
+		}
+		q.grant(ticket, byFloor)
+		return ticket.item, true
 	}
-	class := flow.class
-	class.virtual = max(class.virtual, flow.virtual)
-	ticket := flow.tickets.list[0]
+}
+
+// tooLate reports whether most requests of the flow would be cut off at the ticket's deadline if they started now. Starting
+// them would take slot time from requests that can still be answered.
+func (q *Queue) tooLate(now time.Time, ticket *ticket) bool {
+	return ticket.due != noDeadline && ticket.item.Deadline.Sub(now) < ticket.leastTime()
+}
+
+// leastTime is the time before its deadline at which a request is worth a start: the median service time of its flow, but at
+// most half of the time that it had on arrival. A request that starts promptly is so never refused because other requests
+// of its team take longer.
+func (t *ticket) leastTime() time.Duration {
+	if t.due == noDeadline || t.flow.service.samples < fewSamples {
+		return 0
+	}
+	return min(t.flow.service.median, t.item.Deadline.Sub(t.arrived)/2)
+}
+
+func (q *Queue) grant(ticket *ticket, byFloor bool) {
+	flow := ticket.flow
+	flow.class.virtual = max(flow.class.virtual, flow.virtual)
 	q.remove(ticket)
 	q.hold(ticket.item.ID, &grant{flow: flow, charged: q.estimate(flow), byFloor: byFloor})
-	return ticket.item, true
 }
 
 // Hold records a slot that the item holds already, as reported after a change of slot home.
@@ -128,9 +154,9 @@
 
 // estimate is the service time that an item of the flow is expected to take.
 func (q *Queue) estimate(flow *flow) time.Duration {
-	for _, known := range []mean{flow.service, flow.class.service, q.service} {
+	for _, known := range []serviceTimes{flow.service, flow.class.service, q.service} {
 		if known.samples > 0 {
-			return known.value
+			return known.mean
 		}
 	}
 	return unknownServiceTime
--- a/queue/heap.go
+++ b/queue/heap.go
@@ -1,10 +1,13 @@
 package queue
 
+import "time"
+
 const notQueued = -1
 
 // ticket is a queued item and its places in the two heaps that hold it.
 type ticket struct {
 	item     Item
+	arrived  time.Time
 	due      int64
 	sequence uint64
 	flow     *flow
--- a/queue/queue.go
+++ b/queue/queue.go
@@ -22,7 +22,7 @@
 	sequence  uint64
 	slots     int // usable slots of the pool, as last told to Next
 	floorTime float64
-	service   mean
+	service   serviceTimes
 }
 
 // New returns an empty queue.
@@ -46,13 +46,13 @@
 	if !item.valid() {
 		return admission.Invalid("unknown urgency class")
 	}
-	flow := q.flow(item)
-	if refusal := q.forbids(now, item, flow); refusal != nil {
-		flow.class.refused++
+	q.sequence++
+	added := &ticket{item: item, arrived: now, due: due(item.Deadline), sequence: q.sequence, flow: q.flow(item)}
+	if refusal := q.forbids(now, added); refusal != nil {
+		added.flow.class.refused++
 		return refusal
 	}
-	q.sequence++
-	q.add(&ticket{item: item, due: due(item.Deadline), sequence: q.sequence, flow: flow})
+	q.add(added)
 	return nil
 }
 
@@ -65,7 +65,7 @@
 	return found
 }
 
-// Expire removes and returns the queued items whose deadline has passed.
+// Expire removes and returns the queued items whose deadline has passed or comes too early for an answer.
 func (q *Queue) Expire(now time.Time) (expired []Item) {
 	q.lapse(now)
 	expired, q.lapsed = q.lapsed, nil
@@ -76,13 +76,16 @@
 func (q *Queue) lapse(now time.Time) {
 	limit := now.UnixNano()
 	for q.deadlines.Len() > 0 && q.deadlines.list[0].due <= limit {
-		ticket := q.deadlines.list[0]
-		ticket.flow.class.expired++
-		q.remove(ticket)
-		q.lapsed = append(q.lapsed, ticket.item)
+		q.setAside(q.deadlines.list[0])
 	}
 }
 
+func (q *Queue) setAside(ticket *ticket) {
+	ticket.flow.class.expired++
+	q.remove(ticket)
+	q.lapsed = append(q.lapsed, ticket.item)
+}
+
 // SetQuota sets the number of slots that a team may hold before it waits behind others; 0 removes the quota.
 func (q *Queue) SetQuota(name acaciatally.TeamName, slots int) {
 	team := q.team(name)
@@ -99,7 +102,7 @@
 		stats.Refused[urgency] = class.refused
 		stats.Expired[urgency] = class.expired
 	}
-	stats.ServiceTime = q.service.value
+	stats.ServiceTime = q.service.mean
 	return stats
 }
 
--- a/queue/queue_test.go
+++ b/queue/queue_test.go
@@ -299,3 +299,37 @@
 	require.Equal(t, 20, accepted("second"))
 	require.Equal(t, 10, accepted("third"))
 }
+
+// TestTooLateToStart guards against slots spent on requests that are cut off at their deadline before they are answered.
+func TestTooLateToStart(t *testing.T) {
+	q := flooded(t, queue.Config{}, 400, queue.Item{Team: "a"})
+	server := &server{queue: q, slots: 10, service: constant, ends: map[time.Duration][]queue.Item{}}
+	server.run(6 * time.Second)
+	at := testStart.Add(server.now)
+	require.NoError(t, q.Push(at, queue.Item{ID: "late", Team: "a", Deadline: at.Add(300 * time.Millisecond)}))
+	at = at.Add(260 * time.Millisecond)
+	_, found := q.Next(at, 10)
+	require.False(t, found)
+	expired := q.Expire(at)
+	require.Len(t, expired, 1)
+	require.Equal(t, "late", expired[0].ID)
+
+	q = flooded(t, queue.Config{}, 400, queue.Item{Team: "a"})
+	server.queue, server.now = q, 0
+	server.run(2 * time.Second)
+	at = testStart.Add(server.now)
+	wait := q.ExpectedWait(at, queue.Item{Team: "a"})
+	require.InDelta(t, 2, wait.Seconds(), 0.2)
+	require.Error(t, q.Push(at, queue.Item{ID: "early", Team: "a", Deadline: at.Add(wait + 50*time.Millisecond)}))
+}
+
+// TestPromptStart guards against short requests that are refused for ever because other requests of their team take long.
+func TestPromptStart(t *testing.T) {
+	q := flooded(t, queue.Config{}, 400, queue.Item{Team: "a"})
+	server := &server{queue: q, slots: 100, service: constant, ends: map[time.Duration][]queue.Item{}}
+	server.run(time.Second)
+	at := testStart.Add(server.now)
+	require.NoError(t, q.Push(at, queue.Item{ID: "short", Team: "a", Deadline: at.Add(20 * time.Millisecond)}))
+	_, found := q.Next(at.Add(9*time.Millisecond), 100)
+	require.True(t, found)
+}
