Revert "Try the measured time between grants as the expected wait"

Ruled out: longer means, since the cause of the requests in vain lies in the later, more urgent flood. Change: the estimate from the class's slots is back. Conclusion: the expected wait stays an estimate from slots, service times and the work queued ahead.

--- a/queue/admit.go
+++ b/queue/admit.go
@@ -89,19 +89,11 @@
 }
 
 // ExpectedWait returns the time that the item would wait if it were queued now.
-func (q *Queue) ExpectedWait(now time.Time, item Item) time.Duration {
+func (q *Queue) ExpectedWait(_ time.Time, item Item) time.Duration {
 	if q.slots == 0 || !item.valid() {
 		return 0
 	}
 	flow := q.flow(item)
-	if gap, known := flow.gaps.gap(now); known && flow.tickets.Len() > 0 {
-		return time.Duration(flow.tickets.Len()+1) * gap
-	}
-	return q.estimatedWait(flow)
-}
-
-// estimatedWait is the wait in a flow for which too few grants have been measured.
-func (q *Queue) estimatedWait(flow *flow) time.Duration {
 	available := q.available(flow.class)
 	ahead := q.ahead(flow) + 1 - max(0, available-float64(flow.class.held))
 	if ahead <= 0 {
--- a/queue/flow.go
+++ b/queue/flow.go
@@ -56,7 +56,6 @@
 	held     int
 	virtual  float64 // slot time received, in seconds divided by weight
 	service  serviceTimes
-	gaps     gaps
 	position int // in the class's heap
 }
 
@@ -99,7 +98,6 @@
 func (f *flow) start() {
 	if f.tickets.Len() == 0 {
 		f.virtual = max(f.virtual, f.class.virtual)
-		f.gaps = gaps{}
 	}
 }
 
@@ -160,30 +158,6 @@
 	}
 }
 
-// gaps measures the time between the grants to a flow that has work queued all the time.
-type gaps struct {
-	mean    time.Duration
-	samples int
-	latest  time.Time
-}
-
-// silenceParts divides the time since the latest grant where it counts as a gap: a silence of a few gaps is usual when the
-// grants come irregularly, a longer one shows that the flow is served more slowly.
-const silenceParts = 4
-
-func (g *gaps) granted(now time.Time) {
-	if !g.latest.IsZero() {
-		g.samples = min(g.samples+1, meanSamples)
-		g.mean += (now.Sub(g.latest) - g.mean) / time.Duration(g.samples)
-	}
-	g.latest = now
-}
-
-// gap returns the present time between two grants; known is false after few grants.
-func (g *gaps) gap(now time.Time) (gap time.Duration, known bool) {
-	return max(g.mean, now.Sub(g.latest)/silenceParts), g.samples >= fewSamples
-}
-
 const noDeadline = math.MaxInt64
 
 // due returns a deadline as a number that orders items; items without a deadline come last.
--- a/queue/grant.go
+++ b/queue/grant.go
@@ -28,7 +28,7 @@
 			q.setAside(ticket)
 			continue
 		}
-		q.grant(now, ticket, byFloor)
+		q.grant(ticket, byFloor)
 		return ticket.item, true
 	}
 }
@@ -49,9 +49,8 @@
 	return min(t.flow.service.median, t.item.Deadline.Sub(t.arrived)/2)
 }
 
-func (q *Queue) grant(now time.Time, ticket *ticket, byFloor bool) {
+func (q *Queue) grant(ticket *ticket, byFloor bool) {
 	flow := ticket.flow
-	flow.gaps.granted(now)
 	flow.class.virtual = max(flow.class.virtual, flow.virtual)
 	q.remove(ticket)
 	q.hold(ticket.item.ID, &grant{flow: flow, charged: q.estimate(flow), byFloor: byFloor})
