Measure the requests that are accepted in vain

Cause: the expected wait was judged by a trial without a lasting figure. Ruled out: counting the flood's refusals as in vain, since a refusal at once costs the caller nothing. Change: the experiment flood prints AcceptedInVain, the share of accepted requests without an answer in time. Before: no figure.

--- a/experiment/flood.go
+++ b/experiment/flood.go
@@ -83,6 +83,14 @@
 		s.addRatio("Kept"+class.String()+name, with.Other[class].Answered, without.Other[class].Answered, unitShare)
 	}
 	s.addTime("UrgentStartP99"+name, with.Other[acaciatally.Urgent].Wait(0.99))
+	expired, accepted := 0, 0
+	for _, classes := range [][acaciatally.UrgencyClasses]model.Tally{with.Other, with.Flood} {
+		for _, tally := range classes {
+			expired += tally.Expired + tally.Late
+			accepted += tally.Offered - tally.Refused
+		}
+	}
+	s.addRatio("AcceptedInVain"+name, expired, accepted, unitShare)
 }
 
 // answeredShares returns the answered part of each ordinary team's requests.
