Run whole waves under failures and let loans finish in their pool

Cause: a loan that had not been maintained could be left in a pool that had shrunk to its least size; it could never be drained there and the wave did not end. Reports of instances also grew without bound while the table service was down. Ruled out: a chance of the operators' drains (they move every 15 s, the wave stood for 3 h).

--- a/assessment/assessment.go
+++ b/assessment/assessment.go
@@ -9,6 +9,10 @@
 	"github.com/acaciatally/acaciatally/fleet"
 )
 
+// maxReports bounds the reports kept of one instance while nothing is assessed, as during an outage of the platform. It holds
+// those of nine entries, one a second, over most of the window.
+const maxReports = 64
+
 // Kind is what a verdict says of an instance.
 type Kind string
 
@@ -72,7 +76,11 @@
 // Report adds what one entry saw.
 func (a *Assessor) Report(reports ...acaciatally.InstanceReport) {
 	for _, report := range reports {
-		a.reports[report.Instance] = append(a.reports[report.Instance], report)
+		kept := a.reports[report.Instance]
+		if len(kept) == maxReports {
+			kept = slices.Delete(kept, 0, 1)
+		}
+		a.reports[report.Instance] = append(kept, report)
 	}
 }
 
--- a/wave/bound.go
+++ b/wave/bound.go
@@ -25,10 +25,11 @@
 	return wanted
 }
 
+// remaining counts loans, too: a loan that is left in a pool at its least size could never be drained there.
 func remaining(state *fleet.State, wave fleet.Wave, pool acaciatally.PoolName) (targets, centres int) {
 	byCentre := map[acaciatally.DataCentre]int{}
 	for _, instance := range state.Members(pool) {
-		if instance.Pool == instance.Home && target(instance, wave) {
+		if target(instance, wave) {
 			targets++
 			byCentre[instance.DataCentre]++
 		}
