Forecast from levels that noise does not raise

Cause: the peak of single noisy seconds made pools hold 17 instances for a demand of 13.5. Change: a forecast takes the highest mean of three neighbouring buckets.

--- a/rhythm/rhythm.go
+++ b/rhythm/rhythm.go
@@ -101,7 +101,7 @@
 	first, last := r.index(from), r.index(to)
 	forecast := Forecast{Period: time.Duration(r.period * float64(r.config.Bucket)), Confidence: r.confidence}
 	if first <= r.last+1 {
-		forecast.Slots = r.peak(r.last-1, r.last) // what is there now counts, whatever the history says
+		forecast.Slots = r.level(r.last) // what is there now counts, whatever the history says
 	}
 	forecast.Slots = max(forecast.Slots, r.seasonal(first, last))
 	return forecast
@@ -130,11 +130,24 @@
 	return one.peak, one.known && one.index == index
 }
 
+// level returns the mean of a bucket and its neighbours, so that noise does not pass for a higher peak.
+func (r *Rhythm) level(index int64) (slots float64) {
+	sum, count := 0.0, 0.0
+	for near := index - 1; near <= index+1; near++ {
+		if one, known := r.at(near); known {
+			sum, count = sum+one, count+1
+		}
+	}
+	if count == 0 {
+		return 0
+	}
+	return sum / count
+}
+
+// peak returns the highest level of a span; buckets at the edges of a burst count in full through their inner neighbours.
 func (r *Rhythm) peak(first, last int64) (slots float64) {
 	for index := first; index <= last; index++ {
-		if one, known := r.at(index); known {
-			slots = max(slots, one)
-		}
+		slots = max(slots, r.level(index))
 	}
 	return slots
 }
