--- a/peer/config.go
+++ b/peer/config.go
@@ -81,7 +81,7 @@
 	HandshakeTimeout time.Duration // default 2 s
 	WriteTimeout     time.Duration // time a write or keepalive may take before the session is closed, default 2 s
 	KeepAlive        time.Duration // interval of keepalives, default 2 s
-	ReconnectBase    time.Duration // bound of the first wait before a reconnect, default 100 ms
+	ReconnectBase    time.Duration // bound of the first wait before a reconnect, default 25 ms: shorter than a slot home's AnswerLimit
 	ReconnectMax     time.Duration // bound of any wait before a reconnect, default 2 s
 	MaxHandshakes    int           // connections without proof at once, default 64
 	MaxStreams       int           // streams served at once per session, default 8192
@@ -93,7 +93,7 @@
 		&c.HandshakeTimeout: 2 * time.Second,
 		&c.WriteTimeout:     2 * time.Second,
 		&c.KeepAlive:        2 * time.Second,
-		&c.ReconnectBase:    100 * time.Millisecond,
+		&c.ReconnectBase:    25 * time.Millisecond,
 		&c.ReconnectMax:     2 * time.Second,
 	}
 	for value, fallback := range durations {
--- a/slot/board.go
+++ b/slot/board.go
@@ -15,6 +15,9 @@
 // at the deadline, so only a faulty holder gets there.
 const heldGrace = 10 * time.Second
 
+// movedTerm covers the time in which waiting requests follow the held slots to another slot home.
+const movedTerm = 2 * time.Second
+
 // sweepInterval is how often held slots are checked against their deadlines.
 const sweepInterval = time.Second
 
@@ -202,6 +205,17 @@
 	return slots
 }
 
+// moved ends a ticket whose slot another slot home accounts for; the slot stays taken here for movedTerm.
+func (b *board) moved(now time.Time, t *ticket) {
+	if t.phase != held {
+		b.release(now, t, acaciatally.AttemptResult{})
+		return
+	}
+	if until := now.Add(movedTerm - heldGrace); until.Before(t.item.Deadline) {
+		t.item.Deadline = until // the sweep takes the slot back at movedTerm from now
+	}
+}
+
 // expire ends the tickets whose time is over and returns those that waited.
 func (b *board) expire(now time.Time) (expired []*ticket) {
 	for _, item := range b.queue.Expire(now) {
--- a/slot/client.go
+++ b/slot/client.go
@@ -39,7 +39,8 @@
 		if !s.config.Membership.MayServe() {
 			return nil, isolated()
 		}
-		to, rg := s.pickHome(request.Pool)
+		rg := s.circle.current()
+		to := rg.first(request.Pool)
 		if to == "" || silent >= maxSilent {
 			if grant, err = s.fallBack(ctx, p.request); grant != nil || err != nil {
 				return grant, err
@@ -51,18 +52,18 @@
 		if l == nil {
 			return nil, unknownPool(string(request.Pool))
 		}
-		outcome, r := s.await(ctx, l, to, rg, request.Pool)
+		outcome, r := s.await(ctx, l, to, rg, p)
 		switch outcome {
 		case callerGone:
 			return nil, ctx.Err()
 		case refusedByHome:
 			return nil, r.refusal
 		case noAnswer:
-			s.suspect(to)
+			s.circle.suspect(to)
 			silent++
 		case homeMoved:
-			if r.moved || r.lost {
-				s.suspect(to)
+			if r.moved {
+				s.circle.suspect(to)
 			}
 		case granted:
 			if grant = s.take(l, to, p, r.worker); grant != nil {
@@ -83,36 +84,9 @@
 	}
 }
 
-// pickHome returns the first slot home in rendezvous order that is not suspected.
-func (s *Service) pickHome(pool acaciatally.PoolName) (acaciatally.EntryID, *ring) {
-	rg := s.circle.current()
-	now := time.Now()
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	for _, candidate := range rg.homes(pool) {
-		until, suspected := s.suspects[candidate]
-		if suspected && !now.Before(until) {
-			delete(s.suspects, candidate)
-			suspected = false
-		}
-		if !suspected {
-			return candidate, rg
-		}
-	}
-	return "", rg
-}
-
-func (s *Service) suspect(entry acaciatally.EntryID) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if entry != s.config.Self {
-		s.suspects[entry] = time.Now().Add(s.config.SuspectTerm)
-	}
-}
-
 // await waits for the slot home's final reply. It gives up the place when the caller leaves, when the slot home does not answer in
 // time, and when another entry becomes the slot home.
-func (s *Service) await(ctx context.Context, l lease, to acaciatally.EntryID, rg *ring, pool acaciatally.PoolName) (verdict, reply) {
+func (s *Service) await(ctx context.Context, l lease, to acaciatally.EntryID, rg *ring, p place) (verdict, reply) {
 	timer := time.NewTimer(s.config.AnswerLimit)
 	defer timer.Stop()
 	answered := to == s.config.Self
@@ -130,7 +104,7 @@
 			return noAnswer, reply{}
 		case <-rg.changed:
 			rg = s.circle.current()
-			if order := rg.homes(pool); len(order) == 0 || order[0] != to {
+			if rg.first(p.request.Pool) != to {
 				l.end(acaciatally.AttemptResult{})
 				return homeMoved, reply{}
 			}
@@ -239,6 +213,7 @@
 	home     acaciatally.EntryID
 	released bool
 	result   acaciatally.AttemptResult
+	breaks   int // of the lease at the present slot home, in a row
 }
 
 // release returns the slot with the attempt's result; later calls do nothing.
--- a/slot/config.go
+++ b/slot/config.go
@@ -42,16 +42,14 @@
 	Metrics *metrics.Set
 
 	AnswerLimit   time.Duration // time in which a slot home must answer, default 50 ms
-	SuspectTerm   time.Duration // time for which a slot home that did not answer is passed over, default 500 ms
-	Handover      time.Duration // time in which a new slot home hears of held slots before it grants, default 200 ms
+	Handover      time.Duration // time in which a new slot home hears of held slots before it grants, default 300 ms
 	ProbeInterval time.Duration // default 1 s
 }
 
 // Default fills in the values that are left out.
 func (c *Config) Default() {
 	defaults := map[*time.Duration]time.Duration{
-		&c.AnswerLimit: 50 * time.Millisecond, &c.SuspectTerm: 500 * time.Millisecond,
-		&c.Handover: 200 * time.Millisecond, &c.ProbeInterval: time.Second,
+		&c.AnswerLimit: 50 * time.Millisecond, &c.Handover: 300 * time.Millisecond, &c.ProbeInterval: time.Second,
 	}
 	for value, fallback := range defaults {
 		if *value == 0 {
--- a/slot/follow.go
+++ b/slot/follow.go
@@ -34,25 +34,33 @@
 	}
 	s.mu.Unlock()
 	for _, l := range loans {
-		to, _ := s.pickHome(l.place.request.Pool)
-		if to != "" && l.stray(to) {
-			l.move(to)
+		to := s.circle.current().first(l.place.request.Pool)
+		stray, lost := l.stray(to)
+		if stray && to != "" {
+			if lost {
+				s.circle.suspect(to)
+			} else {
+				l.move(to)
+			}
 		}
 	}
 }
 
-// stray reports whether the slot is not accounted for at the present slot home.
-func (l *loan) stray(home acaciatally.EntryID) bool {
+// stray reports whether the slot is not accounted for at the present slot home, and whether that home was lost twice in a row.
+func (l *loan) stray(home acaciatally.EntryID) (stray, lost bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.home != home {
-		return true
+		l.breaks = 0
+		return true, false
 	}
 	select {
 	case <-l.lease.broken():
-		return true
+		l.breaks++
+		return true, l.breaks > 1
 	default:
-		return false
+		l.breaks = 0
+		return false, false
 	}
 }
 
@@ -74,5 +82,5 @@
 		fresh.end(result)
 		return
 	}
-	old.end(acaciatally.AttemptResult{})
+	old.move()
 }
--- a/slot/home.go
+++ b/slot/home.go
@@ -4,6 +4,7 @@
 	"context"
 	"net/http"
 	"slices"
+	"sync/atomic"
 	"time"
 
 	"github.com/acaciatally/acaciatally"
@@ -23,6 +24,7 @@
 	asked eventKind = iota
 	reportedHeld
 	released
+	movedAway
 )
 
 type event struct {
@@ -39,6 +41,7 @@
 	board   *board
 	inbox   chan event
 	closed  chan struct{}
+	tickets atomic.Int64 // on the board, for readers outside the goroutine
 
 	fresh      []*ticket // asked for since the last deal
 	state      *fleet.State
@@ -87,6 +90,7 @@
 			ticker.Reset(homeInterval)
 		}
 		h.deal(time.Now())
+		h.tickets.Store(int64(len(h.board.tickets)))
 	}
 }
 
@@ -115,6 +119,8 @@
 			return
 		}
 		h.board.release(now, e.ticket, e.result)
+	case movedAway:
+		h.board.moved(now, e.ticket)
 	}
 }
 
@@ -127,6 +133,9 @@
 		h.board.answer(t, reply{moved: true})
 		return
 	}
+	if !h.mine && len(h.board.tickets) == 0 {
+		h.grantsFrom = now.Add(h.service.config.Handover) // others may hold slots that this entry has not heard of
+	}
 	if refusal := h.board.ask(now, t); refusal != nil {
 		t.phase = finished
 		h.service.counts.refused.Inc()
--- a/slot/lease.go
+++ b/slot/lease.go
@@ -17,6 +17,9 @@
 	replies() <-chan reply
 	// end returns the place or the slot; the zero result tells that the slot was not used. Later calls do nothing.
 	end(result acaciatally.AttemptResult)
+	// move tells that another slot home accounts for the slot now. This one goes on counting it for a while, so that it grants the
+	// slot to nobody else before its waiting requests have moved too.
+	move()
 	// broken is closed when the slot home no longer accounts for the slot.
 	broken() <-chan struct{}
 }
@@ -35,6 +38,10 @@
 	l.once.Do(func() { l.home.send(event{kind: released, ticket: l.ticket, result: result}) })
 }
 
+func (l *localLease) move() {
+	l.once.Do(func() { l.home.send(event{kind: movedAway, ticket: l.ticket}) })
+}
+
 // remoteLease is a lease over one stream to the slot home.
 type remoteLease struct {
 	service *Service
@@ -50,8 +57,21 @@
 func (l *remoteLease) replies() <-chan reply   { return l.answers }
 func (l *remoteLease) broken() <-chan struct{} { return l.done }
 
-// end sends the release without blocking the caller; when it cannot be sent, the stream's end frees the slot.
+// end sends the release without blocking the caller; when it cannot be sent, the end of the stream frees the slot.
 func (l *remoteLease) end(result acaciatally.AttemptResult) {
+	if result == (acaciatally.AttemptResult{}) {
+		l.finish(nil)
+		return
+	}
+	l.finish(wireRelease(result))
+}
+
+func (l *remoteLease) move() {
+	l.finish(&peerpb.SlotCall{Call: &peerpb.SlotCall_Release{Release: &peerpb.SlotRelease{Moved: true}}})
+}
+
+// finish sends the last message, if there is one, and ends the stream.
+func (l *remoteLease) finish(last *peerpb.SlotCall) {
 	l.mu.Lock()
 	stream, again := l.stream, l.ended
 	l.ended = true
@@ -66,8 +86,8 @@
 	sent := l.service.spawn(func(context.Context) {
 		defer l.cancel()
 		defer stream.Close()
-		if result != (acaciatally.AttemptResult{}) {
-			_ = stream.Send(wireRelease(result))
+		if last != nil {
+			_ = stream.Send(last)
 		}
 	})
 	if !sent {
--- a/slot/ring.go
+++ b/slot/ring.go
@@ -20,53 +20,80 @@
 	entries    []acaciatally.EntryID
 	changed    chan struct{} // closed when a newer version exists
 	mu         sync.Mutex
-	orders     map[acaciatally.PoolName][]acaciatally.EntryID
+	homes      map[acaciatally.PoolName]acaciatally.EntryID
 }
 
-// maxOrder bounds the slot homes that are tried for one request before the fallback.
-const maxOrder = 4
-
-// homes returns the first entries in rendezvous order of the pool.
-func (r *ring) homes(pool acaciatally.PoolName) []acaciatally.EntryID {
+// first returns the slot home of the pool, or the empty id when no entry may be one.
+func (r *ring) first(pool acaciatally.PoolName) (home acaciatally.EntryID) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	order, known := r.orders[pool]
-	if !known {
-		order = membership.Rendezvous(string(pool), r.entries, maxOrder)
-		r.orders[pool] = order
+	home, known := r.homes[pool]
+	if known {
+		return home
 	}
-	return order
-}
-
-// first returns the slot home of the pool, or the empty id when no entry may be one.
-func (r *ring) first(pool acaciatally.PoolName) acaciatally.EntryID {
-	if order := r.homes(pool); len(order) > 0 {
-		return order[0]
+	if order := membership.Rendezvous(string(pool), r.entries, 1); len(order) > 0 {
+		home = order[0]
 	}
-	return ""
+	r.homes[pool] = home
+	return home
 }
 
-// circle keeps the newest ring.
+// circle keeps the newest ring. An entry that did not answer as slot home is left out of it until the entry is heard again.
 type circle struct {
 	self     acaciatally.EntryID
 	members  acaciatally.Membership
 	stopping atomic.Bool
 	newest   atomic.Pointer[ring]
+
+	mu       sync.Mutex
+	suspects map[acaciatally.EntryID]time.Time // since when
 }
 
 func newCircle(self acaciatally.EntryID, members acaciatally.Membership) *circle {
-	c := &circle{self: self, members: members}
+	c := &circle{self: self, members: members, suspects: map[acaciatally.EntryID]time.Time{}}
 	c.publish(c.live(), 0)
 	return c
 }
 
 func (c *circle) current() *ring { return c.newest.Load() }
 
+// suspect leaves the entry out until it has said hello after this moment.
+func (c *circle) suspect(entry acaciatally.EntryID) {
+	if entry == c.self {
+		return
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.suspects[entry] = time.Now()
+	c.refreshLocked()
+}
+
+// refresh publishes a new ring when the live entries have changed.
+func (c *circle) refresh() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.refreshLocked()
+}
+
+func (c *circle) refreshLocked() {
+	old := c.current()
+	entries := c.live()
+	if slices.Equal(entries, old.entries) {
+		return
+	}
+	c.publish(entries, old.generation+1)
+	close(old.changed)
+}
+
 func (c *circle) live() (entries []acaciatally.EntryID) {
 	if !c.stopping.Load() {
 		entries = append(entries, c.self)
 	}
 	for _, peer := range c.members.Live() {
+		if since, suspected := c.suspects[peer.ID]; suspected && !peer.HeardAt.After(since) {
+			continue
+		}
+		delete(c.suspects, peer.ID)
 		entries = append(entries, peer.ID)
 	}
 	slices.Sort(entries)
@@ -76,21 +103,10 @@
 func (c *circle) publish(entries []acaciatally.EntryID, generation uint64) {
 	c.newest.Store(&ring{
 		generation: generation, entries: entries, changed: make(chan struct{}),
-		orders: map[acaciatally.PoolName][]acaciatally.EntryID{},
+		homes: map[acaciatally.PoolName]acaciatally.EntryID{},
 	})
 }
 
-// refresh publishes a new ring when the live entries have changed.
-func (c *circle) refresh() {
-	old := c.current()
-	entries := c.live()
-	if slices.Equal(entries, old.entries) {
-		return
-	}
-	c.publish(entries, old.generation+1)
-	close(old.changed)
-}
-
 func (c *circle) run(ctx context.Context) {
 	ticker := time.NewTicker(ringInterval)
 	defer ticker.Stop()
--- a/slot/serve.go
+++ b/slot/serve.go
@@ -52,7 +52,7 @@
 	if !s.spawn(func(context.Context) { s.tell(stream, t, finished) }) {
 		close(finished)
 	}
-	serving.send(event{kind: released, ticket: t, result: awaitRelease(stream)})
+	serving.send(awaitRelease(stream, t))
 	stream.Close()
 	close(t.left)
 	<-finished
@@ -81,20 +81,26 @@
 	return s.config.State().Instances[worker].Address.String()
 }
 
-// awaitRelease returns the result that the holder reports; a broken stream returns the zero result, an unused slot.
-func awaitRelease(stream *peer.Stream) (result acaciatally.AttemptResult) {
+// awaitRelease returns how the stream ended; a stream that broke returns an unused slot.
+func awaitRelease(stream *peer.Stream, t *ticket) event {
+	end := event{kind: released, ticket: t}
 	var call peerpb.SlotCall
 	if err := stream.Receive(&call); err != nil {
-		return result
+		return end
 	}
 	release := call.GetRelease()
 	if release == nil {
-		return result
+		return end
 	}
-	return acaciatally.AttemptResult{
+	if release.Moved {
+		end.kind = movedAway
+		return end
+	}
+	end.result = acaciatally.AttemptResult{
 		Outcome: acaciatally.Outcome(release.Outcome), Status: int(release.Status), Refused: release.Refused,
 		ServiceTime: max(0, time.Duration(release.ServiceTimeUs)*time.Microsecond),
 	}
+	return end
 }
 
 func ticketOf(request *peerpb.SlotRequest) *ticket {
--- a/slot/service.go
+++ b/slot/service.go
@@ -4,7 +4,6 @@
 	"context"
 	"slices"
 	"sync"
-	"time"
 
 	"github.com/samber/oops"
 
@@ -25,9 +24,8 @@
 	ctx      context.Context // ends with Run; nil before
 	sessions Sessions
 	homes    map[acaciatally.PoolName]*home
-	suspects map[acaciatally.EntryID]time.Time // slot homes that did not answer, until the time
-	loans    map[*loan]struct{}                // slots held by this entry
-	inUse    map[acaciatally.InstanceID]int    // requests in progress, whoever granted the slot
+	loans    map[*loan]struct{}             // slots held by this entry
+	inUse    map[acaciatally.InstanceID]int // requests in progress, whoever granted the slot
 }
 
 // New returns a service that is not yet running.
@@ -35,7 +33,7 @@
 	config.Default()
 	service := &Service{
 		config: config, circle: newCircle(config.Self, config.Membership), counts: newCounts(config.Metrics),
-		homes: map[acaciatally.PoolName]*home{}, suspects: map[acaciatally.EntryID]time.Time{}, loans: map[*loan]struct{}{},
+		homes: map[acaciatally.PoolName]*home{}, loans: map[*loan]struct{}{},
 		inUse: map[acaciatally.InstanceID]int{},
 	}
 	if service.config.Fallback == nil {
@@ -133,6 +131,16 @@
 	return member, found && serves(member, pool, members.Leaving()) && members.MayServe()
 }
 
+// Tickets returns the number of requests that wait or hold a slot at the slot homes of this process.
+func (s *Service) Tickets() (count int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, known := range s.homes {
+		count += int(known.tickets.Load())
+	}
+	return count
+}
+
 // Home returns the entry that is the pool's slot home in this entry's view.
 func (s *Service) Home(pool acaciatally.PoolName) acaciatally.EntryID {
 	return s.circle.current().first(pool)
