Keep a slot taken when its stream breaks until the holder reports again

Change: loans have ids, a broken stream keeps its slot for 2 s, a report takes the place of the old ticket, and a lost slot home is asked again every 10 ms within AnswerLimit.

--- a/slot/board.go
+++ b/slot/board.go
@@ -15,8 +15,8 @@
 // at the deadline, so only a faulty holder gets there.
 const heldGrace = 10 * time.Second
 
-// movedTerm covers the time in which waiting requests follow the held slots to another slot home.
-const movedTerm = 2 * time.Second
+// unheardTerm covers the time in which a holder reconnects, and in which waiting requests follow the held slots to another slot home.
+const unheardTerm = 2 * time.Second
 
 // sweepInterval is how often held slots are checked against their deadlines.
 const sweepInterval = time.Second
@@ -45,6 +45,7 @@
 // ticket is one request for a slot at the slot home, from the request to the release.
 type ticket struct {
 	item    queue.Item
+	loan    string // identifies the slot across slot homes
 	exclude []acaciatally.InstanceID
 	retry   bool
 	replies chan reply // holds the final reply without a reader
@@ -64,6 +65,7 @@
 	workers []route.Worker
 	busy    map[acaciatally.InstanceID]int
 	tickets map[string]*ticket
+	loans   map[string]*ticket // tickets that hold a slot, by loan
 	count   uint64
 	swept   time.Time
 }
@@ -71,7 +73,7 @@
 func newBoard(queueConfig queue.Config, routeConfig route.Config, retryShare float64) *board {
 	return &board{
 		queue: queue.New(queueConfig), router: route.New(routeConfig), budget: newBudget(retryShare),
-		busy: map[acaciatally.InstanceID]int{}, tickets: map[string]*ticket{},
+		busy: map[acaciatally.InstanceID]int{}, tickets: map[string]*ticket{}, loans: map[string]*ticket{},
 	}
 }
 
@@ -109,9 +111,14 @@
 	t.item.ID = strconv.FormatUint(b.count, 36)
 }
 
-// hold accounts for a slot that another slot home granted.
+// hold accounts for a slot that was granted earlier, by another slot home or over a stream that broke. It takes the place of a
+// ticket of the same loan, so that the slot is not counted twice.
 func (b *board) hold(now time.Time, t *ticket, worker acaciatally.InstanceID) {
+	if known := b.loans[t.loan]; known != nil {
+		b.release(now, known, acaciatally.AttemptResult{})
+	}
 	b.number(t)
+	b.loans[t.loan] = t
 	b.queue.Hold(now, t.item)
 	t.phase, t.worker, t.taken, t.since = held, worker, true, now
 	b.busy[worker]++
@@ -134,6 +141,9 @@
 	}
 	t.phase = finished
 	delete(b.tickets, t.item.ID)
+	if b.loans[t.loan] == t {
+		delete(b.loans, t.loan)
+	}
 }
 
 func (b *board) free(worker acaciatally.InstanceID) {
@@ -167,6 +177,7 @@
 			continue
 		}
 		t.phase, t.worker, t.since = held, worker, now
+		b.loans[t.loan] = t
 		b.busy[worker]++
 		granted = append(granted, t)
 	}
@@ -205,14 +216,15 @@
 	return slots
 }
 
-// moved ends a ticket whose slot another slot home accounts for; the slot stays taken here for movedTerm.
-func (b *board) moved(now time.Time, t *ticket) {
+// unheard ends a ticket whose holder is no longer heard: it has moved to another slot home, or the stream broke. A slot stays taken
+// for unheardTerm, in which the holder may report it again.
+func (b *board) unheard(now time.Time, t *ticket) {
 	if t.phase != held {
 		b.release(now, t, acaciatally.AttemptResult{})
 		return
 	}
-	if until := now.Add(movedTerm - heldGrace); until.Before(t.item.Deadline) {
-		t.item.Deadline = until // the sweep takes the slot back at movedTerm from now
+	if until := now.Add(unheardTerm - heldGrace); until.Before(t.item.Deadline) {
+		t.item.Deadline = until // the sweep takes the slot back at unheardTerm from now
 	}
 }
 
--- a/slot/client.go
+++ b/slot/client.go
@@ -16,6 +16,8 @@
 	maxSilent = 2
 	// retakePause spaces attempts after a grant that this entry may not use, until the slot home has the newer view too.
 	retakePause = 20 * time.Millisecond
+	// lostPause spaces attempts while the session to the slot home is being restored, within AnswerLimit.
+	lostPause = 10 * time.Millisecond
 	// fallbackTerm bounds one wait in the fallback, after which the slot homes are asked again.
 	fallbackTerm = 500 * time.Millisecond
 )
@@ -33,48 +35,85 @@
 
 // Acquire waits for a slot until ctx ends; it fails with *acaciatally.Refusal when the request is turned away.
 func (s *Service) Acquire(ctx context.Context, request acaciatally.Request) (grant *acaciatally.Grant, err error) {
-	p := place{request: request, arrived: time.Now(), exclude: slices.Clone(request.Tried)}
-	silent := 0
-	for {
+	search := search{service: s, place: place{
+		loan: s.nextLoan(), request: request, arrived: time.Now(), exclude: slices.Clone(request.Tried),
+	}}
+	for grant == nil && err == nil {
 		if !s.config.Membership.MayServe() {
 			return nil, isolated()
 		}
-		rg := s.circle.current()
-		to := rg.first(request.Pool)
-		if to == "" || silent >= maxSilent {
-			if grant, err = s.fallBack(ctx, p.request); grant != nil || err != nil {
-				return grant, err
-			}
-			silent = 0
-			continue
-		}
-		l := s.open(to, p, "")
-		if l == nil {
-			return nil, unknownPool(string(request.Pool))
-		}
-		outcome, r := s.await(ctx, l, to, rg, p)
-		switch outcome {
-		case callerGone:
-			return nil, ctx.Err()
-		case refusedByHome:
-			return nil, r.refusal
-		case noAnswer:
-			s.circle.suspect(to)
-			silent++
-		case homeMoved:
-			if r.moved {
-				s.circle.suspect(to)
-			}
-		case granted:
-			if grant = s.take(l, to, p, r.worker); grant != nil {
-				s.counts.waited.Update(time.Since(p.arrived).Seconds())
-				return grant, nil
-			}
-			p.exclude = append(p.exclude, r.worker)
-			if !sleep(ctx, retakePause) {
-				return nil, ctx.Err()
-			}
-		}
+		grant, err = search.step(ctx)
+	}
+	return grant, err
+}
+
+// search is the way of one request from slot home to slot home.
+type search struct {
+	service   *Service
+	place     place
+	silent    int       // slot homes that did not answer
+	lostSince time.Time // first loss of the present slot home
+}
+
+// step asks one slot home, or the fallback; no grant and no error means that the search goes on.
+func (c *search) step(ctx context.Context) (grant *acaciatally.Grant, err error) {
+	s := c.service
+	rg := s.circle.current()
+	to := rg.first(c.place.request.Pool)
+	if to == "" || c.silent >= maxSilent {
+		c.silent = 0
+		return s.fallBack(ctx, c.place.request)
+	}
+	l := s.open(to, c.place, "")
+	if l == nil {
+		return nil, unknownPool(string(c.place.request.Pool))
+	}
+	outcome, r := s.await(ctx, l, to, rg, c.place)
+	switch outcome {
+	case granted:
+		return c.take(ctx, l, to, r.worker)
+	case refusedByHome:
+		return nil, r.refusal
+	case noAnswer:
+		c.passOver(to)
+	case homeMoved:
+		c.moveOn(ctx, to, r)
+	case callerGone:
+	}
+	return nil, ctx.Err()
+}
+
+func (c *search) take(ctx context.Context, l lease, to acaciatally.EntryID, worker acaciatally.InstanceID) (*acaciatally.Grant, error) {
+	if grant := c.service.take(l, to, c.place, worker); grant != nil {
+		c.service.counts.waited.Update(time.Since(c.place.arrived).Seconds())
+		return grant, nil
+	}
+	c.place.exclude = append(c.place.exclude, worker)
+	sleep(ctx, retakePause)
+	return nil, ctx.Err()
+}
+
+// passOver leaves a slot home out that did not answer.
+func (c *search) passOver(to acaciatally.EntryID) {
+	c.lostSince = time.Time{}
+	c.service.circle.suspect(to)
+	c.silent++
+}
+
+// moveOn prepares for the next slot home, or for the same one once its session is back within AnswerLimit.
+func (c *search) moveOn(ctx context.Context, to acaciatally.EntryID, last reply) {
+	switch {
+	case last.moved:
+		c.service.circle.suspect(to)
+	case !last.lost:
+		c.lostSince = time.Time{}
+	case c.lostSince.IsZero():
+		c.lostSince = time.Now()
+		sleep(ctx, lostPause)
+	case time.Since(c.lostSince) < c.service.config.AnswerLimit:
+		sleep(ctx, lostPause)
+	default:
+		c.passOver(to)
 	}
 }
 
--- a/slot/cluster_test.go
+++ b/slot/cluster_test.go
@@ -172,7 +172,7 @@
 	c.state.Store(next)
 }
 
-func (c *cluster) join(i int) *host {
+func (c *cluster) join(i int) {
 	h := &host{
 		id: acaciatally.EntryID(fmt.Sprintf("entry-%02d", i)), set: metrics.NewSet(),
 		address: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(i)}), 7300),
@@ -208,7 +208,6 @@
 		running.Wait()
 	})
 	c.hosts = append(c.hosts, h)
-	return h
 }
 
 func (h *host) poll(ctx context.Context) {
--- a/slot/home.go
+++ b/slot/home.go
@@ -24,7 +24,7 @@
 	asked eventKind = iota
 	reportedHeld
 	released
-	movedAway
+	unheard
 )
 
 type event struct {
@@ -106,6 +106,9 @@
 }
 
 func (h *home) handle(now time.Time, e event) {
+	if !h.mine && len(h.board.tickets) == 0 {
+		h.grantsFrom = now.Add(h.service.config.Handover) // others may hold slots that this entry has not heard of
+	}
 	switch e.kind {
 	case asked:
 		h.ask(now, e.ticket)
@@ -119,8 +122,8 @@
 			return
 		}
 		h.board.release(now, e.ticket, e.result)
-	case movedAway:
-		h.board.moved(now, e.ticket)
+	case unheard:
+		h.board.unheard(now, e.ticket)
 	}
 }
 
@@ -133,9 +136,6 @@
 		h.board.answer(t, reply{moved: true})
 		return
 	}
-	if !h.mine && len(h.board.tickets) == 0 {
-		h.grantsFrom = now.Add(h.service.config.Handover) // others may hold slots that this entry has not heard of
-	}
 	if refusal := h.board.ask(now, t); refusal != nil {
 		t.phase = finished
 		h.service.counts.refused.Inc()
--- a/slot/lease.go
+++ b/slot/lease.go
@@ -39,7 +39,7 @@
 }
 
 func (l *localLease) move() {
-	l.once.Do(func() { l.home.send(event{kind: movedAway, ticket: l.ticket}) })
+	l.once.Do(func() { l.home.send(event{kind: unheard, ticket: l.ticket}) })
 }
 
 // remoteLease is a lease over one stream to the slot home.
@@ -57,12 +57,8 @@
 func (l *remoteLease) replies() <-chan reply   { return l.answers }
 func (l *remoteLease) broken() <-chan struct{} { return l.done }
 
-// end sends the release without blocking the caller; when it cannot be sent, the end of the stream frees the slot.
+// end sends the release without blocking the caller.
 func (l *remoteLease) end(result acaciatally.AttemptResult) {
-	if result == (acaciatally.AttemptResult{}) {
-		l.finish(nil)
-		return
-	}
 	l.finish(wireRelease(result))
 }
 
@@ -70,7 +66,7 @@
 	l.finish(&peerpb.SlotCall{Call: &peerpb.SlotCall_Release{Release: &peerpb.SlotRelease{Moved: true}}})
 }
 
-// finish sends the last message, if there is one, and ends the stream.
+// finish sends the last message and ends the stream; when it cannot be sent, the slot home frees the slot after unheardTerm.
 func (l *remoteLease) finish(last *peerpb.SlotCall) {
 	l.mu.Lock()
 	stream, again := l.stream, l.ended
@@ -86,9 +82,7 @@
 	sent := l.service.spawn(func(context.Context) {
 		defer l.cancel()
 		defer stream.Close()
-		if last != nil {
-			_ = stream.Send(last)
-		}
+		_ = stream.Send(last)
 	})
 	if !sent {
 		stream.Close()
@@ -134,6 +128,7 @@
 
 // place is what a request needs at a slot home.
 type place struct {
+	loan    string // identifies the slot across slot homes
 	request acaciatally.Request
 	arrived time.Time
 	exclude []acaciatally.InstanceID
@@ -173,7 +168,7 @@
 		Team: p.request.Team, Urgency: p.request.Urgency, Deadline: p.request.Deadline,
 		Bytes: int64(len(p.request.Body)), DataCentre: s.config.DataCentre, Idempotent: p.request.Idempotent,
 	})
-	t.retry, t.exclude = p.request.Retry, p.exclude
+	t.retry, t.exclude, t.loan = p.request.Retry, p.exclude, p.loan
 	e := event{kind: asked, ticket: t}
 	if worker != "" {
 		e = event{kind: reportedHeld, ticket: t, worker: worker}
@@ -186,7 +181,7 @@
 
 func (s *Service) wireRequest(p place) *peerpb.SlotRequest {
 	request := &peerpb.SlotRequest{
-		Id: p.request.ID, Pool: string(p.request.Pool), Team: string(p.request.Team), Urgency: int32(p.request.Urgency),
+		Id: p.loan, Pool: string(p.request.Pool), Team: string(p.request.Team), Urgency: int32(p.request.Urgency),
 		RemainingUs: time.Until(p.request.Deadline).Microseconds(), WaitedUs: time.Since(p.arrived).Microseconds(),
 		Bytes: int64(len(p.request.Body)), DataCentre: string(s.config.DataCentre), Idempotent: p.request.Idempotent,
 		Retry: p.request.Retry,
--- a/slot/serve.go
+++ b/slot/serve.go
@@ -19,7 +19,8 @@
 	replyLength = 4
 )
 
-// serve serves one stream: one slot from the request to the release. A stream that breaks frees the place or the slot.
+// serve serves one stream: one slot from the request to the release. A stream that breaks frees the place at once and the slot after
+// unheardTerm.
 func (s *Service) serve(_ context.Context, _ acaciatally.EntryID, stream *peer.Stream) {
 	_ = stream.SetReceiveDeadline(time.Now().Add(firstLimit))
 	var call peerpb.SlotCall
@@ -81,26 +82,20 @@
 	return s.config.State().Instances[worker].Address.String()
 }
 
-// awaitRelease returns how the stream ended; a stream that broke returns an unused slot.
+// awaitRelease returns how the stream ended. Each holder that is well ends its stream with a release.
 func awaitRelease(stream *peer.Stream, t *ticket) event {
-	end := event{kind: released, ticket: t}
 	var call peerpb.SlotCall
 	if err := stream.Receive(&call); err != nil {
-		return end
+		return event{kind: unheard, ticket: t}
 	}
 	release := call.GetRelease()
-	if release == nil {
-		return end
+	if release == nil || release.Moved {
+		return event{kind: unheard, ticket: t}
 	}
-	if release.Moved {
-		end.kind = movedAway
-		return end
-	}
-	end.result = acaciatally.AttemptResult{
+	return event{kind: released, ticket: t, result: acaciatally.AttemptResult{
 		Outcome: acaciatally.Outcome(release.Outcome), Status: int(release.Status), Refused: release.Refused,
 		ServiceTime: max(0, time.Duration(release.ServiceTimeUs)*time.Microsecond),
-	}
-	return end
+	}}
 }
 
 func ticketOf(request *peerpb.SlotRequest) *ticket {
@@ -110,7 +105,7 @@
 		Deadline: time.Now().Add(time.Duration(remaining) * time.Microsecond), Bytes: max(0, request.Bytes),
 		DataCentre: acaciatally.DataCentre(request.DataCentre), Idempotent: request.Idempotent,
 	})
-	t.retry = request.Retry
+	t.retry, t.loan = request.Retry, request.Id
 	for _, worker := range request.Exclude {
 		t.exclude = append(t.exclude, acaciatally.InstanceID(worker))
 	}
--- a/slot/service.go
+++ b/slot/service.go
@@ -2,8 +2,11 @@
 
 import (
 	"context"
+	"crypto/rand"
 	"slices"
+	"strconv"
 	"sync"
+	"sync/atomic"
 
 	"github.com/samber/oops"
 
@@ -17,6 +20,8 @@
 type Service struct {
 	config  Config
 	circle  *circle
+	name    string // prefix of the ids of this process's loans
+	lent    atomic.Uint64
 	counts  *counts
 	running sync.WaitGroup
 
@@ -32,7 +37,7 @@
 func New(config Config) *Service {
 	config.Default()
 	service := &Service{
-		config: config, circle: newCircle(config.Self, config.Membership), counts: newCounts(config.Metrics),
+		config: config, name: string(config.Self) + "/" + rand.Text() + "/", circle: newCircle(config.Self, config.Membership), counts: newCounts(config.Metrics),
 		homes: map[acaciatally.PoolName]*home{}, loans: map[*loan]struct{}{},
 		inUse: map[acaciatally.InstanceID]int{},
 	}
@@ -81,6 +86,10 @@
 	return true
 }
 
+func (s *Service) nextLoan() string {
+	return s.name + strconv.FormatUint(s.lent.Add(1), 36)
+}
+
 // Stop gives up this entry's slot homes: requests that wait are sent to the next slot home.
 func (s *Service) Stop() {
 	s.circle.stopping.Store(true)
