--- /dev/null
+++ b/slot/random_test.go
@@ -0,0 +1,54 @@
+package slot_test
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/acaciatally/acaciatally"
+)
+
+// TestRandomFaults guards against slots and requests that are lost in whole entries under random requests, cancellations, broken
+// connections, freezes, removed workers and joining entries.
+func TestRandomFaults(t *testing.T) {
+	rapid.Check(t, func(draw *rapid.T) {
+		steps := rapid.SliceOfN(rapid.IntRange(0, 7), 4, 12).Draw(draw, "steps")
+		bubble(t, func(t *testing.T) {
+			c := newCluster(t, 3, 3)
+			ctx, cancel := context.WithCancel(t.Context())
+			var wakes []func()
+			for i, step := range steps {
+				h := c.hosts[i%len(c.hosts)]
+				switch step {
+				case 0, 1:
+					c.load([]*host{h}, 10, 700*time.Millisecond)
+				case 2:
+					c.call(ctx, h, time.Second)
+				case 3:
+					cancel()
+					ctx, cancel = context.WithCancel(t.Context())
+				case 4:
+					c.network.Break(h.address)
+				case 5:
+					wakes = append(wakes, c.network.Freeze(h.address))
+				case 6:
+					c.setWorkers(1 + i%3)
+				case 7:
+					c.join(20 + i)
+				}
+				time.Sleep(400 * time.Millisecond)
+			}
+			for _, wake := range wakes {
+				wake()
+			}
+			c.setWorkers(3)
+			cancel()
+			c.callers.Wait()
+			time.Sleep(5 * time.Second)
+			c.most = map[acaciatally.InstanceID]int{}
+			c.empty()
+		})
+	})
+}
