--- a/slot/client.go
+++ b/slot/client.go
@@ -16,6 +16,8 @@
 	maxSilent = 2
 	// retakePause spaces attempts after a grant that this entry may not use, until the slot home has the newer view too.
 	retakePause = 20 * time.Millisecond
+	// lostPause spaces attempts while the session to the slot home is being restored, within AnswerLimit.
+	lostPause = 10 * time.Millisecond
 	// fallbackTerm bounds one wait in the fallback, after which the slot homes are asked again.
 	fallbackTerm = 500 * time.Millisecond
 )
@@ -33,86 +35,97 @@
 
 // Acquire waits for a slot until ctx ends; it fails with *acaciatally.Refusal when the request is turned away.
 func (s *Service) Acquire(ctx context.Context, request acaciatally.Request) (grant *acaciatally.Grant, err error) {
-	p := place{request: request, arrived: time.Now(), exclude: slices.Clone(request.Tried)}
-	silent := 0
-	for {
+	search := search{service: s, place: place{
+		loan: s.nextLoan(), request: request, arrived: time.Now(), exclude: slices.Clone(request.Tried),
+	}}
+	for grant == nil && err == nil {
 		if !s.config.Membership.MayServe() {
 			return nil, isolated()
 		}
-		to, rg := s.pickHome(request.Pool)
-		if to == "" || silent >= maxSilent {
-			if grant, err = s.fallBack(ctx, p.request); grant != nil || err != nil {
-				return grant, err
-			}
-			silent = 0
-			continue
-		}
-		l := s.open(to, p, "")
-		if l == nil {
-			return nil, unknownPool(string(request.Pool))
-		}
-		outcome, r := s.await(ctx, l, to, rg, request.Pool)
-		switch outcome {
-		case callerGone:
-			return nil, ctx.Err()
-		case refusedByHome:
-			return nil, r.refusal
-		case noAnswer:
-			s.suspect(to)
-			silent++
-		case homeMoved:
-			if r.moved || r.lost {
-				s.suspect(to)
-			}
-		case granted:
-			if grant = s.take(l, to, p, r.worker); grant != nil {
-				s.counts.waited.Update(time.Since(p.arrived).Seconds())
-				return grant, nil
-			}
-			p.exclude = append(p.exclude, r.worker)
-			if !sleep(ctx, retakePause) {
-				return nil, ctx.Err()
-			}
-		}
+		grant, err = search.step(ctx)
 	}
+	return grant, err
 }
 
-func isolated() *acaciatally.Refusal {
-	return &acaciatally.Refusal{
-		Outcome: acaciatally.NotRun, Status: http.StatusServiceUnavailable, Reason: "this entry has no fresh view", RetryAfter: time.Second,
-	}
+// search is the way of one request from slot home to slot home.
+type search struct {
+	service   *Service
+	place     place
+	silent    int       // slot homes that did not answer
+	lostSince time.Time // first loss of the present slot home
 }
 
-// pickHome returns the first slot home in rendezvous order that is not suspected.
-func (s *Service) pickHome(pool acaciatally.PoolName) (acaciatally.EntryID, *ring) {
+// step asks one slot home, or the fallback; no grant and no error means that the search goes on.
+func (c *search) step(ctx context.Context) (grant *acaciatally.Grant, err error) {
+	s := c.service
 	rg := s.circle.current()
-	now := time.Now()
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	for _, candidate := range rg.homes(pool) {
-		until, suspected := s.suspects[candidate]
-		if suspected && !now.Before(until) {
-			delete(s.suspects, candidate)
-			suspected = false
-		}
-		if !suspected {
-			return candidate, rg
-		}
+	to := rg.first(c.place.request.Pool)
+	if to == "" || c.silent >= maxSilent {
+		c.silent = 0
+		return s.fallBack(ctx, c.place.request)
 	}
-	return "", rg
+	l := s.open(to, c.place, "")
+	if l == nil {
+		return nil, unknownPool(string(c.place.request.Pool))
+	}
+	outcome, r := s.await(ctx, l, to, rg, c.place)
+	switch outcome {
+	case granted:
+		return c.take(ctx, l, to, r.worker)
+	case refusedByHome:
+		return nil, r.refusal
+	case noAnswer:
+		c.passOver(to)
+	case homeMoved:
+		c.moveOn(ctx, to, r)
+	case callerGone:
+	}
+	return nil, ctx.Err()
 }
 
-func (s *Service) suspect(entry acaciatally.EntryID) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if entry != s.config.Self {
-		s.suspects[entry] = time.Now().Add(s.config.SuspectTerm)
+func (c *search) take(ctx context.Context, l lease, to acaciatally.EntryID, worker acaciatally.InstanceID) (*acaciatally.Grant, error) {
+	if grant := c.service.take(l, to, c.place, worker); grant != nil {
+		c.service.counts.waited.Update(time.Since(c.place.arrived).Seconds())
+		return grant, nil
+	}
+	c.place.exclude = append(c.place.exclude, worker)
+	sleep(ctx, retakePause)
+	return nil, ctx.Err()
+}
+
+// passOver leaves a slot home out that did not answer.
+func (c *search) passOver(to acaciatally.EntryID) {
+	c.lostSince = time.Time{}
+	c.service.circle.suspect(to)
+	c.silent++
+}
+
+// moveOn prepares for the next slot home, or for the same one once its session is back within AnswerLimit.
+func (c *search) moveOn(ctx context.Context, to acaciatally.EntryID, last reply) {
+	switch {
+	case last.moved:
+		c.service.circle.suspect(to)
+	case !last.lost:
+		c.lostSince = time.Time{}
+	case c.lostSince.IsZero():
+		c.lostSince = time.Now()
+		sleep(ctx, lostPause)
+	case time.Since(c.lostSince) < c.service.config.AnswerLimit:
+		sleep(ctx, lostPause)
+	default:
+		c.passOver(to)
+	}
+}
+
+func isolated() *acaciatally.Refusal {
+	return &acaciatally.Refusal{
+		Outcome: acaciatally.NotRun, Status: http.StatusServiceUnavailable, Reason: "this entry has no fresh view", RetryAfter: time.Second,
 	}
 }
 
 // await waits for the slot home's final reply. It gives up the place when the caller leaves, when the slot home does not answer in
 // time, and when another entry becomes the slot home.
-func (s *Service) await(ctx context.Context, l lease, to acaciatally.EntryID, rg *ring, pool acaciatally.PoolName) (verdict, reply) {
+func (s *Service) await(ctx context.Context, l lease, to acaciatally.EntryID, rg *ring, p place) (verdict, reply) {
 	timer := time.NewTimer(s.config.AnswerLimit)
 	defer timer.Stop()
 	answered := to == s.config.Self
@@ -130,7 +143,7 @@
 			return noAnswer, reply{}
 		case <-rg.changed:
 			rg = s.circle.current()
-			if order := rg.homes(pool); len(order) == 0 || order[0] != to {
+			if rg.first(p.request.Pool) != to {
 				l.end(acaciatally.AttemptResult{})
 				return homeMoved, reply{}
 			}
@@ -239,6 +252,7 @@
 	home     acaciatally.EntryID
 	released bool
 	result   acaciatally.AttemptResult
+	breaks   int // of the lease at the present slot home, in a row
 }
 
 // release returns the slot with the attempt's result; later calls do nothing.
--- a/slot/home.go
+++ b/slot/home.go
@@ -4,6 +4,7 @@
 	"context"
 	"net/http"
 	"slices"
+	"sync/atomic"
 	"time"
 
 	"github.com/acaciatally/acaciatally"
@@ -23,6 +24,7 @@
 	asked eventKind = iota
 	reportedHeld
 	released
+	unheard
 )
 
 type event struct {
@@ -39,6 +41,7 @@
 	board   *board
 	inbox   chan event
 	closed  chan struct{}
+	tickets atomic.Int64 // on the board, for readers outside the goroutine
 
 	fresh      []*ticket // asked for since the last deal
 	state      *fleet.State
@@ -87,6 +90,7 @@
 			ticker.Reset(homeInterval)
 		}
 		h.deal(time.Now())
+		h.tickets.Store(int64(len(h.board.tickets)))
 	}
 }
 
@@ -102,6 +106,9 @@
 }
 
 func (h *home) handle(now time.Time, e event) {
+	if !h.mine && len(h.board.tickets) == 0 {
+		h.grantsFrom = now.Add(h.service.config.Handover) // others may hold slots that this entry has not heard of
+	}
 	switch e.kind {
 	case asked:
 		h.ask(now, e.ticket)
@@ -115,6 +122,8 @@
 			return
 		}
 		h.board.release(now, e.ticket, e.result)
+	case unheard:
+		h.board.unheard(now, e.ticket)
 	}
 }
 
--- a/slot/lease.go
+++ b/slot/lease.go
@@ -17,6 +17,9 @@
 	replies() <-chan reply
 	// end returns the place or the slot; the zero result tells that the slot was not used. Later calls do nothing.
 	end(result acaciatally.AttemptResult)
+	// move tells that another slot home accounts for the slot now. This one goes on counting it for a while, so that it grants the
+	// slot to nobody else before its waiting requests have moved too.
+	move()
 	// broken is closed when the slot home no longer accounts for the slot.
 	broken() <-chan struct{}
 }
@@ -35,6 +38,10 @@
 	l.once.Do(func() { l.home.send(event{kind: released, ticket: l.ticket, result: result}) })
 }
 
+func (l *localLease) move() {
+	l.once.Do(func() { l.home.send(event{kind: unheard, ticket: l.ticket}) })
+}
+
 // remoteLease is a lease over one stream to the slot home.
 type remoteLease struct {
 	service *Service
@@ -50,8 +57,17 @@
 func (l *remoteLease) replies() <-chan reply   { return l.answers }
 func (l *remoteLease) broken() <-chan struct{} { return l.done }
 
-// end sends the release without blocking the caller; when it cannot be sent, the stream's end frees the slot.
+// end sends the release without blocking the caller.
 func (l *remoteLease) end(result acaciatally.AttemptResult) {
+	l.finish(wireRelease(result))
+}
+
+func (l *remoteLease) move() {
+	l.finish(&peerpb.SlotCall{Call: &peerpb.SlotCall_Release{Release: &peerpb.SlotRelease{Moved: true}}})
+}
+
+// finish sends the last message and ends the stream; when it cannot be sent, the slot home frees the slot after unheardTerm.
+func (l *remoteLease) finish(last *peerpb.SlotCall) {
 	l.mu.Lock()
 	stream, again := l.stream, l.ended
 	l.ended = true
@@ -66,9 +82,7 @@
 	sent := l.service.spawn(func(context.Context) {
 		defer l.cancel()
 		defer stream.Close()
-		if result != (acaciatally.AttemptResult{}) {
-			_ = stream.Send(wireRelease(result))
-		}
+		_ = stream.Send(last)
 	})
 	if !sent {
 		stream.Close()
@@ -114,6 +128,7 @@
 
 // place is what a request needs at a slot home.
 type place struct {
+	loan    string // identifies the slot across slot homes
 	request acaciatally.Request
 	arrived time.Time
 	exclude []acaciatally.InstanceID
@@ -153,7 +168,7 @@
 		Team: p.request.Team, Urgency: p.request.Urgency, Deadline: p.request.Deadline,
 		Bytes: int64(len(p.request.Body)), DataCentre: s.config.DataCentre, Idempotent: p.request.Idempotent,
 	})
-	t.retry, t.exclude = p.request.Retry, p.exclude
+	t.retry, t.exclude, t.loan = p.request.Retry, p.exclude, p.loan
 	e := event{kind: asked, ticket: t}
 	if worker != "" {
 		e = event{kind: reportedHeld, ticket: t, worker: worker}
@@ -166,7 +181,7 @@
 
 func (s *Service) wireRequest(p place) *peerpb.SlotRequest {
 	request := &peerpb.SlotRequest{
-		Id: p.request.ID, Pool: string(p.request.Pool), Team: string(p.request.Team), Urgency: int32(p.request.Urgency),
+		Id: p.loan, Pool: string(p.request.Pool), Team: string(p.request.Team), Urgency: int32(p.request.Urgency),
 		RemainingUs: time.Until(p.request.Deadline).Microseconds(), WaitedUs: time.Since(p.arrived).Microseconds(),
 		Bytes: int64(len(p.request.Body)), DataCentre: string(s.config.DataCentre), Idempotent: p.request.Idempotent,
 		Retry: p.request.Retry,
--- a/slot/service.go
+++ b/slot/service.go
@@ -2,9 +2,11 @@
 
 import (
 	"context"
+	"crypto/rand"
 	"slices"
+	"strconv"
 	"sync"
-	"time"
+	"sync/atomic"
 
 	"github.com/samber/oops"
 
@@ -18,6 +20,8 @@
 type Service struct {
 	config  Config
 	circle  *circle
+	name    string // prefix of the ids of this process's loans
+	lent    atomic.Uint64
 	counts  *counts
 	running sync.WaitGroup
 
@@ -25,17 +29,16 @@
 	ctx      context.Context // ends with Run; nil before
 	sessions Sessions
 	homes    map[acaciatally.PoolName]*home
-	suspects map[acaciatally.EntryID]time.Time // slot homes that did not answer, until the time
-	loans    map[*loan]struct{}                // slots held by this entry
-	inUse    map[acaciatally.InstanceID]int    // requests in progress, whoever granted the slot
+	loans    map[*loan]struct{}             // slots held by this entry
+	inUse    map[acaciatally.InstanceID]int // requests in progress, whoever granted the slot
 }
 
 // New returns a service that is not yet running.
 func New(config Config) *Service {
 	config.Default()
 	service := &Service{
-		config: config, circle: newCircle(config.Self, config.Membership), counts: newCounts(config.Metrics),
-		homes: map[acaciatally.PoolName]*home{}, suspects: map[acaciatally.EntryID]time.Time{}, loans: map[*loan]struct{}{},
+		config: config, name: string(config.Self) + "/" + rand.Text() + "/", circle: newCircle(config.Self, config.Membership), counts: newCounts(config.Metrics),
+		homes: map[acaciatally.PoolName]*home{}, loans: map[*loan]struct{}{},
 		inUse: map[acaciatally.InstanceID]int{},
 	}
 	if service.config.Fallback == nil {
@@ -83,6 +86,10 @@
 	return true
 }
 
+func (s *Service) nextLoan() string {
+	return s.name + strconv.FormatUint(s.lent.Add(1), 36)
+}
+
 // Stop gives up this entry's slot homes: requests that wait are sent to the next slot home.
 func (s *Service) Stop() {
 	s.circle.stopping.Store(true)
@@ -133,6 +140,16 @@
 	return member, found && serves(member, pool, members.Leaving()) && members.MayServe()
 }
 
+// Tickets returns the number of requests that wait or hold a slot at the slot homes of this process.
+func (s *Service) Tickets() (count int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, known := range s.homes {
+		count += int(known.tickets.Load())
+	}
+	return count
+}
+
 // Home returns the entry that is the pool's slot home in this entry's view.
 func (s *Service) Home(pool acaciatally.PoolName) acaciatally.EntryID {
 	return s.circle.current().first(pool)
