Accept, place and show tasks through every entry

Cause: the task machine stood without a process that runs it. Change: entries run the desk and the runners of their pools, operators list, explain and cancel tasks, callers have /tasks; a pool cannot be named tasks. Before: no task in a running deployment. Conclusion: tasks are on the whole path.

--- a/cmd/acaciatally/cluster_test.go
+++ b/cmd/acaciatally/cluster_test.go
@@ -111,7 +111,9 @@
 
 func (c *cluster) untilReady(i int) {
 	require.Eventually(c.t, func() bool {
-		response, err := c.client.Get("http://" + c.operators[i] + "/readyz")
+		request, err := http.NewRequestWithContext(c.t.Context(), http.MethodGet, "http://"+c.operators[i]+"/readyz", http.NoBody)
+		require.NoError(c.t, err)
+		response, err := c.client.Do(request)
 		if err != nil {
 			return false
 		}
--- a/cmd/acaciatally/faults_test.go
+++ b/cmd/acaciatally/faults_test.go
@@ -20,15 +20,16 @@
 	require.NoError(c.t, c.entries[entry].Process.Signal(signal))
 }
 
-func (c *cluster) freeze(entry int, pause time.Duration) {
-	c.signal(entry, syscall.SIGSTOP)
+// freeze stops entry 0 for a while.
+func (c *cluster) freeze(pause time.Duration) {
+	c.signal(0, syscall.SIGSTOP)
 	time.Sleep(pause)
-	c.signal(entry, syscall.SIGCONT)
+	c.signal(0, syscall.SIGCONT)
 }
 
 func (c *cluster) killWorker(i int) {
 	c.endpoints[i].CloseClientConnections()
-	c.endpoints[i].Listener.Close()
+	_ = c.endpoints[i].Listener.Close()
 }
 
 func (c *cluster) platformFault(switches standin.Switches, pause time.Duration) {
@@ -44,8 +45,8 @@
 	faults := map[string]func(c *cluster){
 		"entry killed":              func(c *cluster) { c.signal(0, syscall.SIGKILL) },
 		"entry killed and replaced": func(c *cluster) { c.signal(0, syscall.SIGKILL); c.startEntry(0) },
-		"entry frozen and woken":    func(c *cluster) { c.freeze(0, 4*time.Second) },
-		"entry frozen twice":        func(c *cluster) { c.freeze(0, 3*time.Second); time.Sleep(time.Second); c.freeze(0, 3*time.Second) },
+		"entry frozen and woken":    func(c *cluster) { c.freeze(4 * time.Second) },
+		"entry frozen twice":        func(c *cluster) { c.freeze(3 * time.Second); time.Sleep(time.Second); c.freeze(3 * time.Second) },
 		"entry terminated":          func(c *cluster) { c.signal(0, syscall.SIGTERM) },
 		"worker killed":             func(c *cluster) { c.killWorker(0) },
 		"worker fails everything":   func(c *cluster) { c.workers[0].SetMode(standin.ModeFastErrors) },
@@ -60,7 +61,7 @@
 		},
 		"entry frozen while the platform is down": func(c *cluster) {
 			c.faults.Set(standin.Switches{Down: true})
-			c.freeze(0, 3*time.Second)
+			c.freeze(3 * time.Second)
 			c.faults.Set(standin.Switches{})
 		},
 		"worker and entry killed": func(c *cluster) { c.killWorker(1); c.signal(2, syscall.SIGKILL) },
--- a/console/serve.go
+++ b/console/serve.go
@@ -50,7 +50,7 @@
 	}
 	client := platform.New(platform.Config{Address: loaded.Platform.Address, Timeout: loaded.Platform.Timeout})
 	process := entry.New(entry.Config{
-		Settings: loaded, Entry: self, Table: client, Objects: client, List: client, Instances: client, Logger: logger,
+		Settings: loaded, Entry: self, Table: client, Objects: client, List: client, Instances: client, Tasks: client, Logger: logger,
 	})
 	if err := process.Run(ctx); err != nil {
 		return fmt.Errorf("entry %s: %w", self.ID, err)
--- a/entry/callers.go
+++ b/entry/callers.go
@@ -34,6 +34,9 @@
 			Outcome: acaciatally.NotRun, Status: http.StatusNotFound, Reason: "no pool at this path",
 		})
 	}
+	if p.tasks != nil {
+		ServeTasks(server, p.tasks.desk, p.log.State)
+	}
 	server.Any("/*", p.receive)
 	return server
 }
--- a/entry/operators.go
+++ b/entry/operators.go
@@ -43,7 +43,12 @@
 }
 
 func (p *Process) evaluator() *command.Evaluator {
+	var tasks command.Tasks
+	if p.tasks != nil {
+		tasks = taskBook{p.tasks}
+	}
 	return command.New(command.Config{
+		Tasks:      tasks,
 		Log:        p.log,
 		Audit:      p.trail,
 		Membership: p.peers.keeper,
--- a/entry/process.go
+++ b/entry/process.go
@@ -26,6 +26,8 @@
 	Settings *settings.Settings
 	Entry    settings.Entry
 	Table    acaciatally.TableService
+	// Tasks runs tasks on workers; without it this entry takes no tasks.
+	Tasks acaciatally.TaskLeases
 	// List and Instances are the platform's instances; without them this entry takes no part in control.
 	List      acaciatally.InstanceList
 	Instances acaciatally.InstanceControl
@@ -47,6 +49,7 @@
 	metrics  *metrics.Set
 	peers    *peers
 	watch    *watch
+	tasks    *taskControl
 	lease    *changelog.Lease
 	local    *localSlots // grants slots while no slot home answers
 	claims   *claim.Runner
@@ -84,6 +87,7 @@
 	p.peers = newPeers(config, p.log, p.local, p.metrics)
 	p.lease = newControlLease(p)
 	p.watch = newWatch(p)
+	p.tasks = newTaskControl(p)
 	p.claims = claim.NewRunner(claim.RunnerConfig{
 		Table: config.Table, Interval: claim.Interval(limits.ClaimInterval, entries), Clock: config.Clock, Metrics: p.metrics,
 	})
@@ -119,6 +123,10 @@
 	})
 	group.Go(func() error { return p.peers.run(ctx, drained, p.watch.sharer) })
 	group.Go(func() error { return p.runControl(ctx) })
+	if p.tasks != nil {
+		group.Go(func() error { return p.tasks.run(ctx) })
+		group.Go(func() error { return p.tasks.desk.Run(drained) })
+	}
 	group.Go(func() error { return p.claims.Run(drained) })
 	group.Go(func() error { return p.sweeper.Run(ctx) })
 	group.Go(func() error {
--- a/entry/tasks.go
+++ b/entry/tasks.go
@@ -15,8 +15,6 @@
 )
 
 const (
-	// taskTeamHeader names the team of a caller.
-	taskTeamHeader = "Acaciatally-Team"
 	// maxTaskBody holds a task with the largest command, which grows by a third in base64.
 	maxTaskBody = 96 << 10
 	maxTeamName = 64
@@ -67,9 +65,9 @@
 }
 
 func submitTask(c *echo.Context, desk TaskDesk, state *fleet.State) error {
-	team := c.Request().Header.Get(taskTeamHeader)
+	team := c.Request().Header.Get(acaciatally.TeamHeader)
 	if team == "" || len(team) > maxTeamName {
-		return refuseTask(c, http.StatusBadRequest, acaciatally.NotRun, "header "+taskTeamHeader+" is missing or too long")
+		return refuseTask(c, http.StatusBadRequest, acaciatally.NotRun, "header "+acaciatally.TeamHeader+" is missing or too long")
 	}
 	c.Request().Body = http.MaxBytesReader(c.Response(), c.Request().Body, maxTaskBody)
 	var body TaskRequest
@@ -106,7 +104,7 @@
 type taskCall func(ctx context.Context, team acaciatally.TeamName, id string) (record task.Record, err error)
 
 func answerTask(c *echo.Context, status int, call taskCall) error {
-	team := acaciatally.TeamName(c.Request().Header.Get(taskTeamHeader))
+	team := acaciatally.TeamName(c.Request().Header.Get(acaciatally.TeamHeader))
 	record, err := call(c.Request().Context(), team, c.Param("id"))
 	if err != nil {
 		return taskError(c, err)
@@ -147,6 +145,6 @@
 }
 
 func refuseTask(c *echo.Context, status int, outcome acaciatally.Outcome, reason string) error {
-	c.Response().Header().Set("Acaciatally-Outcome", string(outcome))
+	c.Response().Header().Set(acaciatally.OutcomeHeader, string(outcome))
 	return c.String(status, string(outcome)+": "+reason+"\n")
 }
--- a/scripts/run.sh
+++ b/scripts/run.sh
@@ -76,6 +76,16 @@
 call 3 /coating/strip -H "Acaciatally-Request-Id: $id" -d 'mirror 7'
 echo "a request for an unknown service, refused as not run:"
 call 3 /nothing/here
+echo "a task, accepted through entry-1:"
+# The simulated workers read what a task uses, and for how many nanoseconds, from its command.
+work=$(printf '{"Uses":{"Processors":1,"Memory":536870912},"Work":1000000000}' | base64 -w0)
+curl -sf -H 'Acaciatally-Team: observatories' -H 'Content-Type: application/json' \
+  -d '{"ID":"inspection-1","Pool":"coating","Kind":"inspection","Processors":2,"Memory":1073741824,"Command":"'"$work"'"}' \
+  http://127.0.0.1:17101/tasks | sed 's/^/    /'
+wait_for shows 2 'show tasks where ID = inspection-1' Done
+echo "the task through entry-2:"
+order 2 'explain task inspection-1'
+echo
 echo "backoffice-1 moves to coating through entry-1:"
 order 1 'move backoffice-1 to coating'
 wait_for shows 3 'show instances where ID = backoffice-1 and Phase = Serving' coating
--- a/settings/rules.go
+++ b/settings/rules.go
@@ -8,6 +8,9 @@
 	"github.com/acaciatally/acaciatally"
 )
 
+// tasksPath is the first path segment under which callers reach their tasks, so no pool can have this name.
+const tasksPath = "tasks"
+
 // minPeerKey is the shortest shared key in bytes that the peers' handshake accepts.
 const minPeerKey = 16
 
@@ -91,6 +94,9 @@
 		if pool.Name == "" || names[pool.Name] {
 			problems.at(path+".Name", "%q is missing or stands twice", pool.Name)
 		}
+		if pool.Name == tasksPath {
+			problems.at(path+".Name", "%q is the path of tasks", pool.Name)
+		}
 		names[pool.Name] = true
 		if pool.Spare && spare != "" {
 			problems.at(path+".Spare", "pool %s is the spare pool already", spare)
--- a/task/record.go
+++ b/task/record.go
@@ -122,14 +122,16 @@
 }
 
 const (
-	rowPrefix   = "Task/"
 	inboxPrefix = "TaskNew/"
 	indexPrefix = "TaskPool/"
 )
 
+// RowPrefix starts the key of every task's row.
+const RowPrefix = "Task/"
+
 // RowKey is the key of a task's row.
 func RowKey(pool acaciatally.PoolName, id string) string {
-	return rowPrefix + string(pool) + "/" + id
+	return RowPrefix + string(pool) + "/" + id
 }
 
 func inboxKey(pool acaciatally.PoolName, id string) string {
