--- a/command/change.go
+++ b/command/change.go
@@ -71,38 +71,10 @@
 // unchanged fails with *fleet.RaceError when a subject of the changes has a higher version than the order's author saw.
 func unchanged(state *fleet.State, changes []fleet.Change, seen uint64) error {
 	for _, change := range changes {
-		subject, version, by := subjectOf(state, change)
-		if version > seen {
-			return &fleet.RaceError{Subject: subject, By: by, Version: version}
+		kind, name := change.Subject()
+		if version, by := state.VersionOf(kind, name); version > seen {
+			return &fleet.RaceError{Subject: string(kind) + " " + name, By: by, Version: version}
 		}
 	}
 	return nil
 }
-
-func subjectOf(state *fleet.State, change fleet.Change) (subject string, version uint64, by string) {
-	subject, _ = change.Describe()
-	switch {
-	case change.PutPool != nil:
-		pool := state.Pools[change.PutPool.Name]
-		return subject, pool.Version, pool.By
-	case change.RemovePool != nil:
-		pool := state.Pools[change.RemovePool.Name]
-		return subject, pool.Version, pool.By
-	case change.PutTeam != nil:
-		team := state.Teams[change.PutTeam.Name]
-		return subject, team.Version, team.By
-	case change.RemoveTeam != nil:
-		team := state.Teams[change.RemoveTeam.Name]
-		return subject, team.Version, team.By
-	case change.SetPhase != nil:
-		instance := state.Instances[change.SetPhase.ID]
-		return subject, instance.Version, instance.By
-	case change.RemoveInstance != nil:
-		instance := state.Instances[change.RemoveInstance.ID]
-		return subject, instance.Version, instance.By
-	case change.PutWave != nil:
-		wave := state.Waves[change.PutWave.ID]
-		return subject, wave.Version, wave.By
-	}
-	return subject, 0, ""
-}
--- a/fleet/describe.go
+++ b/fleet/describe.go
@@ -5,30 +5,55 @@
 	"strings"
 )
 
-// Describe returns the subject of a change and what happens to it.
-func (c Change) Describe() (subject, what string) {
+// Subject returns the kind and the name of the object that the change is about.
+func (c Change) Subject() (kind SubjectKind, name string) {
 	switch {
 	case c.PutPool != nil:
-		return "pool " + string(c.PutPool.Name),
-			fmt.Sprintf("budget unavailable %d available %d", c.PutPool.MaxUnavailable, c.PutPool.MinAvailable)
+		return SubjectPool, string(c.PutPool.Name)
 	case c.RemovePool != nil:
-		return "pool " + string(c.RemovePool.Name), "removed"
+		return SubjectPool, string(c.RemovePool.Name)
 	case c.PutTeam != nil:
-		return "team " + string(c.PutTeam.Name), fmt.Sprintf("quota %d", c.PutTeam.Quota)
+		return SubjectTeam, string(c.PutTeam.Name)
 	case c.RemoveTeam != nil:
-		return "team " + string(c.RemoveTeam.Name), "removed"
+		return SubjectTeam, string(c.RemoveTeam.Name)
 	case c.AddInstance != nil:
-		return "instance " + string(c.AddInstance.ID), "added to " + string(c.AddInstance.Pool)
+		return SubjectInstance, string(c.AddInstance.ID)
 	case c.RemoveInstance != nil:
-		return "instance " + string(c.RemoveInstance.ID), "removed"
+		return SubjectInstance, string(c.RemoveInstance.ID)
 	case c.MoveInstance != nil:
-		return "instance " + string(c.MoveInstance.ID), fmt.Sprintf("moved from %s to %s", c.MoveInstance.From, c.MoveInstance.To)
+		return SubjectInstance, string(c.MoveInstance.ID)
 	case c.SetPhase != nil:
-		return "instance " + string(c.SetPhase.ID), strings.TrimSpace(fmt.Sprintf("%s %s", c.SetPhase.Phase, c.SetPhase.Cause))
+		return SubjectInstance, string(c.SetPhase.ID)
 	case c.PutWave != nil:
-		return "wave " + c.PutWave.ID, string(c.PutWave.State)
+		return SubjectWave, c.PutWave.ID
 	case c.SetOption != nil:
-		return "option " + c.SetOption.Name, "set to " + c.SetOption.Value
+		return SubjectOption, c.SetOption.Name
 	}
 	return "", ""
 }
+
+// Describe returns the subject of a change and what happens to it.
+func (c Change) Describe() (subject, what string) {
+	kind, name := c.Subject()
+	return strings.ToLower(string(kind)) + " " + name, c.effect()
+}
+
+func (c Change) effect() string {
+	switch {
+	case c.PutPool != nil:
+		return fmt.Sprintf("budget unavailable %d available %d", c.PutPool.MaxUnavailable, c.PutPool.MinAvailable)
+	case c.PutTeam != nil:
+		return fmt.Sprintf("quota %d", c.PutTeam.Quota)
+	case c.AddInstance != nil:
+		return "added to " + string(c.AddInstance.Pool)
+	case c.MoveInstance != nil:
+		return fmt.Sprintf("moved from %s to %s", c.MoveInstance.From, c.MoveInstance.To)
+	case c.SetPhase != nil:
+		return strings.TrimSpace(fmt.Sprintf("%s %s", c.SetPhase.Phase, c.SetPhase.Cause))
+	case c.PutWave != nil:
+		return string(c.PutWave.State)
+	case c.SetOption != nil:
+		return "set to " + c.SetOption.Value
+	}
+	return "removed"
+}
--- a/fleet/race.go
+++ b/fleet/race.go
@@ -9,12 +9,13 @@
 // SubjectKind is the kind of object that a change is about.
 type SubjectKind string
 
-// The kinds of objects that carry a version.
+// The kinds of objects of changes; all but options carry a version.
 const (
 	SubjectPool     SubjectKind = "Pool"
 	SubjectInstance SubjectKind = "Instance"
 	SubjectTeam     SubjectKind = "Team"
 	SubjectWave     SubjectKind = "Wave"
+	SubjectOption   SubjectKind = "Option"
 )
 
 // Seen is the version of an object on which the author of a change based the decision; 0 means that it did not exist.
@@ -42,7 +43,7 @@
 // Unchanged returns a *RaceError for the first object whose version differs from the one seen.
 func (s *State) Unchanged(seen ...Seen) (err error) {
 	for _, one := range seen {
-		version, by := s.versionOf(one)
+		version, by := s.VersionOf(one.Kind, one.Name)
 		if version != one.Version {
 			return &RaceError{Subject: string(one.Kind) + " " + one.Name, By: by, Version: version}
 		}
@@ -50,19 +51,20 @@
 	return nil
 }
 
-func (s *State) versionOf(seen Seen) (version uint64, by string) {
-	switch seen.Kind {
+// VersionOf returns the version of an object's last change and who made it; 0 means that the object does not exist.
+func (s *State) VersionOf(kind SubjectKind, name string) (version uint64, by string) {
+	switch kind {
 	case SubjectPool:
-		pool := s.Pools[acaciatally.PoolName(seen.Name)]
+		pool := s.Pools[acaciatally.PoolName(name)]
 		return pool.Version, pool.By
 	case SubjectInstance:
-		instance := s.Instances[acaciatally.InstanceID(seen.Name)]
+		instance := s.Instances[acaciatally.InstanceID(name)]
 		return instance.Version, instance.By
 	case SubjectTeam:
-		team := s.Teams[acaciatally.TeamName(seen.Name)]
+		team := s.Teams[acaciatally.TeamName(name)]
 		return team.Version, team.By
 	case SubjectWave:
-		wave := s.Waves[seen.Name]
+		wave := s.Waves[name]
 		return wave.Version, wave.By
 	}
 	return 0, ""
