Try to keep slots beyond the floors from teams above their usual use

Ruled out: dividing the slots beyond the floors by team alone, since less urgent work would then get as much of them as urgent work in every busy time. The flooding teams' usual use is learned from the preceding flood of the least urgent work, so they do not stand out; a prior without history makes every team stand out.

--- a/queue/flow.go
+++ b/queue/flow.go
@@ -15,6 +15,7 @@
 type team struct {
 	quota int // slots, 0 for none
 	held  int
+	usual usual
 	flows [acaciatally.UrgencyClasses]flow
 }
 
