--- a/queue/flow.go
+++ b/queue/flow.go
@@ -15,7 +15,6 @@
 type team struct {
 	quota int // slots, 0 for none
 	held  int
-	usual usual
 	flows [acaciatally.UrgencyClasses]flow
 }
 
--- a/queue/grant.go
+++ b/queue/grant.go
@@ -28,7 +28,7 @@
 			q.setAside(ticket)
 			continue
 		}
-		q.grant(now, ticket, byFloor)
+		q.grant(ticket, byFloor)
 		return ticket.item, true
 	}
 }
@@ -49,25 +49,25 @@
 	return min(t.flow.service.median, t.item.Deadline.Sub(t.arrived)/2)
 }
 
-func (q *Queue) grant(now time.Time, ticket *ticket, byFloor bool) {
+func (q *Queue) grant(ticket *ticket, byFloor bool) {
 	flow := ticket.flow
 	flow.class.virtual = max(flow.class.virtual, flow.virtual)
 	q.remove(ticket)
-	q.hold(now, ticket.item.ID, &grant{flow: flow, charged: q.estimate(flow), byFloor: byFloor})
+	q.hold(ticket.item.ID, &grant{flow: flow, charged: q.estimate(flow), byFloor: byFloor})
 }
 
 // Hold records a slot that the item holds already, as reported after a change of slot home.
-func (q *Queue) Hold(now time.Time, item Item) {
+func (q *Queue) Hold(_ time.Time, item Item) {
 	if _, known := q.grants[item.ID]; known {
 		return
 	}
 	q.Cancel(item.ID)
 	flow := q.flow(item)
-	q.hold(now, item.ID, &grant{flow: flow, charged: q.estimate(flow)})
+	q.hold(item.ID, &grant{flow: flow, charged: q.estimate(flow)})
 }
 
 // Done returns the slot of a granted item; a service time of zero is not learned from.
-func (q *Queue) Done(now time.Time, item Item, serviceTime time.Duration) {
+func (q *Queue) Done(_ time.Time, item Item, serviceTime time.Duration) {
 	grant, known := q.grants[item.ID]
 	if !known {
 		return
@@ -75,7 +75,7 @@
 	delete(q.grants, item.ID)
 	flow := grant.flow
 	flow.team.changed(func() {
-		q.countHeld(now, flow, -1)
+		q.countHeld(flow, -1)
 		flow.charge(serviceTime - grant.charged)
 	})
 	if grant.byFloor {
@@ -84,11 +84,11 @@
 	q.learn(flow, serviceTime)
 }
 
-func (q *Queue) hold(now time.Time, id string, grant *grant) {
+func (q *Queue) hold(id string, grant *grant) {
 	q.grants[id] = grant
 	flow := grant.flow
 	flow.team.changed(func() {
-		q.countHeld(now, flow, 1)
+		q.countHeld(flow, 1)
 		flow.charge(grant.charged)
 	})
 	if grant.byFloor {
@@ -97,8 +97,7 @@
 	}
 }
 
-func (q *Queue) countHeld(now time.Time, flow *flow, sign int) {
-	flow.team.usual.observe(now, flow.team.held)
+func (q *Queue) countHeld(flow *flow, sign int) {
 	flow.held += sign
 	flow.team.held += sign
 	flow.class.held += sign
@@ -112,8 +111,8 @@
 		if class := q.furthestBelow(slots, over); class != nil {
 			return class.line(over).list[0], true
 		}
-		if next = q.mostUrgent(over); next != nil {
-			return next, false
+		if class := q.mostUrgent(over); class != nil {
+			return class.line(over).list[0], false
 		}
 	}
 	return nil, false
@@ -133,23 +132,14 @@
 	return next
 }
 
-// mostUrgent returns the next flow of the most urgent class whose next team holds no more slots than usual, else of the most
-// urgent class. Slots beyond the floors so go to a flood last.
-func (q *Queue) mostUrgent(over bool) (next *flow) {
+// mostUrgent returns the most urgent class with work queued, or nil.
+func (q *Queue) mostUrgent(over bool) *class {
 	for urgency := range q.classes {
-		line := q.classes[urgency].line(over)
-		if line.Len() == 0 {
-			continue
-		}
-		first := line.list[0]
-		if !first.team.usual.exceeded(first.team.held) {
-			return first
-		}
-		if next == nil {
-			next = first
+		if q.classes[urgency].line(over).Len() > 0 {
+			return &q.classes[urgency]
 		}
 	}
-	return next
+	return nil
 }
 
 func (q *Queue) belowFloor(urgency, slots int) bool {
