Keep short deadlines from opening circuit breakers

Cause: an attempt that its caller cuts off is Unknown and counted as an error of the worker. A team within its quota whose deadlines are too short so closes up to half of the workers to all teams for 30 s at a time. Ruled out: never counting cut off attempts, since a worker that never answers would pass for healthy. Change: AttemptResult.CutOff tells that the caller's deadline or disconnect ended the attempt; such a result counts only after five times the typical service time. Taken out, the change makes TestCutOff fail, as does counting no cut off attempt at all.

--- a/model/worker.go
+++ b/model/worker.go
@@ -74,7 +74,7 @@
 		duration *= slowFactor
 	}
 	if left := request.deadline - s.clock.now; duration > left {
-		return max(0, left), acaciatally.AttemptResult{Outcome: acaciatally.Unknown}
+		return max(0, left), acaciatally.AttemptResult{Outcome: acaciatally.Unknown, CutOff: true}
 	}
 	return duration, acaciatally.AttemptResult{Status: http.StatusOK}
 }
--- a/request.go
+++ b/request.go
@@ -98,6 +98,7 @@
 	Outcome     Outcome // empty when a whole answer came
 	Status      int     // HTTP status, 0 when none came
 	Refused     bool    // the endpoint proved that it did not run the request
+	CutOff      bool    // the caller's deadline or its disconnect ended the attempt, not the worker
 	ServiceTime time.Duration
 }
 
--- a/route/router.go
+++ b/route/router.go
@@ -14,6 +14,9 @@
 // typicalWeight is the weight of the latest success in the typical service time.
 const typicalWeight = 0.02
 
+// hangingFactor is the multiple of the typical service time after which a cut off attempt counts against the worker.
+const hangingFactor = 5
+
 // maxNearErrors is the recent error rate above which a worker loses its advantage of being near.
 const maxNearErrors = 0.3
 
@@ -62,10 +65,11 @@
 	return r.picked(now, best)
 }
 
-// Report records how an attempt on a worker went; the zero result returns a pick that was not used.
+// Report records how an attempt on a worker went; the zero result returns a pick that was not used. An attempt that the caller
+// cut off early says nothing about the worker.
 func (r *Router) Report(now time.Time, worker acaciatally.InstanceID, result acaciatally.AttemptResult) {
 	known := r.health(worker)
-	if unused(result) {
+	if unused(result) || r.cutOffEarly(result) {
 		known.release()
 		return
 	}
@@ -75,6 +79,12 @@
 	}
 }
 
+// cutOffEarly reports whether the attempt was ended by its caller before a healthy worker would surely have answered. Otherwise
+// one team's short deadlines would open the circuit breakers of healthy workers.
+func (r *Router) cutOffEarly(result acaciatally.AttemptResult) bool {
+	return result.CutOff && result.ServiceTime < hangingFactor*r.typicalServiceTime()
+}
+
 // Usable returns the number of slots, free or busy, that Pick may use now; it is the number of slots for queue.Next.
 func (r *Router) Usable(now time.Time, workers []Worker) (slots int) {
 	ignore := r.tooManyWithheld(workers)
--- a/route/router_test.go
+++ b/route/router_test.go
@@ -234,3 +234,24 @@
 	_, found = router.Pick(testStart.Add(110*time.Millisecond), route.Request{}, workers)
 	require.True(t, found)
 }
+
+// TestCutOff guards against breakers opened by callers with short deadlines, and against workers that never answer and pass for
+// healthy.
+func TestCutOff(t *testing.T) {
+	tests := map[string]struct {
+		after  time.Duration
+		usable int
+	}{
+		"short deadlines":      {after: 60 * time.Millisecond, usable: 24},
+		"worker never answers": {after: time.Second, usable: 16},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			router, workers := route.New(route.Config{}), pool(3)
+			router.Report(testStart, "w1", answered)
+			cut := acaciatally.AttemptResult{Outcome: acaciatally.Unknown, CutOff: true, ServiceTime: test.after}
+			reports(router, testStart, "w0", repeat(cut, 20))
+			require.Equal(t, test.usable, router.Usable(testStart, workers))
+		})
+	}
+}
