Measure work beside a team whose requests fail on every worker

Cause: errors that a team's requests cause are counted against the workers that they reach. Ruled out: nothing yet. Change: the experiment hasty becomes culprit, with short deadlines and with failing requests. The model no longer repeats requests that ran and failed, as attempts do not either.

--- a/cmd/experiment/main_test.go
+++ b/cmd/experiment/main_test.go
@@ -19,7 +19,7 @@
 	}{
 		"help":             {arguments: []string{"-help"}, out: "Examples:"},
 		"version":          {arguments: []string{"-version"}, out: "experiment "},
-		"list":             {arguments: []string{"-list"}, out: "routing\nflood\nfailer\nhasty\n"},
+		"list":             {arguments: []string{"-list"}, out: "routing\nflood\nfailer\nculprit\n"},
 		"unknown flag":     {arguments: []string{"-nothing"}, code: 2, failures: "not defined"},
 		"unknown name":     {arguments: []string{"-only", "nothing"}, code: 2, failures: `no experiment "nothing"`},
 		"stray argument":   {arguments: []string{"flood"}, code: 2, failures: `unexpected argument "flood"`},
--- a/model/config.go
+++ b/model/config.go
@@ -69,6 +69,7 @@
 	Spread   float64       // standard deviation of the logarithm of the service time
 	Deadline time.Duration
 	Bytes    int64
+	Fails    bool    // every worker answers the requests with an error after a millisecond
 	Phases   []Phase // factors on the demand; outside of them it is Otherwise
 	// Otherwise is the factor on the demand outside the phases.
 	Otherwise float64
--- a/model/simulation.go
+++ b/model/simulation.go
@@ -9,9 +9,6 @@
 	"github.com/acaciatally/acaciatally"
 )
 
-// maxRetries is the number of further attempts after a failure.
-const maxRetries = 2
-
 // entry is one process of the system.
 type entry struct {
 	index      int
@@ -212,7 +209,7 @@
 	}
 }
 
-// answer ends a request whose last attempt has the result, unless it may be tried again.
+// answer ends a request whose last attempt has the result, unless it did not run and may be tried again.
 func (s *simulation) answer(request *request, result acaciatally.AttemptResult) (again bool) {
 	switch {
 	case s.clock.now >= request.deadline && result.Outcome == acaciatally.NotRun:
@@ -222,7 +219,7 @@
 	case result.Outcome == "":
 		request.team.Answered++
 		s.end(request, func(t *Tally) { t.Answered++ })
-	case result.Outcome == acaciatally.Failed && request.attempts > maxRetries:
+	case result.Outcome == acaciatally.Failed:
 		s.end(request, func(t *Tally) { t.Failed++ })
 	default:
 		return true
--- a/model/worker.go
+++ b/model/worker.go
@@ -67,10 +67,11 @@
 // service returns how long the request takes at the worker and how it ends.
 func (s *simulation) service(request *request, worker *worker) (duration time.Duration, result acaciatally.AttemptResult) {
 	duration = request.service
-	switch worker.fault(s.clock.now) {
-	case FailsFast:
+	fault := worker.fault(s.clock.now)
+	switch {
+	case fault == FailsFast || request.source.Fails:
 		return fastFailure, acaciatally.AttemptResult{Outcome: acaciatally.Failed, Status: http.StatusInternalServerError}
-	case Slow:
+	case fault == Slow:
 		duration *= slowFactor
 	}
 	if left := request.deadline - s.clock.now; duration > left {
