Test that waiting requests and reported slots follow the slot home

Cause: with single mechanisms taken out, three tests still passed: the Hello at a new version, the report of a slot that is known already, and waiting requests that follow a change of home. Change: a test each; with the mechanism taken out each of them fails now.

--- a/membership/keeper_test.go
+++ b/membership/keeper_test.go
@@ -198,6 +198,7 @@
 		t.Run(fmt.Sprintf("down=%t", down), func(t *testing.T) {
 			bubble(t, func(t *testing.T) {
 				c := newCluster(t, 9)
+				time.Sleep(300 * time.Millisecond) // between two Hellos
 				c.shared.Store(7)
 				c.hosts[2].view.version.Store(7)
 				c.table.down.Store(down)
--- a/slot/property_test.go
+++ b/slot/property_test.go
@@ -162,6 +162,32 @@
 	})
 }
 
+// TestReportedAgain guards against a slot that is counted twice when its holder reports it after a broken stream, before or after
+// the slot home has noticed the break.
+func TestReportedAgain(t *testing.T) {
+	for name, noticed := range map[string]bool{"break noticed": true, "break not noticed": false} {
+		t.Run(name, func(t *testing.T) {
+			now := time.Unix(1000, 0)
+			b := newBoard(queue.Config{}, route.Config{}, 0.05)
+			b.setWorkers([]route.Worker{{ID: "worker-0", Slots: 2}})
+			first := newTicket(queue.Item{Team: "t", Deadline: now.Add(time.Minute)})
+			first.loan = "1"
+			require.Nil(t, b.ask(now, first))
+			require.Len(t, b.grant(now), 1)
+			if noticed {
+				b.unheard(now, first)
+			}
+			second := newTicket(first.item)
+			second.loan = "1"
+			b.hold(now, second, first.worker)
+			b.unheard(now, first)
+			require.Equal(t, 1, b.busy["worker-0"])
+			b.release(now, second, acaciatally.AttemptResult{Status: 200})
+			require.Empty(t, b.busy)
+		})
+	}
+}
+
 // finish releases the tickets that hold a slot and keeps the ones that wait.
 func (b *boards) finish() {
 	var rest []*caller
--- a/slot/service_test.go
+++ b/slot/service_test.go
@@ -113,6 +113,27 @@
 	c.hosts = rest
 }
 
+// TestWaitingFollow guards against requests that go on waiting at an entry that is no slot home any more, which then grants slots
+// that it knows nothing of.
+func TestWaitingFollow(t *testing.T) {
+	bubble(t, func(t *testing.T) {
+		c := newCluster(t, 3, 1)
+		old := c.home()
+		c.load(c.others(), 10, 20*time.Second)
+		time.Sleep(time.Second)
+		require.Equal(t, 20, old.slots.Tickets())
+		for i := 20; c.home() == old; i++ {
+			c.join(i)
+			time.Sleep(4 * time.Second)
+		}
+		time.Sleep(4 * time.Second)
+		require.Zero(t, old.slots.Tickets())
+		require.Equal(t, 20, c.home().slots.Tickets())
+		require.Equal(t, workerSlots, c.highest())
+		c.callers.Wait()
+	})
+}
+
 // TestIsolated guards against an entry that goes on sending work when it hears neither the platform nor other entries (P6).
 func TestIsolated(t *testing.T) {
 	bubble(t, func(t *testing.T) {
