--- a/peer/session.go
+++ b/peer/session.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/binary"
 	"errors"
 	"io"
 	"net"
@@ -23,18 +24,45 @@
 	dialled bool
 }
 
-// timedConn closes writes that take longer than limit, so that a peer that stops reading cannot block the session for ever.
-type timedConn struct {
+// The header of a yamux frame: version, type, flags, stream and length.
+const (
+	frameHeader     = 12
+	frameTypeAt     = 1
+	frameLengthAt   = 8
+	frameTypeOfData = 0
+)
+
+// sessionConn ends writes that take longer than limit, so that a peer that stops reading cannot block the session for ever, and
+// writes the header of a data frame together with its body, which yamux writes apart: one system call and packet instead of two.
+type sessionConn struct {
 	net.Conn
-	limit time.Duration
+	limit  time.Duration
+	header []byte // held back until the body comes; only yamux's one sending goroutine writes
 }
 
-// Write sets the deadline of this write.
-func (c timedConn) Write(p []byte) (n int, err error) {
+// Write sends p, or holds it back when it is the header of a data frame.
+func (c *sessionConn) Write(p []byte) (n int, err error) {
+	if len(c.header) == 0 && headsData(p) {
+		c.header = append(c.header, p...)
+		return len(p), nil
+	}
 	if err = c.SetWriteDeadline(time.Now().Add(c.limit)); err != nil {
 		return 0, err
 	}
-	return c.Conn.Write(p)
+	if len(c.header) == 0 {
+		return c.Conn.Write(p)
+	}
+	c.header = append(c.header, p...)
+	_, err = c.Conn.Write(c.header)
+	c.header = c.header[:0]
+	if err != nil {
+		return 0, err
+	}
+	return len(p), nil
+}
+
+func headsData(p []byte) bool {
+	return len(p) == frameHeader && p[frameTypeAt] == frameTypeOfData && binary.BigEndian.Uint32(p[frameLengthAt:]) > 0
 }
 
 func (n *Node) newSession(conn net.Conn, who identity, dialled bool) (*session, error) {
@@ -49,7 +77,7 @@
 	if dialled {
 		open = yamux.Client
 	}
-	multiplexed, err := open(timedConn{conn, n.config.WriteTimeout}, config)
+	multiplexed, err := open(&sessionConn{Conn: conn, limit: n.config.WriteTimeout}, config)
 	if err != nil {
 		return nil, err
 	}
--- a/slot/serve.go
+++ b/slot/serve.go
@@ -49,8 +49,12 @@
 		_ = stream.Send(wireReply(reply{moved: true}, ""))
 		return
 	}
+	if first.kind == reportedHeld || !s.firstReply(stream, serving, t) {
+		serving.send(awaitRelease(stream, t))
+		return
+	}
 	finished := make(chan struct{})
-	if !s.spawn(func(context.Context) { s.tell(stream, t, finished) }) {
+	if !s.spawn(func(context.Context) { s.secondReply(stream, t, finished) }) {
 		close(finished)
 	}
 	serving.send(awaitRelease(stream, t))
@@ -59,19 +63,29 @@
 	<-finished
 }
 
-// tell sends the home's replies until the stream ends.
-func (s *Service) tell(stream *peer.Stream, t *ticket, finished chan<- struct{}) {
+// firstReply sends the first reply, which the home gives at once, and reports whether another one will follow.
+func (s *Service) firstReply(stream *peer.Stream, serving *home, t *ticket) (more bool) {
+	r := reply{moved: true}
+	select {
+	case r = <-t.replies:
+	case <-serving.closed:
+	}
+	if stream.Send(wireReply(r, s.address(r.worker))) != nil {
+		stream.Close()
+		return false
+	}
+	return r.queued
+}
+
+// secondReply sends the final reply to a request that waited, unless the stream ends before.
+func (s *Service) secondReply(stream *peer.Stream, t *ticket, finished chan<- struct{}) {
 	defer close(finished)
-	for {
-		select {
-		case r := <-t.replies:
-			if stream.Send(wireReply(r, s.address(r.worker))) != nil {
-				stream.Close()
-				return
-			}
-		case <-t.left:
-			return
+	select {
+	case r := <-t.replies:
+		if stream.Send(wireReply(r, s.address(r.worker))) != nil {
+			stream.Close()
 		}
+	case <-t.left:
 	}
 }
 
--- a/slot/service.go
+++ b/slot/service.go
@@ -150,6 +150,9 @@
 	return count
 }
 
+// Self returns the id of this entry.
+func (s *Service) Self() acaciatally.EntryID { return s.config.Self }
+
 // Home returns the entry that is the pool's slot home in this entry's view.
 func (s *Service) Home(pool acaciatally.PoolName) acaciatally.EntryID {
 	return s.circle.current().first(pool)
