--- a/slot/board.go
+++ b/slot/board.go
@@ -66,6 +66,7 @@
 	busy    map[acaciatally.InstanceID]int
 	tickets map[string]*ticket
 	loans   map[string]*ticket // tickets that hold a slot, by loan
+	waits   int                // tickets that wait
 	count   uint64
 	swept   time.Time
 }
@@ -101,6 +102,7 @@
 		return refusal
 	}
 	t.phase, t.since = waiting, now
+	b.waits++
 	b.tickets[t.item.ID] = t
 	return nil
 }
@@ -129,6 +131,7 @@
 func (b *board) release(now time.Time, t *ticket, result acaciatally.AttemptResult) {
 	switch t.phase {
 	case waiting:
+		b.waits--
 		b.queue.Cancel(t.item.ID)
 	case held:
 		b.queue.Done(now, t.item, result.ServiceTime)
@@ -159,7 +162,7 @@
 // grant gives free slots to queued tickets and returns them; their worker is set.
 func (b *board) grant(now time.Time) (granted []*ticket) {
 	var unplaced []*ticket
-	for len(unplaced) < maxUnplaced {
+	for b.waits > len(unplaced) && len(unplaced) < maxUnplaced {
 		workers := b.offered()
 		item, found := b.queue.Next(now, b.router.Usable(now, workers)+b.heldElsewhere(workers))
 		if !found {
@@ -176,6 +179,7 @@
 			unplaced = append(unplaced, t)
 			continue
 		}
+		b.waits--
 		t.phase, t.worker, t.since = held, worker, now
 		b.loans[t.loan] = t
 		b.busy[worker]++
@@ -183,6 +187,7 @@
 	}
 	for _, t := range unplaced {
 		if b.queue.Push(now, t.item) != nil {
+			b.waits--
 			t.phase = finished
 			delete(b.tickets, t.item.ID)
 			b.answer(t, reply{refusal: &acaciatally.Refusal{Outcome: acaciatally.NotRun, Status: http.StatusServiceUnavailable, Reason: "no worker is free"}})
@@ -232,6 +237,7 @@
 func (b *board) expire(now time.Time) (expired []*ticket) {
 	for _, item := range b.queue.Expire(now) {
 		if t := b.tickets[item.ID]; t != nil && t.phase == waiting {
+			b.waits--
 			t.phase = finished
 			delete(b.tickets, item.ID)
 			expired = append(expired, t)
@@ -261,6 +267,7 @@
 
 // drop ends a waiting ticket without a grant.
 func (b *board) drop(t *ticket) {
+	b.waits--
 	b.queue.Cancel(t.item.ID)
 	t.phase = finished
 	delete(b.tickets, t.item.ID)
--- a/slot/property_test.go
+++ b/slot/property_test.go
@@ -129,6 +129,7 @@
 		require.Equal(b.t, heldCount, stats.Held[acaciatally.Normal], "slots by ticket and in the queue")
 		require.Equal(b.t, len(one.tickets)-heldCount, stats.Queued[acaciatally.Normal])
 		require.LessOrEqual(b.t, len(one.loans), heldCount)
+		require.Equal(b.t, len(one.tickets)-heldCount, one.waits)
 	}
 }
 
