--- a/peer/handshake_test.go
+++ b/peer/handshake_test.go
@@ -106,3 +106,26 @@
 		other.stop()
 	})
 }
+
+// TestStreamLimits guards against streams that hold memory because they never tell their kind or because there are too many.
+func TestStreamLimits(t *testing.T) {
+	bubble(t, func(t *testing.T) {
+		network := standin.NewNetwork()
+		limited := config(network, 0)
+		limited.MaxStreams = 2
+		node, other := start(t, limited), start(t, config(network, 1))
+		other.SetPeers(mesh(2))
+		time.Sleep(time.Second)
+		for range 3 {
+			stream, err := other.Open(t.Context(), entryID(0), peer.Hello) // sends nothing
+			require.NoError(t, err)
+			defer stream.Close()
+		}
+		time.Sleep(6 * time.Second)
+		require.Equal(t, 1, node.count(`acaciatally_peer_rejected_total{reason="TooManyStreams"}`))
+		require.Equal(t, 2, node.count(`acaciatally_peer_rejected_total{reason="SlowStream"}`))
+		require.NoError(t, exchange(t, other, entryID(0)))
+		node.stop()
+		other.stop()
+	})
+}
--- a/slot/service_test.go
+++ b/slot/service_test.go
@@ -232,6 +232,53 @@
 	})
 }
 
+// TestReleaseLost guards against slots that stay taken when the message that returns them is lost or its sender is gone.
+func TestReleaseLost(t *testing.T) {
+	tests := map[string]func(c *cluster, holder *host){
+		"holder dies": func(c *cluster, holder *host) {
+			holder.kill()
+			c.network.Break(holder.address)
+			c.remove(holder)
+		},
+		"holder hangs during the release": func(c *cluster, holder *host) {
+			wake := c.network.Freeze(holder.address)
+			time.Sleep(10 * time.Second)
+			wake()
+		},
+		"connections break during the release": func(c *cluster, holder *host) {
+			time.Sleep(1500 * time.Millisecond)
+			c.network.Break(holder.address)
+		},
+		"workers go while slots are held": func(c *cluster, _ *host) {
+			c.setWorkers(0)
+			time.Sleep(5 * time.Second)
+			c.setWorkers(3)
+			time.Sleep(2 * time.Second)
+		},
+	}
+	for name, fault := range tests {
+		t.Run(name, func(t *testing.T) {
+			bubble(t, func(t *testing.T) {
+				c := newCluster(t, 3, 3)
+				holder := c.others()[0]
+				c.load([]*host{holder}, 12, 2*time.Second)
+				time.Sleep(500 * time.Millisecond)
+				fault(c, holder)
+				time.Sleep(8 * time.Second) // keepalive and unheardTerm
+				for _, h := range c.hosts {
+					require.Zero(t, h.slots.Tickets())
+				}
+				began := time.Now()
+				c.load(c.hosts, 6, 100*time.Millisecond)
+				c.callers.Wait()
+				require.Empty(t, c.failures)
+				require.Less(t, time.Since(began), time.Second, "all slots can be had again")
+				c.empty()
+			})
+		})
+	}
+}
+
 // TestFallback guards against requests that fail, or swamp the workers, while no slot home answers.
 func TestFallback(t *testing.T) {
 	bubble(t, func(t *testing.T) {
