Hand idle loans on early and park own instances only for long

Cause: loans left a pool two at a time after the next burst had begun, parked instances of one pool were lent to others, and queued work was remembered as demand. Ruled out: sending loans through the spare pool in any case (a second move for each). Change: idle loans go to the pool that will lack them within the payback; an own instance leaves only when idle for three paybacks; the observed demand is the load offered, without the queue, for the baselines as well.

--- a/move/move.go
+++ b/move/move.go
@@ -74,6 +74,10 @@
 	Wanted map[acaciatally.PoolName]int
 }
 
+// nativePaybacks is how many paybacks one of a pool's own instances must be idle before it is parked in the spare pool: it has to come
+// back in time, while the budget lets only a few move at once.
+const nativePaybacks = 3
+
 // payback is the idle time of an instance above which a move there and back costs less than keeping it.
 func (p *Planner) payback() time.Duration {
 	return min(p.config.MaxPayback, time.Duration(2*float64(p.config.MoveCost)*p.config.Moves/p.config.Reserve))
@@ -93,7 +97,8 @@
 	name  acaciatally.PoolName
 	have  int // serving or on their way into the pool
 	soon  int // needed within the lead
-	kept  int // needed within the hold time or the payback, whichever is longer
+	kept  int // needed within the payback; loans beyond it may leave
+	home  int // needed within the longer payback of the pool's own instances
 	slots float64
 }
 
@@ -105,6 +110,7 @@
 	}
 	r.survey()
 	r.fill()
+	r.pass()
 	r.release()
 	return r.actions
 }
@@ -124,6 +130,7 @@
 		pool := &standing{name: name, have: state.Available(name) + incoming[name], slots: slotsOf(state.Members(name))}
 		pool.soon = r.need(pool, r.config.Lead)
 		pool.kept = max(pool.soon, r.need(pool, max(r.payback(), r.config.Lead)))
+		pool.home = max(pool.kept, r.need(pool, min(r.config.MaxPayback, nativePaybacks*r.payback())))
 		r.pools = append(r.pools, pool)
 	}
 }
@@ -183,6 +190,22 @@
 	return r.neediest() != nil
 }
 
+// pass hands idle loans to the pools that will lack them later: their move costs the same now and nothing is idle meanwhile, and the
+// few that a budget lets go at once are on their way before the burst.
+func (r *round) pass() {
+	for _, pool := range r.pools {
+		for _, candidate := range r.candidates(pool) {
+			if pool.have >= pool.kept {
+				break
+			}
+			if candidate.rank == 0 && r.order(candidate.instance, pool.name) {
+				pool.have++
+				candidate.from.have--
+			}
+		}
+	}
+}
+
 type candidate struct {
 	instance fleet.Instance
 	from     *standing // nil for the spare pool
@@ -203,6 +226,8 @@
 			rank := 4
 			if instance.Home != from.name {
 				rank = 0
+			} else if from.have <= from.home {
+				continue
 			}
 			candidates = append(candidates, candidate{instance: instance, from: from, rank: rank})
 		}
@@ -241,7 +266,7 @@
 	}
 	for _, pool := range r.pools {
 		for _, instance := range r.idle(pool) {
-			if pool.have <= pool.kept {
+			if pool.have <= pool.kept || native(instance) == 1 && pool.have <= pool.home {
 				break
 			}
 			if lacking > 0 {
--- a/observation.go
+++ b/observation.go
@@ -6,7 +6,8 @@
 	"time"
 )
 
-// PoolDemand is the demand of a pool as the entries see it: slots in use and requests queued.
+// PoolDemand is the load offered to a pool as the entries see it: arrivals a second times the slot time of a request. Queued work
+// is not added, since a shortage would then be remembered as demand.
 type PoolDemand struct {
 	Pool  PoolName
 	Slots float64
