Maintain instances of long pools in the spare pool

Cause: the largest pool ended last, two instances at a time, while the spare pool with its larger budget was done early; the loans that a wave wanted were counted beside those it had out already. Ruled out: more instances out in one pool (the budget forbids it). Change: where the weight of roll-out is at least that of moves, a wave moves instances of the longest pools to the spare pool for their maintenance, by data centres with room there; loans are chosen among the instances maintained last; the bound takes this into account.

--- a/control/plan.go
+++ b/control/plan.go
@@ -28,7 +28,7 @@
 		moves: move.New(move.Config{
 			Reserve: config.Weights.Reserve, Moves: config.Weights.Moves, Hold: config.Control.MoveHold,
 		}),
-		waves: wave.New(wave.Config{Calm: config.Control.WaveCalm}),
+		waves: wave.New(wave.Config{Calm: config.Control.WaveCalm, Relay: config.Weights.RollOut >= config.Weights.Moves}),
 	}
 }
 
--- a/experiment/rollout.go
+++ b/experiment/rollout.go
@@ -53,7 +53,7 @@
 	if err = c.commit(ctx, "start", fleet.Change{PutWave: &all}); err != nil {
 		return 0, 0, err
 	}
-	bound = wave.EarliestEnd(c.log.State(), all, rebootTime)
+	bound = wave.New(wave.Config{Relay: deployment.Weights.RollOut >= deployment.Weights.Moves}).EarliestEnd(c.log.State(), all, rebootTime)
 	for c.log.State().Waves[all.ID].State != fleet.WaveDone {
 		if span = c.clock.Now().Sub(started); span > rollOutLimit {
 			return 0, 0, errors.New("the wave does not end")
--- a/move/move.go
+++ b/move/move.go
@@ -236,7 +236,8 @@
 		return c.instance.Phase != fleet.Serving || r.Draft.Planned(c.instance) || r.reverses(c.instance, pool.name)
 	})
 	slices.SortStableFunc(candidates, func(a, b candidate) int {
-		return cmp.Or(cmp.Compare(a.rank, b.rank), a.instance.MovedAt.Compare(b.instance.MovedAt))
+		// An instance that was maintained lately need not be drained again in the pool that borrows it.
+		return cmp.Or(cmp.Compare(a.rank, b.rank), b.instance.Maintained.Compare(a.instance.Maintained), a.instance.MovedAt.Compare(b.instance.MovedAt))
 	})
 	return candidates
 }
--- a/wave/bound.go
+++ b/wave/bound.go
@@ -7,8 +7,8 @@
 	"github.com/acaciatally/acaciatally/fleet"
 )
 
-// Wanted returns the instances that must serve in each pool so that a running wave can use the whole budget; loans from the spare
-// pool fill the gap.
+// Wanted returns the instances that must serve in each pool now so that running waves can use the whole budget; loans from the spare
+// pool fill the gap. Those that the wave has out already need no one beside them.
 func Wanted(state *fleet.State) (wanted map[acaciatally.PoolName]int) {
 	wanted = map[acaciatally.PoolName]int{}
 	for _, wave := range state.Waves {
@@ -16,9 +16,9 @@
 			continue
 		}
 		for name, pool := range state.Pools {
-			targets, centres := remaining(state, wave, name)
-			if targets > 0 && !pool.Spare {
-				wanted[name] = max(wanted[name], pool.MinAvailable+min(pool.MaxUnavailable, centres, targets))
+			targets, centres, out := remaining(state, wave, name)
+			if targets > out && !pool.Spare {
+				wanted[name] = max(wanted[name], pool.MinAvailable+min(pool.MaxUnavailable, centres, targets)-out)
 			}
 		}
 	}
@@ -26,34 +26,39 @@
 }
 
 // remaining counts loans, too: a loan that is left in a pool at its least size could never be drained there.
-func remaining(state *fleet.State, wave fleet.Wave, pool acaciatally.PoolName) (targets, centres int) {
+func remaining(state *fleet.State, wave fleet.Wave, pool acaciatally.PoolName) (targets, centres, out int) {
 	byCentre := map[acaciatally.DataCentre]int{}
 	for _, instance := range state.Members(pool) {
 		if target(instance, wave) {
 			targets++
 			byCentre[instance.DataCentre]++
 		}
+		if instance.Wave == wave.ID {
+			out++
+		}
 	}
-	return targets, len(byCentre)
+	return targets, len(byCentre), out
 }
 
-// EarliestEnd returns the least time that the rest of the wave takes when each instance is out for a cycle: a pool has at most its
-// budget out at once, and at most one instance of a data centre.
-func EarliestEnd(state *fleet.State, wave fleet.Wave, cycle time.Duration) (least time.Duration) {
+// EarliestEnd returns the least time that the rest of a wave takes when each instance is out for a cycle: a pool has at most its
+// budget out at once, and at most one instance of a data centre. A planner that relays instances through the spare pool is bound by
+// the places of all pools together.
+func (p *Planner) EarliestEnd(state *fleet.State, wave fleet.Wave, cycle time.Duration) (least time.Duration) {
+	longest, targets, places := 0, 0, 0
 	for name, pool := range state.Pools {
-		byCentre := map[acaciatally.DataCentre]int{}
-		targets, rounds := 0, 0
+		byCentre, count := map[acaciatally.DataCentre]int{}, 0
 		for _, instance := range state.Instances {
-			if instance.Home == name && target(instance, wave) {
-				targets++
+			if instance.Pool == name && target(instance, wave) {
+				count++
 				byCentre[instance.DataCentre]++
-				rounds = max(rounds, byCentre[instance.DataCentre])
 			}
 		}
-		if atOnce := min(pool.MaxUnavailable, len(byCentre)); atOnce > 0 {
-			rounds = max(rounds, (targets+atOnce-1)/atOnce)
-		}
-		least = max(least, time.Duration(rounds)*cycle)
+		longest = max(longest, rounds(state, wave, name))
+		targets += count
+		places += min(pool.MaxUnavailable, len(byCentre))
+	}
+	if p.config.Relay && places > 0 {
+		longest = (targets + places - 1) / places
 	}
-	return least
+	return time.Duration(longest) * cycle
 }
--- a/wave/wave.go
+++ b/wave/wave.go
@@ -17,6 +17,8 @@
 	FailureLimit  int           // failures in one pool, rack or data centre that stop a wave, default 2
 	FailureWindow time.Duration // span in which they are counted, default 60 s
 	Calm          time.Duration // time without a failure after which a wave resumes, default 120 s
+	// Relay moves instances of the longest pools into the spare pool for their maintenance, at the cost of moves.
+	Relay bool
 }
 
 func (c *Config) setDefaults() {
@@ -56,6 +58,7 @@
 			continue
 		}
 		if !held {
+			actions = append(actions, p.relay(draft, wave)...)
 			actions = append(actions, p.begin(now, draft, wave)...)
 		}
 	}
