--- a/wave/relay.go
+++ b/wave/relay.go
@@ -19,7 +19,7 @@
 	}
 	for _, pool := range byRounds(state, wave, spare) {
 		here, there := rounds(state, wave, pool), rounds(state, wave, spare)
-		if here <= there || relaying(state, pool, spare) {
+		if here <= there+1 || relaying(state, pool, spare) {
 			continue
 		}
 		for _, instance := range byRoom(state, wave, pool, spare) {
