--- a/model/deployment.go
+++ b/model/deployment.go
@@ -64,3 +64,20 @@
 	deployment.Default()
 	return deployment
 }
+
+// targetPools is the number of pools of the target size; smaller models have one pool for each 41 workers.
+const targetPools = 61
+
+// Sized returns a model with four data centres and the given number of workers, at the target size in 61 pools.
+func Sized(workers int) *settings.Settings {
+	count := max(2, workers*targetPools/2500)
+	var pools []poolSize
+	for n := range count {
+		size := workers / count
+		if n < workers%count {
+			size++
+		}
+		pools = append(pools, poolSize{acaciatally.PoolName(fmt.Sprintf("pool-%02d", n)), size, n == 0})
+	}
+	return build("Sized", []acaciatally.DataCentre{"centre-1", "centre-2", "centre-3", "centre-4"}, pools, 64, 256*settings.GiB)
+}
--- a/move/move.go
+++ b/move/move.go
@@ -282,14 +282,18 @@
 	}
 }
 
-// idle returns the serving instances of a pool that may leave it, loans first.
+// idle returns the serving instances of a pool that may leave it: its loans, or its own instances when it has no loans.
 func (r *round) idle(pool *standing) (idle []fleet.Instance) {
-	for _, instance := range r.Draft.State().Members(pool.name) {
+	members := r.Draft.State().Members(pool.name)
+	loans := slices.ContainsFunc(members, func(member fleet.Instance) bool { return native(member) == 0 })
+	for _, instance := range members {
+		if loans && native(instance) == 1 {
+			continue
+		}
 		if instance.Phase == fleet.Serving && !r.reverses(instance, r.spare) && !r.Draft.Planned(instance) {
 			idle = append(idle, instance)
 		}
 	}
-	slices.SortStableFunc(idle, func(a, b fleet.Instance) int { return cmp.Compare(native(a), native(b)) })
 	return idle
 }
 
