--- a/fleet/budget.go
+++ b/fleet/budget.go
@@ -21,7 +21,9 @@
 func (s *State) Allows(instance Instance, cause Cause) (err error) {
 	pool := s.Pools[instance.Pool]
 	available, unavailable := 0, 0
-	for _, other := range s.members(instance.Pool) {
+	members := s.members(instance.Pool)
+	for i := range members {
+		other := &members[i]
 		if other.Phase == Serving {
 			available++
 			continue
--- a/fleet/members.go
+++ b/fleet/members.go
@@ -106,11 +106,24 @@
 	return slices.Clone(s.members(pool))
 }
 
+// Listed returns the instances of a pool in order of id without copying them; the slice must not be changed.
+func (s *State) Listed(pool acaciatally.PoolName) []Instance {
+	return s.members(pool)
+}
+
+// Room returns how many more instances of a pool may leave service by plan, failure domains aside.
+func (s *State) Room(name acaciatally.PoolName) int {
+	pool, members := s.Pools[name], s.members(name)
+	available := s.Available(name)
+	return min(available-pool.MinAvailable, pool.MaxUnavailable-(len(members)-available))
+}
+
 // Available returns the number of serving instances of a pool.
 func (s *State) Available(pool acaciatally.PoolName) int {
 	count := 0
-	for _, instance := range s.members(pool) {
-		if instance.Phase == Serving {
+	members := s.members(pool)
+	for i := range members {
+		if members[i].Phase == Serving {
 			count++
 		}
 	}
--- a/move/move.go
+++ b/move/move.go
@@ -118,16 +118,19 @@
 func (r *round) survey() {
 	state := r.Draft.State()
 	incoming := map[acaciatally.PoolName]int{}
-	for _, instance := range state.Instances {
-		if instance.Phase == fleet.Draining && instance.Cause == fleet.CauseMove {
-			incoming[instance.Target]++
+	for name := range state.Pools {
+		members := state.Listed(name)
+		for i := range members {
+			if members[i].Phase == fleet.Draining && members[i].Cause == fleet.CauseMove {
+				incoming[members[i].Target]++
+			}
 		}
 	}
 	for _, name := range state.PoolNames() {
 		if name == r.spare {
 			continue
 		}
-		pool := &standing{name: name, have: state.Available(name) + incoming[name], slots: slotsOf(state.Members(name))}
+		pool := &standing{name: name, have: state.Available(name) + incoming[name], slots: slotsOf(state.Listed(name))}
 		pool.soon = r.need(pool, r.config.Lead)
 		pool.kept = max(pool.soon, r.need(pool, max(r.payback(), r.config.Lead)))
 		pool.home = max(pool.kept, r.need(pool, min(r.config.MaxPayback, nativePaybacks*r.payback())))
@@ -137,8 +140,8 @@
 
 func slotsOf(members []fleet.Instance) float64 {
 	total := 0
-	for _, member := range members {
-		total += member.Slots
+	for i := range members {
+		total += members[i].Slots
 	}
 	if total == 0 {
 		return 8
@@ -194,6 +197,9 @@
 // few that a budget lets go at once are on their way before the burst.
 func (r *round) pass() {
 	for _, pool := range r.pools {
+		if pool.have >= pool.kept {
+			continue
+		}
 		for _, candidate := range r.candidates(pool) {
 			if pool.have >= pool.kept {
 				break
@@ -214,7 +220,7 @@
 
 func (r *round) candidates(pool *standing) (candidates []candidate) {
 	state := r.Draft.State()
-	for _, instance := range state.Members(r.spare) {
+	for _, instance := range state.Listed(r.spare) {
 		candidates = append(candidates, candidate{instance: instance, rank: spareRank(instance, pool.name, r.spare)})
 	}
 	for _, from := range r.pools {
@@ -222,7 +228,7 @@
 		if from == pool || idle <= 0 {
 			continue
 		}
-		for _, instance := range state.Members(from.name) {
+		for _, instance := range state.Listed(from.name) {
 			rank := 4
 			if instance.Home != from.name {
 				rank = 0
@@ -284,7 +290,10 @@
 
 // idle returns the serving instances of a pool that may leave it: its loans, or its own instances when it has no loans.
 func (r *round) idle(pool *standing) (idle []fleet.Instance) {
-	members := r.Draft.State().Members(pool.name)
+	if pool.have <= pool.kept {
+		return nil
+	}
+	members := r.Draft.State().Listed(pool.name)
 	loans := slices.ContainsFunc(members, func(member fleet.Instance) bool { return native(member) == 0 })
 	for _, instance := range members {
 		if loans && native(instance) == 1 {
--- a/wave/bound.go
+++ b/wave/bound.go
@@ -28,7 +28,9 @@
 // remaining counts loans, too: a loan that is left in a pool at its least size could never be drained there.
 func remaining(state *fleet.State, wave fleet.Wave, pool acaciatally.PoolName) (targets, centres, out int) {
 	byCentre := map[acaciatally.DataCentre]int{}
-	for _, instance := range state.Members(pool) {
+	members := state.Listed(pool)
+	for i := range members {
+		instance := &members[i]
 		if target(instance, wave) {
 			targets++
 			byCentre[instance.DataCentre]++
@@ -47,10 +49,11 @@
 	longest, targets, places := 0, 0, 0
 	for name, pool := range state.Pools {
 		byCentre, count := map[acaciatally.DataCentre]int{}, 0
-		for _, instance := range state.Instances {
-			if instance.Pool == name && target(instance, wave) {
+		members := state.Listed(name)
+		for i := range members {
+			if target(&members[i], wave) {
 				count++
-				byCentre[instance.DataCentre]++
+				byCentre[members[i].DataCentre]++
 			}
 		}
 		longest = max(longest, rounds(state, wave, name))
--- a/wave/hold.go
+++ b/wave/hold.go
@@ -26,13 +26,15 @@
 
 // recent returns the failures in order of time, without those before the last calm.
 func (p *Planner) recent(now time.Time, state *fleet.State) (failures []failure) {
-	for _, instance := range state.Instances {
-		if instance.FailedAt.IsZero() {
-			continue
+	for pool := range state.Pools {
+		members := state.Listed(pool)
+		for i := range members {
+			if instance := &members[i]; !instance.FailedAt.IsZero() {
+				failures = append(failures, failure{at: instance.FailedAt, domains: []string{
+					"pool " + string(pool), "rack " + string(instance.Rack), "data centre " + string(instance.DataCentre),
+				}})
+			}
 		}
-		failures = append(failures, failure{at: instance.FailedAt, domains: []string{
-			"pool " + string(instance.Pool), "rack " + string(instance.Rack), "data centre " + string(instance.DataCentre),
-		}})
 	}
 	slices.SortFunc(failures, func(a, b failure) int { return a.at.Compare(b.at) })
 	next := now
--- a/wave/relay.go
+++ b/wave/relay.go
@@ -38,8 +38,8 @@
 // instance of a data centre may be out.
 func byRoom(state *fleet.State, wave fleet.Wave, pool, spare acaciatally.PoolName) (targets []fleet.Instance) {
 	left := map[acaciatally.DataCentre]int{}
-	for _, instance := range state.Instances {
-		if (instance.Pool == spare || instance.Target == spare) && target(instance, wave) {
+	for _, instance := range coming(state, spare) {
+		if target(&instance, wave) {
 			left[instance.DataCentre]++
 		}
 	}
@@ -63,17 +63,20 @@
 
 // relaying reports whether an instance of the pool is on its way to the spare pool; one at a time leaves the budget to the wave.
 func relaying(state *fleet.State, pool, spare acaciatally.PoolName) bool {
-	return slices.ContainsFunc(state.Members(pool), func(instance fleet.Instance) bool {
-		return instance.Phase == fleet.Draining && instance.Target == spare
-	})
+	members := state.Listed(pool)
+	for i := range members {
+		if members[i].Target == spare {
+			return true
+		}
+	}
+	return false
 }
 
 // rounds returns how many maintenances must follow each other in a pool, those on their way into it included.
 func rounds(state *fleet.State, wave fleet.Wave, pool acaciatally.PoolName) (count int) {
 	byCentre, targets := map[acaciatally.DataCentre]int{}, 0
-	for _, instance := range state.Instances {
-		in := instance.Pool == pool && instance.Target == "" || instance.Target == pool
-		if in && target(instance, wave) {
+	for _, instance := range coming(state, pool) {
+		if target(&instance, wave) {
 			targets++
 			byCentre[instance.DataCentre]++
 			count = max(count, byCentre[instance.DataCentre])
@@ -84,3 +87,16 @@
 	}
 	return count
 }
+
+// coming returns the instances that will be in a pool once the moves under way are done.
+func coming(state *fleet.State, pool acaciatally.PoolName) (instances []fleet.Instance) {
+	for name := range state.Pools {
+		members := state.Listed(name)
+		for i := range members {
+			if name == pool && members[i].Target == "" || members[i].Target == pool {
+				instances = append(instances, members[i])
+			}
+		}
+	}
+	return instances
+}
--- a/wave/wave.go
+++ b/wave/wave.go
@@ -87,16 +87,19 @@
 }
 
 func finished(state *fleet.State, wave fleet.Wave) bool {
-	for _, instance := range state.Instances {
-		if instance.Wave == wave.ID || target(instance, wave) {
-			return false
+	for _, pool := range state.PoolNames() {
+		members := state.Listed(pool)
+		for i := range members {
+			if members[i].Wave == wave.ID || target(&members[i], wave) {
+				return false
+			}
 		}
 	}
 	return true
 }
 
 // target reports whether the wave still has to maintain the instance, wherever it serves at the moment.
-func target(instance fleet.Instance, wave fleet.Wave) bool {
+func target(instance *fleet.Instance, wave fleet.Wave) bool {
 	inWave := len(wave.Pools) == 0 || slices.Contains(wave.Pools, instance.Home)
 	return inWave && instance.Maintained.Before(wave.Started)
 }
@@ -105,14 +108,16 @@
 func (p *Planner) begin(now time.Time, draft *fleet.Draft, wave fleet.Wave) (actions []approval.Action) {
 	state := draft.State()
 	for _, pool := range state.PoolNames() {
-		if broken(state, pool) {
+		room := state.Room(pool)
+		if room <= 0 || broken(state, pool) {
 			continue
 		}
 		for _, instance := range order(state, wave, pool) {
 			drain := fleet.Change{SetPhase: &fleet.SetPhase{ID: instance.ID, Phase: fleet.Draining, Cause: fleet.CauseWave, Wave: wave.ID, Reboot: true}}
-			if draft.Planned(instance) || draft.Try(drain) != nil {
+			if room == 0 || draft.Planned(instance) || draft.Try(drain) != nil {
 				continue
 			}
+			room--
 			action := approval.OnInstance("WaveDrain", instance, "wave "+wave.ID, drain)
 			action.Check = func(state *fleet.State) error { return p.permits(now, state, wave.ID, pool) }
 			actions = append(actions, action)
@@ -123,9 +128,13 @@
 
 // broken reports whether an instance of the pool has failed and is not yet repaired, which holds the next approval.
 func broken(state *fleet.State, pool acaciatally.PoolName) bool {
-	return slices.ContainsFunc(state.Members(pool), func(instance fleet.Instance) bool {
-		return instance.Phase == fleet.Failed || instance.Phase == fleet.Quarantined
-	})
+	members := state.Listed(pool)
+	for i := range members {
+		if members[i].Phase == fleet.Failed || members[i].Phase == fleet.Quarantined {
+			return true
+		}
+	}
+	return false
 }
 
 // permits asks the rules again at commit, when a failure or a stop may have come in since the plan.
@@ -146,11 +155,12 @@
 // domain is left over at the end, since only one instance of a domain may be out at a time.
 func order(state *fleet.State, wave fleet.Wave, pool acaciatally.PoolName) (targets []fleet.Instance) {
 	centres, racks := map[acaciatally.DataCentre]int{}, map[acaciatally.Rack]int{}
-	for _, instance := range state.Members(pool) {
-		if instance.Phase == fleet.Serving && target(instance, wave) {
-			targets = append(targets, instance)
-			centres[instance.DataCentre]++
-			racks[instance.Rack]++
+	members := state.Listed(pool)
+	for i := range members {
+		if members[i].Phase == fleet.Serving && target(&members[i], wave) {
+			targets = append(targets, members[i])
+			centres[members[i].DataCentre]++
+			racks[members[i].Rack]++
 		}
 	}
 	slices.SortStableFunc(targets, func(a, b fleet.Instance) int {
