Count leaving instances when choosing what to relay

Ruled out: the rule on own instances and loans, and the skipping of pools without room (each was switched off: no change). Change: the choice of a relayed instance counts the unmaintained instances that are just leaving the spare pool, as before.

--- a/wave/relay.go
+++ b/wave/relay.go
@@ -38,8 +38,8 @@
 // instance of a data centre may be out.
 func byRoom(state *fleet.State, wave fleet.Wave, pool, spare acaciatally.PoolName) (targets []fleet.Instance) {
 	left := map[acaciatally.DataCentre]int{}
-	for _, instance := range coming(state, spare) {
-		if target(&instance, wave) {
+	for _, instance := range state.Instances {
+		if (instance.Pool == spare || instance.Target == spare) && target(&instance, wave) {
 			left[instance.DataCentre]++
 		}
 	}
