--- a/move/move.go
+++ b/move/move.go
@@ -23,11 +23,11 @@
 	Reserve float64       // weight of an instance-second beyond the need, default 1
 	Moves   float64       // weight of a move, default 1
 	Hold    time.Duration // time before a move may be reversed, default 30 s
-	Lead    time.Duration // time from the order of a move to service in the new pool, default 5 s
-	Margin  float64       // share of the demand kept free, default 0.1
-	// MoveCost is the instance time that one move is worth at equal weights, default 10 s: twice its lead.
+	Lead    time.Duration // time from the order of a move to service in the new pool, default 4 s
+	Margin  float64       // share of the demand kept free, default 0.03: short queues absorb the noise
+	// MoveCost is the instance time that one move is worth at equal weights, default 10 s.
 	MoveCost time.Duration
-	// MaxPayback bounds the look ahead for a return, default 2 min.
+	// MaxPayback bounds the look ahead for a return, default 3 min.
 	MaxPayback time.Duration
 }
 
@@ -41,16 +41,16 @@
 		c.Hold = 30 * time.Second
 	}
 	if c.Lead == 0 {
-		c.Lead = 5 * time.Second
+		c.Lead = 4 * time.Second
 	}
 	if c.Margin == 0 {
-		c.Margin = 0.1
+		c.Margin = 0.03
 	}
 	if c.MoveCost == 0 {
-		c.MoveCost = 2 * c.Lead
+		c.MoveCost = 10 * time.Second
 	}
 	if c.MaxPayback == 0 {
-		c.MaxPayback = 2 * time.Minute
+		c.MaxPayback = 3 * time.Minute
 	}
 }
 
@@ -74,6 +74,10 @@
 	Wanted map[acaciatally.PoolName]int
 }
 
+// nativePaybacks is how many paybacks one of a pool's own instances must be idle before it is parked in the spare pool: it has to come
+// back in time, while the budget lets only a few move at once.
+const nativePaybacks = 3
+
 // payback is the idle time of an instance above which a move there and back costs less than keeping it.
 func (p *Planner) payback() time.Duration {
 	return min(p.config.MaxPayback, time.Duration(2*float64(p.config.MoveCost)*p.config.Moves/p.config.Reserve))
@@ -93,7 +97,8 @@
 	name  acaciatally.PoolName
 	have  int // serving or on their way into the pool
 	soon  int // needed within the lead
-	kept  int // needed within the hold time or the payback, whichever is longer
+	kept  int // needed within the payback; loans beyond it may leave
+	home  int // needed within the longer payback of the pool's own instances
 	slots float64
 }
 
@@ -105,6 +110,7 @@
 	}
 	r.survey()
 	r.fill()
+	r.pass()
 	r.release()
 	return r.actions
 }
@@ -112,26 +118,30 @@
 func (r *round) survey() {
 	state := r.Draft.State()
 	incoming := map[acaciatally.PoolName]int{}
-	for _, instance := range state.Instances {
-		if instance.Phase == fleet.Draining && instance.Cause == fleet.CauseMove {
-			incoming[instance.Target]++
+	for name := range state.Pools {
+		members := state.Listed(name)
+		for i := range members {
+			if members[i].Phase == fleet.Draining && members[i].Cause == fleet.CauseMove {
+				incoming[members[i].Target]++
+			}
 		}
 	}
 	for _, name := range state.PoolNames() {
 		if name == r.spare {
 			continue
 		}
-		pool := &standing{name: name, have: state.Available(name) + incoming[name], slots: slotsOf(state.Members(name))}
+		pool := &standing{name: name, have: state.Available(name) + incoming[name], slots: slotsOf(state.Listed(name))}
 		pool.soon = r.need(pool, r.config.Lead)
 		pool.kept = max(pool.soon, r.need(pool, max(r.payback(), r.config.Lead)))
+		pool.home = max(pool.kept, r.need(pool, min(r.config.MaxPayback, nativePaybacks*r.payback())))
 		r.pools = append(r.pools, pool)
 	}
 }
 
 func slotsOf(members []fleet.Instance) float64 {
 	total := 0
-	for _, member := range members {
-		total += member.Slots
+	for i := range members {
+		total += members[i].Slots
 	}
 	if total == 0 {
 		return 8
@@ -183,6 +193,25 @@
 	return r.neediest() != nil
 }
 
+// pass hands idle loans to the pools that will lack them later: their move costs the same now and nothing is idle meanwhile, and the
+// few that a budget lets go at once are on their way before the burst.
+func (r *round) pass() {
+	for _, pool := range r.pools {
+		if pool.have >= pool.kept {
+			continue
+		}
+		for _, candidate := range r.candidates(pool) {
+			if pool.have >= pool.kept {
+				break
+			}
+			if candidate.rank == 0 && r.order(candidate.instance, pool.name) {
+				pool.have++
+				candidate.from.have--
+			}
+		}
+	}
+}
+
 type candidate struct {
 	instance fleet.Instance
 	from     *standing // nil for the spare pool
@@ -191,7 +220,7 @@
 
 func (r *round) candidates(pool *standing) (candidates []candidate) {
 	state := r.Draft.State()
-	for _, instance := range state.Members(r.spare) {
+	for _, instance := range state.Listed(r.spare) {
 		candidates = append(candidates, candidate{instance: instance, rank: spareRank(instance, pool.name, r.spare)})
 	}
 	for _, from := range r.pools {
@@ -199,10 +228,12 @@
 		if from == pool || idle <= 0 {
 			continue
 		}
-		for _, instance := range state.Members(from.name) {
+		for _, instance := range state.Listed(from.name) {
 			rank := 4
 			if instance.Home != from.name {
 				rank = 0
+			} else if from.have <= from.home {
+				continue
 			}
 			candidates = append(candidates, candidate{instance: instance, from: from, rank: rank})
 		}
@@ -211,7 +242,8 @@
 		return c.instance.Phase != fleet.Serving || r.Draft.Planned(c.instance) || r.reverses(c.instance, pool.name)
 	})
 	slices.SortStableFunc(candidates, func(a, b candidate) int {
-		return cmp.Or(cmp.Compare(a.rank, b.rank), a.instance.MovedAt.Compare(b.instance.MovedAt))
+		// An instance that was maintained lately need not be drained again in the pool that borrows it.
+		return cmp.Or(cmp.Compare(a.rank, b.rank), b.instance.Maintained.Compare(a.instance.Maintained), a.instance.MovedAt.Compare(b.instance.MovedAt))
 	})
 	return candidates
 }
@@ -241,7 +273,7 @@
 	}
 	for _, pool := range r.pools {
 		for _, instance := range r.idle(pool) {
-			if pool.have <= pool.kept {
+			if pool.have <= pool.kept || native(instance) == 1 && pool.have <= pool.home {
 				break
 			}
 			if lacking > 0 {
@@ -256,14 +288,21 @@
 	}
 }
 
-// idle returns the serving instances of a pool that may leave it, loans first.
+// idle returns the serving instances of a pool that may leave it: its loans, or its own instances when it has no loans.
 func (r *round) idle(pool *standing) (idle []fleet.Instance) {
-	for _, instance := range r.Draft.State().Members(pool.name) {
+	if pool.have <= pool.kept {
+		return nil
+	}
+	members := r.Draft.State().Listed(pool.name)
+	loans := slices.ContainsFunc(members, func(member fleet.Instance) bool { return native(member) == 0 })
+	for _, instance := range members {
+		if loans && native(instance) == 1 {
+			continue
+		}
 		if instance.Phase == fleet.Serving && !r.reverses(instance, r.spare) && !r.Draft.Planned(instance) {
 			idle = append(idle, instance)
 		}
 	}
-	slices.SortStableFunc(idle, func(a, b fleet.Instance) int { return cmp.Compare(native(a), native(b)) })
 	return idle
 }
 
