--- a/standin/tasks.go
+++ b/standin/tasks.go
@@ -17,6 +17,7 @@
 	ReportLag       time.Duration // age of the usage reports
 	ReportRetention time.Duration // how long ended attempts are reported; 0 is for ever
 	CheckpointTime  time.Duration // time to write a checkpoint
+	Clock           acaciatally.Clock
 }
 
 // Tasks runs simulated tasks on workers under leases; it is safe for concurrent use.
@@ -31,6 +32,9 @@
 
 // NewTasks returns task leases without workers.
 func NewTasks(config TasksConfig) *Tasks {
+	if config.Clock == nil {
+		config.Clock = acaciatally.SystemClock{}
+	}
 	return &Tasks{
 		config:  config,
 		workers: map[acaciatally.InstanceID]*taskWorker{},
@@ -43,7 +47,7 @@
 func (t *Tasks) AddWorker(id acaciatally.InstanceID, capacity acaciatally.Resources) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.workers[id] = &taskWorker{capacity: capacity, now: time.Now()}
+	t.workers[id] = &taskWorker{capacity: capacity, now: t.config.Clock.Now()}
 }
 
 // SetFaults replaces the faults of a worker.
@@ -81,9 +85,9 @@
 	if found && worker.faults.Silent {
 		return acaciatally.ErrUnknownCommit
 	}
-	run := &taskRun{lease: lease, share: 1, state: acaciatally.TaskRunning, started: time.Now(), checkpoint: lease.Checkpoint}
+	run := &taskRun{lease: lease, share: 1, state: acaciatally.TaskRunning, started: t.config.Clock.Now(), checkpoint: lease.Checkpoint}
 	t.runs[key] = run
-	if !found || !lease.Expires.After(time.Now()) || json.Unmarshal(lease.Command, &run.profile) != nil || !worker.fits(run) {
+	if !found || !lease.Expires.After(t.config.Clock.Now()) || json.Unmarshal(lease.Command, &run.profile) != nil || !worker.fits(run) {
 		run.rejected, run.state = true, acaciatally.TaskStopped
 		return acaciatally.ErrRejected
 	}
@@ -133,7 +137,7 @@
 		if !run.profile.Checkpoints || !run.checkpointAt.IsZero() {
 			return
 		}
-		run.checkpointAt = time.Now().Add(t.config.CheckpointTime)
+		run.checkpointAt = t.config.Clock.Now().Add(t.config.CheckpointTime)
 		run.progress = max(run.progress, run.from)
 		run.pending = checkpointName(run)
 		t.saved[run.pending] = run.progress
@@ -148,7 +152,7 @@
 func (t *Tasks) Throttle(_ context.Context, task string, attempt int, share float64) (err error) {
 	return t.order(task, attempt, func(run *taskRun) {
 		run.share = min(max(share, 0), 1)
-		run.record(time.Now())
+		run.record(t.config.Clock.Now())
 	})
 }
 
@@ -160,7 +164,7 @@
 		t.runs[key] = &taskRun{lease: acaciatally.TaskLease{Task: task, Attempt: attempt}, state: acaciatally.TaskStopped, rejected: true}
 	}
 	t.mu.Unlock()
-	err = t.order(task, attempt, func(run *taskRun) { run.end(time.Now(), acaciatally.TaskStopped, "") })
+	err = t.order(task, attempt, func(run *taskRun) { run.end(t.config.Clock.Now(), acaciatally.TaskStopped, "") })
 	if err == acaciatally.ErrLeaseExpired { //nolint:errorlint // the value is set by order
 		return nil
 	}
@@ -187,7 +191,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.advance()
-	seen := time.Now().Add(-t.config.ReportLag)
+	seen := t.config.Clock.Now().Add(-t.config.ReportLag)
 	for _, id := range workers {
 		worker, found := t.workers[id]
 		if !found || worker.faults.Silent {
@@ -207,7 +211,7 @@
 }
 
 func (t *Tasks) advance() {
-	now := time.Now()
+	now := t.config.Clock.Now()
 	for _, worker := range t.workers {
 		worker.advance(now)
 	}
--- a/task/arrange.go
+++ b/task/arrange.go
@@ -71,17 +71,28 @@
 			waits = append(waits, Wait{Task: j.record.Spec.ID, Reason: reason})
 			continue
 		}
-		demands = append(demands, Demand{
-			Task: j.record.Spec.ID, Team: j.record.Spec.Team, Urgency: j.record.Spec.Urgency, Need: need,
-			Since: j.record.Accepted, Avoid: avoided(j.record), Probe: !m.learner.Known(j.record.Spec),
-		})
+		demands = append(demands, m.demand(j, need))
 	}
 	return demands, waits
 }
 
+func (m *Machine) demand(j *job, need acaciatally.Resources) Demand {
+	demand := Demand{
+		Task: j.record.Spec.ID, Team: j.record.Spec.Team, Urgency: j.record.Spec.Urgency, Need: need,
+		Since: j.record.Accepted, Avoid: avoided(j.record), Probe: !m.learner.Known(j.record.Spec) && !j.believed,
+	}
+	if m.config.Baseline == BaselineArrivalOrder {
+		demand.Team, demand.Urgency = "", acaciatally.Background
+	}
+	return demand
+}
+
 // want is what a task is placed with: the learned estimate, up to the largest worker that would hold the declared size.
 func (m *Machine) want(j *job) acaciatally.Resources {
 	need := m.learner.Estimate(j.record.Spec)
+	if j.believed {
+		need = j.record.Spec.Declared
+	}
 	need.Memory = max(need.Memory, j.record.NeedMemory)
 	if m.anyFits(need, false) {
 		return need
--- a/task/attempt.go
+++ b/task/attempt.go
@@ -52,7 +52,7 @@
 
 // need is what the attempt holds when it is not throttled.
 func (j *job) need() acaciatally.Resources {
-	if j.attempt.peak.Memory == 0 {
+	if j.attempt.peak.Memory == 0 || j.believed {
 		return j.record.Granted
 	}
 	held := scaled(j.attempt.peak, 1+margin)
--- a/task/machine.go
+++ b/task/machine.go
@@ -21,9 +21,20 @@
 	CheckpointEvery time.Duration // bounds the work that a lapse loses
 	Retention       time.Duration // of the rows of ended tasks
 	Floors          Floors
-	MaxStarts       int // bounds the rows written by one round
+	MaxStarts       int      // bounds the rows written by one round
+	Baseline        Baseline // replaces a part of the policy in measurements
 }
 
+// Baseline is a simple policy against which the policy is measured.
+type Baseline int
+
+// The baselines; NoBaseline is the whole policy.
+const (
+	NoBaseline            Baseline = iota
+	BaselineDeclaredSizes          // believes the declared sizes
+	BaselineArrivalOrder           // believes the declared sizes and starts tasks in the order of their arrival
+)
+
 const (
 	defaultTerm            = time.Minute
 	defaultSkew            = 5 * time.Second
@@ -83,7 +94,9 @@
 	notes   []Decision // decisions that go into the next record
 	attempt attempt
 	retryAt time.Time // no new attempt before it
-	spoken  time.Time // when the reason for waiting was last written
+	// believed keeps the declared size in force in the measurements of baselines.
+	believed bool
+	spoken   time.Time // when the reason for waiting was last written
 }
 
 // Save is a row to be written under the condition that it still has the version.
@@ -135,7 +148,7 @@
 		return
 	}
 	if !found {
-		known = &job{}
+		known = &job{believed: m.config.Baseline != NoBaseline}
 		m.jobs[id] = known
 		m.recall(record)
 	}
