Start urgent tasks within the target in a flood

Change: a start accepts a lack of processors within the margin, is given up at once when the room no longer comes, and tenants leave when throttling them is not enough.

Ruled out: a shorter patience alone; the start would still have to be planned twice.

--- a/task/arrange.go
+++ b/task/arrange.go
@@ -20,6 +20,10 @@
 
 // Tick carries out what follows from the time, and plans placements; it proposes records and starts nothing itself.
 func (m *Machine) Tick(now time.Time) {
+	m.staying = map[acaciatally.InstanceID]acaciatally.Resources{}
+	for id, at := range m.loads((*job).stays) {
+		m.staying[id] = at.used
+	}
 	for _, j := range m.sortedLive() {
 		if j.next == nil {
 			m.lapse(j, now)
--- a/task/attempt.go
+++ b/task/attempt.go
@@ -21,6 +21,7 @@
 	want       float64
 	throttled  bool // was ever throttled, so that its use of processors says little
 	observed   bool
+	seenFull   bool // a report tells its use of processors without a throttle
 	peak       acaciatally.Resources
 	checkpoint string // newest one reported
 	before     string // checkpoint known when the last one was ordered
@@ -56,7 +57,7 @@
 		return j.record.Granted
 	}
 	held := scaled(j.attempt.peak, 1+margin)
-	if j.attempt.throttled {
+	if j.attempt.throttled && !j.attempt.seenFull {
 		held.Processors = max(held.Processors, j.record.Granted.Processors)
 	}
 	return held
@@ -67,6 +68,14 @@
 	return j.taking(j.attempt.want)
 }
 
+// stays is what the attempt will take once all that make room have left.
+func (j *job) stays() acaciatally.Resources {
+	if j.record.Phase != Placed {
+		return acaciatally.Resources{}
+	}
+	return j.holds()
+}
+
 // takes is what the attempt may be taking now, whichever of its orders have been carried out.
 func (j *job) takes() acaciatally.Resources {
 	return j.taking(max(j.attempt.share, j.attempt.want))
--- a/task/machine.go
+++ b/task/machine.go
@@ -81,7 +81,8 @@
 	workers map[acaciatally.InstanceID]*workerView
 	fleet   Fleet
 	learner *Learner
-	expired []Save // rows past their retention
+	staying map[acaciatally.InstanceID]acaciatally.Resources // taken on each worker by attempts that do not leave
+	expired []Save                                           // rows past their retention
 	// Reports have come without a gap from reportsSince to reportedAt.
 	reportsSince, reportedAt time.Time
 }
--- a/task/order.go
+++ b/task/order.go
@@ -161,7 +161,7 @@
 	at := loads[j.record.Worker]
 	if !j.attempt.maybe {
 		serving := m.worker(j.record.Worker).worker.State == Serving
-		if !serving || !fits(j.record.Granted, minus(at.capacity, at.used)) {
+		if !serving || !roomFor(j.record.Granted, minus(at.capacity, at.used)) {
 			return order, false
 		}
 		at.used = plus(at.used, j.record.Granted)
@@ -169,6 +169,13 @@
 	return j.order(OrderStart), true
 }
 
+// roomFor reports whether an attempt may be started. Processors may be short by the margin that is in each amount, since a start that
+// waits for the last of them delays more than it saves.
+func roomFor(granted, free acaciatally.Resources) bool {
+	granted.Processors /= 1 + margin
+	return fits(granted, free)
+}
+
 // vacateOrder pauses the attempt, has it write a checkpoint and stops it.
 func (m *Machine) vacateOrder(j *job, now time.Time) (order Order, found bool) {
 	a := &j.attempt
--- a/task/plan_test.go
+++ b/task/plan_test.go
@@ -71,6 +71,7 @@
 		"one task of unknown use a worker":     {demands: []task.Demand{probe}, rooms: []task.Room{probed}},
 		"urgent throttles background":          {demands: []task.Demand{demand("a", acaciatally.Urgent, size(32, 8))}, rooms: []task.Room{room("w1", background)}, starts: map[string]string{"a": "w1"}, squeezes: map[string]bool{"bg": false}},
 		"urgent takes memory":                  {demands: []task.Demand{demand("a", acaciatally.Urgent, size(1, 250))}, rooms: []task.Room{room("w1", background)}, starts: map[string]string{"a": "w1"}, squeezes: map[string]bool{"bg": true}},
+		"urgent takes a whole worker":          {demands: []task.Demand{demand("a", acaciatally.Urgent, size(64, 8))}, rooms: []task.Room{room("w1", background)}, starts: map[string]string{"a": "w1"}, squeezes: map[string]bool{"bg": true}},
 		"urgent leaves the floor":              {demands: []task.Demand{demand("a", acaciatally.Urgent, size(32, 8))}, rooms: []task.Room{room("w1", background)}, floors: fullFloor},
 		"one victim holds more than the spare": {demands: []task.Demand{demand("a", acaciatally.Urgent, size(1, 8))}, rooms: []task.Room{room("w1", tenant("bg", acaciatally.Background, size(60, 250)))}, floors: task.Floors{0, 0, 0.9}},
 		"normal does not squeeze normal":       {demands: []task.Demand{demand("a", acaciatally.Normal, size(32, 8))}, rooms: []task.Room{room("w1", tenant("n", acaciatally.Normal, size(60, 8)))}},
--- a/task/report.go
+++ b/task/report.go
@@ -38,6 +38,7 @@
 	a.confirmed = true
 	a.heardAt = laterOf(a.heardAt, report.ReportedAt)
 	a.peak = largest(a.peak, report.Used)
+	a.seenFull = a.seenFull || (!a.throttled && report.Used.Processors > 0)
 	if report.Checkpoint != "" {
 		a.checkpoint = report.Checkpoint
 	}
@@ -145,8 +146,9 @@
 
 // giveUpStart frees a task whose start has certainly had no effect.
 func (m *Machine) giveUpStart(j *job, now time.Time) {
-	serving := m.worker(j.record.Worker).worker.State == Serving
-	if serving && now.Sub(j.attempt.since) < startPatience && now.Before(j.record.StartBy) {
+	worker := m.worker(j.record.Worker).worker
+	roomComes := worker.State == Serving && roomFor(j.record.Granted, minus(worker.Capacity, m.staying[worker.ID]))
+	if roomComes && now.Sub(j.attempt.since) < startPatience && now.Before(j.record.StartBy) {
 		return
 	}
 	m.propose(j, j.record.freed(now, "could not be started on "+string(j.record.Worker)))
--- a/task/squeeze.go
+++ b/task/squeeze.go
@@ -41,15 +41,26 @@
 	return true
 }
 
-// relieve looks for tenants of a room, least urgent first, whose squeezing frees what is missing.
+// relieve looks for tenants of a room, least urgent first, whose squeezing frees what is missing. Processors are taken by throttling
+// if that is enough, since it loses no work.
 func (p *planner) relieve(room *Room, missing acaciatally.Resources, demand Demand) (found relief, enough bool) {
 	tenants := slices.Clone(room.Tenants)
 	slices.SortStableFunc(tenants, bySacrifice)
+	if found = p.squeeze(tenants, missing, demand, false); fits(missing, found.freed) {
+		return found, true
+	}
+	found = p.squeeze(tenants, missing, demand, true)
+	return found, fits(missing, found.freed)
+}
+
+// squeeze makes tenants leave for the memory and accelerators that are missing, and for the processors too if asked to, and throttles
+// others for the rest of the processors.
+func (p *planner) squeeze(tenants []Tenant, missing acaciatally.Resources, demand Demand, processorsToo bool) (found relief) {
 	spare := p.spare(demand.Urgency)
 	reason := fmt.Sprintf("makes room for %s task %s", demand.Urgency, demand.Task)
 	for _, tenant := range tenants {
 		still := minus(missing, found.freed)
-		if still.Memory <= 0 && still.Accelerators <= 0 {
+		if still.Memory <= 0 && still.Accelerators <= 0 && (!processorsToo || still.Processors <= roundingSlack) {
 			break
 		}
 		share := dominantShare(tenant.Holds, p.total)
@@ -71,7 +82,7 @@
 		spare[tenant.Urgency] -= share
 		found.throttle(tenant, reason)
 	}
-	return found, fits(missing, found.freed)
+	return found
 }
 
 // spare returns how much each class holds beyond its floor, which more urgent tasks may take.
