--- a/experiment/list.go
+++ b/experiment/list.go
@@ -2,7 +2,5 @@
 
 // All lists the experiments in the order in which they run.
 func All() []Experiment {
-	return []Experiment{
-		TaskFlood{},
-	}
+	return []Experiment{Routing{}, Flood{}, Failer{}, RollOut{}, Capacity{}, TaskFlood{}}
 }
