Measure and shorten the path of a request

Ruled out: a client of our own without net/http's goroutines; the target needs none. Change: experiment PathLatency and a benchmark over real sockets; one timer an attempt in place of one a read, bodies read into their stated length, no copy of the answer's header; a collector setting for small live heaps with a memory limit.

--- a/answer/header.go
+++ b/answer/header.go
@@ -17,15 +17,20 @@
 func EndToEnd(header http.Header) http.Header {
 	kept := header.Clone()
 	if kept == nil {
-		kept = http.Header{}
+		return http.Header{}
 	}
+	RemoveHopByHop(kept)
+	return kept
+}
+
+// RemoveHopByHop removes the fields that concern one connection only.
+func RemoveHopByHop(header http.Header) {
 	for _, value := range header["Connection"] {
 		for name := range strings.SplitSeq(value, ",") {
-			kept.Del(textproto.TrimString(name))
+			header.Del(textproto.TrimString(name))
 		}
 	}
 	for _, name := range hopByHop {
-		delete(kept, name)
+		delete(header, name)
 	}
-	return kept
 }
--- a/attempt/send.go
+++ b/attempt/send.go
@@ -5,11 +5,11 @@
 	"context"
 	"errors"
 	"io"
-	"math"
 	"net"
 	"net/http"
 	"net/http/httptrace"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/acaciatally/acaciatally"
@@ -21,7 +21,8 @@
 	config  *Config
 	request acaciatally.Request
 	cancel  context.CancelCauseFunc
-	idle    *time.Timer
+	timer   *time.Timer
+	reason  atomic.Pointer[error] // for which the timer would cancel the attempt
 
 	mu         sync.Mutex
 	connection *connection // the newest connection that the transport took
@@ -37,7 +38,7 @@
 		attempt.cancel(nil)
 		return nil, classify(false, err)
 	}
-	attempt.startTimer(f.config.FirstByteTimeout, errFirstByte)
+	attempt.startTimer(f.config.FirstByteTimeout, &errFirstByte)
 	response, err := f.transport.RoundTrip(outgoing) //nolint:bodyclose // closed by read or by the reader of Rest
 	if err != nil {
 		err = cause(ctx, err)
@@ -47,18 +48,22 @@
 	return attempt.read(ctx, response)
 }
 
-func (s *sending) startTimer(timeout time.Duration, reason error) {
-	if s.idle != nil {
-		s.idle.Stop()
+// startTimer cancels the attempt after the timeout, in place of the timeout before.
+func (s *sending) startTimer(timeout time.Duration, reason *error) {
+	if timeout <= 0 {
+		return
 	}
-	if timeout > 0 {
-		s.idle = time.AfterFunc(timeout, func() { s.cancel(reason) })
+	s.reason.Store(reason)
+	if s.timer == nil {
+		s.timer = time.AfterFunc(timeout, func() { s.cancel(*s.reason.Load()) })
+		return
 	}
+	s.timer.Reset(timeout)
 }
 
 func (s *sending) end() {
-	if s.idle != nil {
-		s.idle.Stop()
+	if s.timer != nil {
+		s.timer.Stop()
 	}
 	s.cancel(nil)
 }
@@ -187,20 +192,20 @@
 	return whole, nil
 }
 
-// bufferLimit is unlimited for answers that have no body, whatever length they state.
+// bufferLimit is 0 for answers that have no body, whatever length they state.
 func (s *sending) bufferLimit(response *http.Response) int64 {
 	if !bodyAllowed(s.request.Method, response.StatusCode) {
-		return math.MaxInt64 - 1
+		return 0
 	}
 	return s.config.MaxAnswer
 }
 
-// ownHeadersRemoved returns the end-to-end header without the fields that only this system may state.
+// ownHeadersRemoved removes the fields of one connection and those that only this system may state.
 func ownHeadersRemoved(header http.Header) http.Header {
-	kept := answer.EndToEnd(header)
-	kept.Del(acaciatally.OutcomeHeader)
-	kept.Del(acaciatally.AnswerHeader)
-	return kept
+	answer.RemoveHopByHop(header)
+	delete(header, acaciatally.OutcomeHeader)
+	delete(header, acaciatally.AnswerHeader)
+	return header
 }
 
 func (s *sending) check(response *http.Response) error {
@@ -229,7 +234,7 @@
 
 // Read reads on; a pause longer than the idle timeout breaks the answer off.
 func (r *rest) Read(content []byte) (n int, err error) {
-	r.sending.startTimer(r.sending.config.IdleTimeout, errIdle)
+	r.sending.startTimer(r.sending.config.IdleTimeout, &errIdle)
 	n, err = r.body.Read(content)
 	if err != nil && !errors.Is(err, io.EOF) {
 		err = cause(r.context, err)
@@ -246,13 +251,17 @@
 
 // buffer reads up to limit bytes; more reports that the answer is longer.
 func (r *rest) buffer(limit, length int64) (body []byte, more bool, err error) {
-	if length > limit {
+	switch {
+	case length == 0 || limit == 0:
+		return nil, false, nil
+	case length > limit:
 		return nil, true, nil
+	case length > 0:
+		body = make([]byte, length)
+		_, err = io.ReadFull(r, body)
+		return body, false, err
 	}
 	var buffer bytes.Buffer
-	if length > 0 && length <= r.sending.config.MaxAnswer {
-		buffer.Grow(int(length) + bytes.MinRead)
-	}
 	read, err := io.Copy(&buffer, io.LimitReader(r, limit+1))
 	return buffer.Bytes(), read > limit, err
 }
--- a/cmd/acaciatally/main.go
+++ b/cmd/acaciatally/main.go
@@ -44,6 +44,7 @@
 	defer cancel()
 	go stopOnSignal(cancel)
 	client := platform.New(platform.Config{Address: loaded.Platform.Address, Timeout: loaded.Platform.Timeout})
+	entry.TuneMemory()
 	process := entry.New(entry.Config{Settings: loaded, Entry: self, Table: client, Logger: &log.DefaultLogger})
 	return process.Run(ctx)
 }
--- a/experiment/list.go
+++ b/experiment/list.go
@@ -2,5 +2,7 @@
 
 // All lists the experiments in the order in which they run.
 func All() []Experiment {
-	return []Experiment{}
+	return []Experiment{
+		PathLatency{Rounds: 10, Requests: 800, FullLoad: 4000},
+	}
 }
