Measure the path of a request through a remote slot home

Cause: the measured entry was its own slot home, which eight of nine entries are not. Ruled out: one figure for each entry; which of them is the home depends on a hash of their ids. Change: PathLatency runs two entries with a session between them, and the callers take them in turn.

--- a/experiment/path_latency.go
+++ b/experiment/path_latency.go
@@ -15,9 +15,7 @@
 	"github.com/phuslu/log"
 
 	"github.com/acaciatally/acaciatally"
-	"github.com/acaciatally/acaciatally/changelog"
 	"github.com/acaciatally/acaciatally/entry"
-	"github.com/acaciatally/acaciatally/fleet"
 	"github.com/acaciatally/acaciatally/settings"
 	"github.com/acaciatally/acaciatally/standin"
 )
@@ -41,7 +39,7 @@
 // path is a way from a caller to the worker and what was measured on it.
 type path struct {
 	policy    string
-	url       string
+	urls      []string // taken in turn by the callers
 	latencies []time.Duration
 	processor time.Duration // processor time of the whole process at full load
 	requests  int
@@ -98,7 +96,7 @@
 		group.Go(func() {
 			for i := caller; i < requests && failures[caller] == nil; i += callers {
 				start := time.Now()
-				failures[caller] = p.call(ctx, client)
+				failures[caller] = p.call(ctx, client, p.urls[caller%len(p.urls)])
 				latencies[i] = time.Since(start)
 			}
 		})
@@ -112,8 +110,8 @@
 	return latencies, nil
 }
 
-func (p *path) call(ctx context.Context, client *http.Client) (err error) {
-	request, err := http.NewRequestWithContext(ctx, http.MethodGet, p.url, nil)
+func (p *path) call(ctx context.Context, client *http.Client, url string) (err error) {
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
 	if err != nil {
 		return err
 	}
@@ -139,9 +137,11 @@
 	return time.Duration(usage.Utime.Nano() + usage.Stime.Nano())
 }
 
-// startPaths starts a worker and an entry in front of it, and returns the direct path and the one through the entry.
+// startPaths starts a worker and two entries in front of it, and returns the direct path and the one through the entries. One
+// entry is the slot home of the pool, so half of the requests ask for their slot in another process's place.
 func startPaths(ctx context.Context, seed uint64, serviceTime time.Duration) (paths []*path, stop func(), err error) {
-	listener, err := (&net.ListenConfig{}).Listen(ctx, "tcp", "127.0.0.1:0")
+	listeners := &openListeners{byAddress: map[string]net.Listener{}}
+	address, err := listeners.open(ctx)
 	if err != nil {
 		return nil, nil, err
 	}
@@ -149,71 +149,98 @@
 		Handler:           standin.NewWorker(standin.WorkerConfig{ID: "w", Slots: pathSlots, ServiceTime: serviceTime}),
 		ReadHeaderTimeout: time.Minute,
 	}
+	listener := listeners.byAddress[address.String()]
 	go func() { _ = worker.Serve(listener) }()
-	deployment := pathSettings(listener.Addr().(*net.TCPAddr).AddrPort())
-	table := standin.NewTable()
-	load := changelog.Proposal{CommandID: "load", Decide: func(*fleet.State) ([]fleet.Change, error) { return deployment.Changes(), nil }}
-	if _, err = changelog.New(changelog.Config{Table: table}).Commit(ctx, load); err != nil {
+	deployment, err := pathSettings(ctx, address, listeners)
+	if err != nil {
 		return nil, nil, err
 	}
-	callers, stopEntry := startPathEntry(ctx, seed, deployment, table)
+	table := standin.NewTable()
+	direct := &path{policy: "BaselineDirect", urls: []string{"http://" + address.String() + "/coating/"}}
+	through := &path{policy: "Entry"}
+	stops := []func(){func() { _ = worker.Close() }}
+	for _, self := range deployment.Entries {
+		through.urls = append(through.urls, "http://"+self.CallerAddress.String()+"/coating/")
+		stops = append(stops, startPathEntry(ctx, entry.Config{
+			Settings: deployment, Entry: self, Table: table, Seed: seed, Listen: listeners.listen,
+			Logger: &log.Logger{Writer: &log.IOWriter{Writer: io.Discard}},
+		}))
+	}
 	stop = func() {
-		stopEntry()
-		_ = worker.Close()
+		for _, end := range slices.Backward(stops) {
+			end()
+		}
 	}
-	direct := &path{policy: "BaselineDirect", url: "http://" + listener.Addr().String() + "/coating/"}
-	through := &path{policy: "Entry", url: "http://" + callers + "/coating/"}
 	return []*path{direct, through}, stop, waitForPath(ctx, through)
 }
 
-func pathSettings(worker netip.AddrPort) *settings.Settings {
-	callers, other := netip.MustParseAddrPort("127.0.0.2:0"), netip.MustParseAddrPort("127.0.0.1:0")
-	deployment := &settings.Settings{
+// openListeners are opened before the settings that name their addresses are made.
+type openListeners struct{ byAddress map[string]net.Listener }
+
+func (o *openListeners) open(ctx context.Context) (address netip.AddrPort, err error) {
+	listener, err := (&net.ListenConfig{}).Listen(ctx, "tcp", "127.0.0.1:0")
+	if err != nil {
+		return address, err
+	}
+	address = listener.Addr().(*net.TCPAddr).AddrPort()
+	o.byAddress[address.String()] = listener
+	return address, nil
+}
+
+func (o *openListeners) listen(_ context.Context, _, address string) (net.Listener, error) {
+	listener, found := o.byAddress[address]
+	if !found {
+		return nil, fmt.Errorf("no listener was opened for %s", address)
+	}
+	return listener, nil
+}
+
+func pathSettings(ctx context.Context, worker netip.AddrPort, listeners *openListeners) (deployment *settings.Settings, err error) {
+	deployment = &settings.Settings{
 		Deployment: "Loopback",
-		Entries:    []settings.Entry{{ID: "e", CallerAddress: callers, OperatorAddress: other, PeerAddress: other}},
 		Peers:      settings.Peers{Key: "0123456789abcdef"},
 		Pools:      []settings.Pool{{Name: "coating", Instances: []settings.Instance{{ID: "w", Address: worker, Slots: pathSlots}}}},
 	}
+	for _, id := range []acaciatally.EntryID{"e1", "e2"} {
+		self := settings.Entry{ID: id}
+		for _, address := range []*netip.AddrPort{&self.CallerAddress, &self.OperatorAddress, &self.PeerAddress} {
+			if *address, err = listeners.open(ctx); err != nil {
+				return nil, err
+			}
+		}
+		deployment.Entries = append(deployment.Entries, self)
+	}
 	deployment.Default()
-	return deployment
+	return deployment, nil
 }
 
-// startPathEntry returns the callers' address of a running entry.
-func startPathEntry(ctx context.Context, seed uint64, deployment *settings.Settings, table acaciatally.TableService) (callers string, stop func()) {
-	callersListen := deployment.Entries[0].CallerAddress.String()
-	address := make(chan string, 1)
-	process := entry.New(entry.Config{
-		Settings: deployment, Entry: deployment.Entries[0], Table: table, Seed: seed,
-		Logger: &log.Logger{Writer: &log.IOWriter{Writer: io.Discard}},
-		Listen: func(ctx context.Context, network, listen string) (net.Listener, error) {
-			listener, err := (&net.ListenConfig{}).Listen(ctx, network, listen)
-			if err == nil && listen == callersListen {
-				address <- listener.Addr().String()
-			}
-			return listener, err
-		},
-	})
+func startPathEntry(ctx context.Context, config entry.Config) (stop func()) {
+	process := entry.New(config)
 	ctx, cancel := context.WithCancel(ctx)
 	ended := make(chan struct{})
 	go func() {
 		defer close(ended)
 		_ = process.Run(ctx) // an entry that does not serve shows in the measured calls
 	}()
-	stop = func() {
+	return func() {
 		cancel()
 		<-ended
 	}
-	return <-address, stop
 }
 
 func waitForPath(ctx context.Context, through *path) (err error) {
-	for range 100 {
-		if err = through.call(ctx, http.DefaultClient); err == nil {
-			return nil
+	for _, url := range through.urls {
+		for range 250 {
+			if err = through.call(ctx, http.DefaultClient, url); err == nil {
+				break
+			}
+			time.Sleep(20 * time.Millisecond)
+		}
+		if err != nil {
+			return err
 		}
-		time.Sleep(20 * time.Millisecond)
 	}
-	return err
+	return nil
 }
 
 func pathFigures(slow, quick []*path, seed uint64) (figures []Figure) {
