Keep within a worker's connections and show every broken end

Cause: nine entries with 64 connections each exceed a worker's 64; a caller over HTTP/1.0 could not see that a long answer without a length ended early; taking a batch out of 4096 waiting claims compared each with each. Ruled out: a bound on connections in use, which the slots bound already, and which would hold a slot while it waits. Change: each entry keeps its share of the connections that the slots leave over; such an answer is refused as not known; the batch remembers the ids it has seen. A test sends a claimed request after a pause beyond its deadline: nothing leaves. Before and after: 6 idle connections to a worker and entry in place of 64 at today's sizes; no other figures. Conclusion: the bound holds for the configured workers; one that is added later with fewer connections is not counted.

--- a/answer/answer.go
+++ b/answer/answer.go
@@ -28,9 +28,16 @@
 // String returns the filter's name in logs and metrics.
 func (f *Filter) String() string { return "answer" }
 
-// Run writes the answer; it fails with ErrBrokenOff when the rest of a long answer does not come whole.
+// Run writes the answer; it fails with ErrBrokenOff when the rest of a long answer does not come whole, and with
+// *acaciatally.Refusal when the caller could not see that.
 func (f *Filter) Run(_ context.Context, exchange *acaciatally.Exchange) (err error) {
 	answer := exchange.Answer
+	if answer.Rest != nil && !endVisible(exchange) {
+		return &acaciatally.Refusal{
+			Outcome: acaciatally.Unknown, Status: http.StatusBadGateway,
+			Reason: "the request ran; HTTP/1.0 cannot show where its long answer ends",
+		}
+	}
 	header := exchange.Writer.Header()
 	for name, values := range answer.Header {
 		header[name] = values
@@ -53,6 +60,11 @@
 	return stream(writer, answer.Rest)
 }
 
+// endVisible reports whether the caller can tell a long answer that ended early from a whole one.
+func endVisible(exchange *acaciatally.Exchange) bool {
+	return exchange.HTTP.ProtoAtLeast(1, 1) || exchange.Answer.Header.Get("Content-Length") != ""
+}
+
 // timedWriter ends the wait for a caller that reads too slowly.
 type timedWriter struct {
 	io.Writer
--- a/answer/answer_test.go
+++ b/answer/answer_test.go
@@ -32,24 +32,34 @@
 	broken := io.NopCloser(io.MultiReader(strings.NewReader("b"), iotest.ErrReader(io.ErrUnexpectedEOF)))
 	tests := map[string]struct {
 		method string
+		old    bool // an HTTP/1.0 caller
 		answer acaciatally.Answer
 		body   string
 		length string
 		broken bool
 	}{
-		"whole":      {method: "GET", answer: acaciatally.Answer{Status: 200, Body: []byte("done")}, body: "done", length: "4"},
-		"head":       {method: "HEAD", answer: acaciatally.Answer{Status: 200, Header: http.Header{"Content-Length": {"9"}}}, length: "9"},
-		"no content": {method: "GET", answer: acaciatally.Answer{Status: 204}},
-		"streamed":   {method: "GET", answer: acaciatally.Answer{Status: 200, Body: []byte("a"), Rest: io.NopCloser(strings.NewReader("b"))}, body: "ab"},
-		"broken off": {method: "GET", answer: acaciatally.Answer{Status: 200, Body: []byte("a"), Rest: broken}, body: "ab", broken: true},
+		"whole":           {method: "GET", answer: acaciatally.Answer{Status: 200, Body: []byte("done")}, body: "done", length: "4"},
+		"head":            {method: "HEAD", answer: acaciatally.Answer{Status: 200, Header: http.Header{"Content-Length": {"9"}}}, length: "9"},
+		"no content":      {method: "GET", answer: acaciatally.Answer{Status: 204}},
+		"streamed":        {method: "GET", answer: acaciatally.Answer{Status: 200, Body: []byte("a"), Rest: io.NopCloser(strings.NewReader("b"))}, body: "ab"},
+		"end not visible": {method: "GET", old: true, answer: acaciatally.Answer{Status: 200, Rest: http.NoBody}},
+		"broken off":      {method: "GET", answer: acaciatally.Answer{Status: 200, Body: []byte("a"), Rest: broken}, body: "ab", broken: true},
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
 			recorder := httptest.NewRecorder()
 			exchange := &acaciatally.Exchange{
-				Writer: recorder, Answer: &test.answer, Request: acaciatally.Request{ID: "r", Method: test.method},
+				Writer: recorder, HTTP: &http.Request{ProtoMajor: 1, ProtoMinor: 1}, Answer: &test.answer, Request: acaciatally.Request{ID: "r", Method: test.method},
+			}
+			if test.old {
+				exchange.HTTP.ProtoMinor = 0
 			}
 			err := New().Run(t.Context(), exchange)
+			if test.old {
+				require.ErrorContains(t, err, "Unknown")
+				require.Empty(t, recorder.Body.String())
+				return
+			}
 			require.Equal(t, test.broken, errors.Is(err, ErrBrokenOff))
 			require.Equal(t, test.answer.Status, recorder.Code)
 			require.Equal(t, test.body, recorder.Body.String())
--- a/attempt/filter.go
+++ b/attempt/filter.go
@@ -23,6 +23,8 @@
 	backoffLimit = time.Second
 	// maxAnswerHeader bounds the memory for the header of an endpoint's answer.
 	maxAnswerHeader = 64 << 10
+	// maxIdle bounds the idle connections to all endpoints: one for each worker of the target size, and more for some.
+	maxIdle = 4096
 	// idleConnections outlive the pauses between requests, but not the endpoints' usual keep-alive time of a minute.
 	idleConnections = 45 * time.Second
 )
@@ -37,8 +39,8 @@
 	Budget       RetryBudget
 	MaxRetries   int
 	MaxAnswer    int64 // bytes of an answer that are buffered
-	// MaxConnections bounds the connections to one endpoint.
-	MaxConnections   int
+	// MaxIdle bounds the connections to one endpoint that are kept without a request. Slots bound those with one.
+	MaxIdle          int
 	ConnectTimeout   time.Duration
 	FirstByteTimeout time.Duration // 0 leaves only the request's deadline
 	IdleTimeout      time.Duration
@@ -68,8 +70,8 @@
 		transport: &http.Transport{
 			DialContext:            recordingDial(config.Dial, config.ConnectTimeout),
 			DisableCompression:     true, // answers pass unchanged
-			MaxConnsPerHost:        config.MaxConnections,
-			MaxIdleConnsPerHost:    config.MaxConnections,
+			MaxIdleConns:           maxIdle,
+			MaxIdleConnsPerHost:    config.MaxIdle,
 			IdleConnTimeout:        idleConnections,
 			MaxResponseHeaderBytes: maxAnswerHeader,
 		},
--- a/attempt/filter_test.go
+++ b/attempt/filter_test.go
@@ -31,10 +31,12 @@
 	released []acaciatally.AttemptResult
 	refuse   *acaciatally.Refusal // what Acquire returns from the second call on
 	acquired int
+	pause    time.Duration // of the process after the claim
 }
 
 func (f *fixture) Acquire(context.Context, acaciatally.Request) (*acaciatally.Grant, error) {
 	f.acquired++
+	time.Sleep(f.pause)
 	if f.refuse != nil && f.acquired > 1 {
 		return nil, f.refuse
 	}
@@ -58,7 +60,7 @@
 	}
 	f.filter = New(Config{
 		Slots: f, Dial: dial, ProvesNotRun: func(acaciatally.PoolName) []int { return []int{429} },
-		Budget: NewBudget(0.05), MaxRetries: 2, MaxAnswer: 1 << 10, MaxConnections: 4, ConnectTimeout: 2 * time.Second,
+		Budget: NewBudget(0.05), MaxRetries: 2, MaxAnswer: 1 << 10, MaxIdle: 4, ConnectTimeout: 2 * time.Second,
 		IdleTimeout: 5 * time.Second, Random: func() float64 { return 0.5 }, Metrics: metrics.NewSet(),
 	})
 	return f
@@ -390,3 +392,18 @@
 		})
 	}
 }
+
+// Guards P4 and P5 against a holder that was paused after its claim: past the deadline nothing is sent, and NotRun is true.
+func TestPausedBeforeSend(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var f *fixture
+		f = newFixture(func(_ int, connection net.Conn) { f.reply(connection, ok) })
+		defer f.filter.Close()
+		f.pause = time.Minute
+		_, refusal := f.run(t, http.MethodPost, false, nil)
+		require.Equal(t, acaciatally.NotRun, refusal.Outcome)
+		require.Equal(t, http.StatusGatewayTimeout, refusal.Status)
+		require.Zero(t, f.requests.Load())
+		require.Len(t, f.released, 1)
+	})
+}
--- a/claim/batcher.go
+++ b/claim/batcher.go
@@ -138,13 +138,14 @@
 // takeBatch removes the oldest operations from pending, at most one for a row.
 func (b *Batcher) takeBatch() (batch []*Operation) {
 	var rest []*Operation
+	seen := map[string]bool{}
 	for _, operation := range b.pending {
-		same := func(other *Operation) bool { return other.ID == operation.ID }
-		if len(batch) < b.config.MaxBatch && !slices.ContainsFunc(batch, same) && !slices.ContainsFunc(rest, same) {
+		if len(batch) < b.config.MaxBatch && !seen[operation.ID] {
 			batch = append(batch, operation)
-			continue
+		} else {
+			rest = append(rest, operation)
 		}
-		rest = append(rest, operation)
+		seen[operation.ID] = true
 	}
 	b.pending = rest
 	return batch
--- a/entry/slots_test.go
+++ b/entry/slots_test.go
@@ -12,6 +12,7 @@
 
 	"github.com/acaciatally/acaciatally"
 	"github.com/acaciatally/acaciatally/fleet"
+	"github.com/acaciatally/acaciatally/settings"
 )
 
 func newSlots(entries int, workers ...fleet.Instance) (slots *localSlots, state *fleet.State) {
@@ -32,6 +33,17 @@
 	return slots.Acquire(ctx, acaciatally.Request{Pool: "coating", Urgency: urgency})
 }
 
+// Guards a worker's 64 connections against nine entries that each keep their own idle ones.
+func TestIdleConnections(t *testing.T) {
+	deployment := &settings.Settings{
+		Entries: make([]settings.Entry, 9),
+		Pools:   []settings.Pool{{Instances: []settings.Instance{{Slots: 8, Connections: 64}}}},
+	}
+	require.Equal(t, 6, idleConnections(deployment))
+	deployment.Pools[0].Instances[0].Connections = 8
+	require.Equal(t, 1, idleConnections(deployment))
+}
+
 // Guards the share of one entry among several, the bound of the queue, the order by urgency, and slots against being lost when
 // a waiting caller leaves.
 func TestLocalSlots(t *testing.T) {
--- a/entry/traffic.go
+++ b/entry/traffic.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"math"
 	"math/rand/v2"
 	"net/http"
 	"time"
@@ -18,6 +19,7 @@
 	"github.com/acaciatally/acaciatally/claim"
 	"github.com/acaciatally/acaciatally/fleet"
 	"github.com/acaciatally/acaciatally/identity"
+	"github.com/acaciatally/acaciatally/settings"
 	"github.com/acaciatally/acaciatally/urgency"
 )
 
@@ -26,8 +28,6 @@
 	maxBuffered = 256 << 20
 	// idleTimeout cuts an answer that stands still while its caller still has time.
 	idleTimeout = 10 * time.Second
-	// fallbackConnections is the connections of a worker of either user today.
-	fallbackConnections = 64
 )
 
 // traffic is the path of a caller's request: each filter works on the exchange in order, and the first refusal ends it.
@@ -47,7 +47,7 @@
 		}),
 		attempt: attempt.New(attempt.Config{
 			Slots: p.watch.recorder, Dial: p.config.Dial, ProvesNotRun: p.provesNotRun, Budget: attempt.NewBudget(limits.RetryBudget),
-			MaxRetries: limits.MaxRetries, MaxAnswer: int64(limits.MaxAnswer), MaxConnections: fallbackConnections,
+			MaxRetries: limits.MaxRetries, MaxAnswer: int64(limits.MaxAnswer), MaxIdle: idleConnections(p.config.Settings),
 			ConnectTimeout: limits.ConnectTimeout, IdleTimeout: idleTimeout,
 			Clock: p.config.Clock, Random: rand.Float64, Metrics: p.metrics,
 		}),
@@ -70,6 +70,18 @@
 	return t
 }
 
+// idleConnections is this entry's share of the connections of a worker that its slots leave over, so that all entries together
+// stay within the worker's bound.
+func idleConnections(deployment *settings.Settings) int {
+	idle := math.MaxInt
+	for _, pool := range deployment.Pools {
+		for _, instance := range pool.Instances {
+			idle = min(idle, (instance.Connections-instance.Slots)/max(len(deployment.Entries), 1))
+		}
+	}
+	return max(idle, 1)
+}
+
 // directory looks up pools and teams in the configuration in force.
 type directory struct{ state func() *fleet.State }
 
