--- a/console/serve.go
+++ b/console/serve.go
@@ -49,6 +49,7 @@
 		Context: log.NewContext(nil).Str("entry", string(self.ID)).Value(),
 	}
 	client := platform.New(platform.Config{Address: loaded.Platform.Address, Timeout: loaded.Platform.Timeout})
+	entry.TuneMemory()
 	process := entry.New(entry.Config{
 		Settings: loaded, Entry: self, Table: client, Objects: client, List: client, Instances: client, Tasks: client, Logger: logger,
 	})
