Park no instances of a pool whose demand is not known yet

Ruled out: a minimum of serving instances (MinAvailable already is one; the fault is the missing history). Change: a forecast from less than 3 minutes of history is cold, and a cold pool keeps what it has. TestColdStart fails without it.

--- a/control/outlook.go
+++ b/control/outlook.go
@@ -30,7 +30,7 @@
 // Forecast returns the peak of a pool's demand between two times; a pool without history has none.
 func (o *Outlook) Forecast(pool acaciatally.PoolName, from, to time.Time) rhythm.Forecast {
 	if o.pools[pool] == nil {
-		return rhythm.Forecast{}
+		return rhythm.Forecast{Cold: true}
 	}
 	return o.pools[pool].Forecast(from, to)
 }
--- a/move/move.go
+++ b/move/move.go
@@ -134,6 +134,9 @@
 		pool.soon = r.need(pool, r.config.Lead)
 		pool.kept = max(pool.soon, r.need(pool, max(r.payback(), r.config.Lead)))
 		pool.home = max(pool.kept, r.need(pool, min(r.config.MaxPayback, nativePaybacks*r.payback())))
+		if r.Outlook.Forecast(name, r.Now, r.Now).Cold {
+			pool.kept, pool.home = max(pool.kept, pool.have), max(pool.home, pool.have)
+		}
 		r.pools = append(r.pools, pool)
 	}
 }
--- a/move/move_test.go
+++ b/move/move_test.go
@@ -164,3 +164,21 @@
 		})
 	}
 }
+
+// cold is the outlook of a controller that has just started.
+type cold struct{ outlook }
+
+func (c cold) Forecast(pool acaciatally.PoolName, from, to time.Time) rhythm.Forecast {
+	forecast := c.outlook.Forecast(pool, from, to)
+	forecast.Cold = true
+	return forecast
+}
+
+// TestColdStart guards against a new controller that takes a pool without history for idle and parks its instances.
+func TestColdStart(t *testing.T) {
+	state := authority(t)
+	quiet := outlook{"intake": {now: 1}, "coating": {now: 1}, "booking": {now: 1}, "chamber": {now: 1}}
+	require.NotEmpty(t, plan(state, now, quiet), "with a history the pools' own instances are parked")
+	actions := move.New(move.Config{}).Plan(move.Input{Now: now, Draft: state.Draft(now), Outlook: cold{quiet}})
+	require.Empty(t, actions)
+}
--- a/rhythm/rhythm.go
+++ b/rhythm/rhythm.go
@@ -46,12 +46,14 @@
 	Slots      float64
 	Period     time.Duration // 0 when none is known
 	Confidence float64       // between 0 and 1
+	Cold       bool          // the history is too short to call a pool idle
 }
 
 // Rhythm keeps the bounded history of one pool; it is not safe for concurrent use.
 type Rhythm struct {
 	config     Config
 	buckets    []bucket
+	first      int64 // index of the first sample ever
 	last       int64 // index of the newest bucket
 	learnedAt  int64
 	period     float64 // buckets, 0 when none is known
@@ -80,6 +82,9 @@
 	if index <= r.last-int64(len(r.buckets)) || math.IsNaN(slots) || slots < 0 {
 		return
 	}
+	if r.first == 0 {
+		r.first = index
+	}
 	r.last = max(r.last, index)
 	slot := &r.buckets[index%int64(len(r.buckets))]
 	if !slot.known || slot.index != index {
@@ -88,8 +93,17 @@
 	slot.peak = max(slot.peak, slots)
 }
 
+// warmUp is the history before a quiet pool counts as idle: a burst may come after minutes of a twentieth of the mean.
+const warmUp = 3 * time.Minute
+
 // Forecast returns the peak expected between two times.
-func (r *Rhythm) Forecast(from, to time.Time) Forecast {
+func (r *Rhythm) Forecast(from, to time.Time) (forecast Forecast) {
+	forecast = r.forecast(from, to)
+	forecast.Cold = r.last-r.first < int64(warmUp/r.config.Bucket)
+	return forecast
+}
+
+func (r *Rhythm) forecast(from, to time.Time) Forecast {
 	if r.last-r.learnedAt >= int64(r.config.Relearn/r.config.Bucket) {
 		r.learn()
 		r.learnedAt = r.last
--- a/rhythm/rhythm_test.go
+++ b/rhythm/rhythm_test.go
@@ -113,3 +113,14 @@
 		second++
 	}
 }
+
+// TestCold guards against a short history that passes for knowledge of a quiet pool.
+func TestCold(t *testing.T) {
+	known := rhythm.New(rhythm.Config{})
+	start := time.Unix(100_000, 0)
+	for second := range 200 {
+		at := start.Add(time.Duration(second) * time.Second)
+		known.Observe(at, 1)
+		require.Equal(t, second < 180, known.Forecast(at, at).Cold, "after %d s", second)
+	}
+}
