--- a/experiment/list.go
+++ b/experiment/list.go
@@ -2,5 +2,15 @@
 
 // All lists the experiments in the order in which they run.
 func All() []Experiment {
-	return []Experiment{RollOut{}, Capacity{}}
+	return []Experiment{
+		Routing{},
+		Flood{},
+		Failer{},
+		Culprit{},
+		RollOut{},
+		Capacity{},
+		TaskFlood{},
+		SlotGrant{},
+		PathLatency{Rounds: 10, Requests: 800, FullLoad: 4000},
+	}
 }
--- a/model/doc.go
+++ b/model/doc.go
@@ -1,2 +1,2 @@
-// Package model describes the deployments and models machines, entries and load on a clock of its own.
+// Package model models deployments, machines, load and the traffic of requests on a clock of its own.
 package model
--- a/model/load.go
+++ b/model/load.go
@@ -3,57 +3,119 @@
 import (
 	"math"
 	"math/rand/v2"
+	"strconv"
 	"time"
 
 	"github.com/acaciatally/acaciatally"
+	"github.com/acaciatally/acaciatally/queue"
 )
 
-// LoadConfig describes the demand of pools that burst in turn.
-type LoadConfig struct {
-	Pools  []acaciatally.PoolName
-	Mean   []float64     // slots, one for each pool
-	Period time.Duration // time in which each pool bursts once
-	Burst  float64       // demand in a burst as a multiple of the mean
-	Quiet  float64       // demand between bursts as a share of the mean
-	Drift  float64       // growth of the period as a share of the elapsed time
-	Noise  float64       // relative deviation of the demand
-	Seed   uint64
-}
-
-// Load is a model of the demand; one goroutine uses it.
-type Load struct {
-	config LoadConfig
-	random *rand.Rand
-	phase  float64 // turns since the start
-	last   time.Time
+// request is one request of a caller.
+type request struct {
+	id       string
+	source   *Source
+	team     *TeamTally
+	pool     *pool
+	entry    *entry
+	arrived  time.Duration
+	deadline time.Duration
+	service  time.Duration
+	attempts int
+	started  bool
+	wait     time.Duration
+	tried    []acaciatally.InstanceID
+	ended    bool
+	onEnd    func()
 }
 
-// NewLoad returns a load at the begin of its first turn.
-func NewLoad(config LoadConfig) *Load {
-	return &Load{config: config, random: rand.New(rand.NewPCG(config.Seed, 1))}
+// start notes the first start at a worker.
+func (r *request) start(now time.Duration) {
+	if !r.started {
+		r.started, r.wait = true, now-r.arrived
+	}
 }
 
-// share is the part of the period in which a pool bursts so that its mean is kept.
-func (l *Load) share() float64 {
-	return (1 - l.config.Quiet) / (l.config.Burst - l.config.Quiet)
+func (r *request) item() queue.Item {
+	return queue.Item{
+		ID: r.id, Team: r.team.Team, Urgency: r.source.Urgency, Deadline: epoch.Add(r.deadline),
+		Bytes: r.source.Bytes, DataCentre: r.entry.dataCentre, Idempotent: true,
+	}
 }
 
-// At returns the demand at a time; times must not go back.
-func (l *Load) At(now time.Time) (demand []acaciatally.PoolDemand) {
-	if l.last.IsZero() {
-		l.last = now
+// stream generates the arrivals of one source. Each stream has its own random numbers, so that a run without a flood has the
+// same ordinary requests as the run with it.
+type stream struct {
+	source *Source
+	pool   *pool
+	random *rand.Rand
+	teams  []*TeamTally
+	index  int
+	count  int
+	rate   float64 // mean arrivals per second
+}
+
+// factor returns the factor on the demand at a time and the time until which it holds.
+func (s *stream) factor(now, end time.Duration) (factor float64, until time.Duration) {
+	until = end
+	for _, phase := range s.source.Phases {
+		if now >= phase.From && now < phase.To {
+			return phase.Factor, min(end, phase.To)
+		}
+		if phase.From > now {
+			until = min(until, phase.From)
+		}
 	}
-	step := now.Sub(l.last).Seconds() / l.config.Period.Seconds()
-	l.phase += step / (1 + l.config.Drift*l.phase)
-	l.last = now
-	for i, pool := range l.config.Pools {
-		_, turn := math.Modf(l.phase + 1 - float64(i)/float64(len(l.config.Pools)))
-		factor := l.config.Quiet
-		if turn < l.share() {
-			factor = l.config.Burst
+	return s.source.Otherwise, until
+}
+
+// next returns the time of the arrival after now; found is false when none comes before the end.
+func (s *stream) next(now, end time.Duration) (at time.Duration, found bool) {
+	for now < end {
+		factor, until := s.factor(now, end)
+		if rate := s.rate * factor; rate > 0 {
+			at = now + time.Duration(s.random.ExpFloat64()/rate*float64(time.Second))
+			if at < until {
+				return at, true
+			}
 		}
-		slots := l.config.Mean[i] * factor * (1 + l.config.Noise*l.random.NormFloat64())
-		demand = append(demand, acaciatally.PoolDemand{Pool: pool, Slots: max(0, slots)})
+		now = until
 	}
-	return demand
+	return 0, false
+}
+
+// schedule arranges the stream's next arrival.
+func (s *simulation) schedule(stream *stream) {
+	at, found := stream.next(s.clock.now, s.config.Duration)
+	if !found {
+		return
+	}
+	s.clock.after(at-s.clock.now, func() {
+		request := s.create(stream)
+		s.schedule(stream)
+		s.policy.submit(request)
+	})
+}
+
+func (s *simulation) create(stream *stream) *request {
+	stream.count++
+	source := stream.source
+	created := &request{
+		id:       strconv.Itoa(stream.index) + "/" + strconv.Itoa(stream.count),
+		source:   source,
+		team:     stream.teams[stream.random.IntN(len(stream.teams))],
+		pool:     stream.pool,
+		entry:    s.entries[stream.random.IntN(len(s.entries))],
+		arrived:  s.clock.now,
+		deadline: s.clock.now + source.Deadline - 2*toClient,
+		service:  logNormal(stream.random, source.Service, source.Spread),
+	}
+	s.count(created, func(t *Tally) { t.Offered++ })
+	created.team.Offered++
+	s.open++
+	return created
+}
+
+// logNormal draws a duration of the given mean; spread is the standard deviation of its logarithm.
+func logNormal(random *rand.Rand, mean time.Duration, spread float64) time.Duration {
+	return time.Duration(float64(mean) * math.Exp(spread*random.NormFloat64()-spread*spread/2))
 }
--- a/request.go
+++ b/request.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"io"
 	"net/http"
 	"net/netip"
 	"time"
@@ -83,6 +84,8 @@
 	Path       string
 	Header     http.Header
 	Body       []byte
+	Retry      bool         // another attempt after one that failed; counts against the retry budget of the pool
+	Tried      []InstanceID // workers that earlier attempts were sent to
 }
 
 // Grant is the right to use one slot of a worker until Release is called.
@@ -98,14 +101,17 @@
 	Outcome     Outcome // empty when a whole answer came
 	Status      int     // HTTP status, 0 when none came
 	Refused     bool    // the endpoint proved that it did not run the request
+	CutOff      bool    // the caller's deadline or its disconnect ended the attempt, not the worker
 	ServiceTime time.Duration
 }
 
-// Answer is an endpoint's whole answer.
+// Answer is an endpoint's answer: whole in Body, or longer than the bound on buffered answers, with Rest still to be read.
 type Answer struct {
-	Status int
-	Header http.Header
-	Body   []byte
+	Status  int
+	Header  http.Header
+	Body    []byte
+	Rest    io.ReadCloser // nil when Body is whole; a read error means that the answer broke off
+	Outcome Outcome       // Failed or Unknown when the endpoint's status says so, else empty
 }
 
 // Exchange is one request on its way through the traffic pipeline.
