Compare a worker's errors with those of its pool

Cause: requests of one team that fail on every worker put healthy workers into probation and charge them with load. Ruled out: naming the team in each result and asking for failures of several teams; a single large team would then hide a faulty worker from which only it is served. Change: load charges and the circuit breaker need an error rate clearly above that of the pool's other workers, and probation a series of fast failures that the others' rate would rarely produce. The sum runs in a fixed order, so that runs repeat. Taken out, each part makes TestFailingRequests fail; without any comparison TestBreaker and TestFailuresHoldSlots fail.

--- a/route/breaker.go
+++ b/route/breaker.go
@@ -42,35 +42,43 @@
 
 func (b *breaker) release() { b.probes = max(0, b.probes-1) }
 
-func (b *breaker) report(now time.Time, failed bool, config *Config) {
+func (b *breaker) answered(now time.Time, config *Config) {
+	if !b.open {
+		b.advance(now, config)
+		b.parts[b.current].total++
+		return
+	}
+	if b.probes == 0 {
+		return // an attempt from before the breaker opened
+	}
+	b.probes--
+	b.successes++
+	if b.successes >= config.MaxProbes {
+		*b = breaker{since: now}
+	}
+}
+
+// failed counts an error. The breaker opens only while the worker's errors are unusual for its pool.
+func (b *breaker) failed(now time.Time, unusual bool, config *Config) {
 	if b.open {
-		b.reportProbe(now, failed, config)
+		b.failedProbe(now, config)
 		return
 	}
 	b.advance(now, config)
 	b.parts[b.current].total++
-	if failed {
-		b.parts[b.current].errors++
-	}
+	b.parts[b.current].errors++
 	sum := b.sum()
-	if sum.total >= config.BreakerSamples && float64(sum.errors) > config.BreakerShare*float64(sum.total) {
+	if unusual && sum.total >= config.BreakerSamples && float64(sum.errors) > config.BreakerShare*float64(sum.total) {
 		b.trip(now, config)
 	}
 }
 
-func (b *breaker) reportProbe(now time.Time, failed bool, config *Config) {
+func (b *breaker) failedProbe(now time.Time, config *Config) {
 	if b.probes == 0 {
 		return // an attempt from before the breaker opened
 	}
 	b.probes--
-	if failed {
-		b.trip(now, config)
-		return
-	}
-	b.successes++
-	if b.successes >= config.MaxProbes {
-		*b = breaker{since: now}
-	}
+	b.trip(now, config)
 }
 
 func (b *breaker) trip(now time.Time, config *Config) {
--- a/route/health.go
+++ b/route/health.go
@@ -17,6 +17,35 @@
 	maxCharges = 64
 )
 
+// standard is what a worker is compared with: the pool's other workers. Errors that they share are caused by requests or by the
+// service and say nothing about one worker.
+type standard struct {
+	serviceTime time.Duration
+	errors      float64 // recent error rate
+}
+
+const (
+	// errorFactor and errorMargin bound the error rates that pass for usual: a rate over the last ten attempts varies by about
+	// as much.
+	errorFactor = 2
+	errorMargin = 0.05
+	// streakChance is the chance, for each attempt, of a series of failures that usual errors alone produce.
+	streakChance = 1e-6
+)
+
+// exceeded reports whether an error rate is clearly higher than usual.
+func (s standard) exceeded(errors float64) bool {
+	return errors > min(1-errorMargin, errorFactor*s.errors+errorMargin)
+}
+
+// streak is the length of a series of failures that usual errors alone would rarely produce.
+func (s standard) streak() int {
+	if s.errors <= 0 {
+		return 0
+	}
+	return int(math.Ceil(math.Log(streakChance) / math.Log(min(s.errors, 1-errorMargin))))
+}
+
 // health is what the router knows of one worker.
 type health struct {
 	breaker breaker
@@ -39,6 +68,9 @@
 // unused reports whether the slot was returned without an attempt.
 func unused(result acaciatally.AttemptResult) bool { return result == acaciatally.AttemptResult{} }
 
+// withheld reports whether the worker receives less than its share.
+func (h *health) withheld() bool { return h.probation || h.breaker.open }
+
 // admits returns how many further attempts the worker may receive now.
 func (h *health) admits(now time.Time, config *Config) int {
 	admitted := math.MaxInt
@@ -66,19 +98,23 @@
 	h.breaker.release()
 }
 
-func (h *health) report(now time.Time, result acaciatally.AttemptResult, typical time.Duration, config *Config) {
+func (h *health) answered(now time.Time, config *Config) {
+	h.inProgress = max(0, h.inProgress-1)
+	h.rate(false)
+	h.breaker.answered(now, config)
+	h.succeeded(config)
+}
+
+func (h *health) failed(now time.Time, result acaciatally.AttemptResult, usual standard, config *Config) {
 	h.inProgress = max(0, h.inProgress-1)
-	bad := failed(result)
 	if !result.Refused {
-		h.breaker.report(now, bad, config)
-		h.rate(bad)
+		h.rate(true)
+		h.breaker.failed(now, usual.exceeded(h.errors), config)
 	}
-	if !bad && !result.Refused {
-		h.succeeded(config)
-		return
+	if result.Refused || usual.exceeded(h.errors) {
+		h.charge(now, usual.serviceTime-result.ServiceTime)
 	}
-	h.charge(now, typical-result.ServiceTime)
-	h.count(now, result, typical, config)
+	h.count(now, result, usual, config)
 }
 
 func (h *health) rate(bad bool) {
@@ -100,13 +136,13 @@
 }
 
 // count puts a worker that fails fast several times in a row into probation.
-func (h *health) count(now time.Time, result acaciatally.AttemptResult, typical time.Duration, config *Config) {
+func (h *health) count(now time.Time, result acaciatally.AttemptResult, usual standard, config *Config) {
 	h.successes = 0
-	if !result.Refused && float64(result.ServiceTime) >= fastPart*float64(typical) {
+	if !result.Refused && float64(result.ServiceTime) >= fastPart*float64(usual.serviceTime) {
 		return
 	}
 	h.fastFailures++
-	if h.fastFailures >= config.ProbationFailures {
+	if h.fastFailures >= max(config.ProbationFailures, usual.streak()) {
 		h.probation, h.lastPick = true, now
 	}
 }
--- a/route/router.go
+++ b/route/router.go
@@ -24,6 +24,7 @@
 type Router struct {
 	config  Config
 	workers map[acaciatally.InstanceID]*health
+	order   []*health     // of first sight; sums in map order would not be repeatable
 	typical time.Duration // mean service time of recent successes
 }
 
@@ -73,12 +74,31 @@
 		known.release()
 		return
 	}
-	known.report(now, result, r.typicalServiceTime(), &r.config)
-	if !failed(result) && !result.Refused && result.ServiceTime > 0 {
+	if failed(result) || result.Refused {
+		known.failed(now, result, r.standard(known), &r.config)
+		return
+	}
+	known.answered(now, &r.config)
+	if result.ServiceTime > 0 {
 		r.learn(result.ServiceTime)
 	}
 }
 
+// standard returns what the results of one worker are compared with. Workers that are withheld do not count, so that several
+// faulty workers do not pass for usual.
+func (r *Router) standard(judged *health) standard {
+	usual := standard{serviceTime: r.typicalServiceTime()}
+	count := 0
+	for _, other := range r.order {
+		if other != judged && !other.withheld() {
+			usual.errors += other.errors
+			count++
+		}
+	}
+	usual.errors /= float64(max(1, count))
+	return usual
+}
+
 // cutOffEarly reports whether the attempt was ended by its caller before a healthy worker would surely have answered. Otherwise
 // one team's short deadlines would open the circuit breakers of healthy workers.
 func (r *Router) cutOffEarly(result acaciatally.AttemptResult) bool {
@@ -95,7 +115,10 @@
 }
 
 // Forget drops what is known of a worker that has left the pool.
-func (r *Router) Forget(worker acaciatally.InstanceID) { delete(r.workers, worker) }
+func (r *Router) Forget(worker acaciatally.InstanceID) {
+	r.order = slices.DeleteFunc(r.order, func(known *health) bool { return known == r.workers[worker] })
+	delete(r.workers, worker)
+}
 
 // FallbackSlots is the number of a worker's slots that one entry may use while no slot home answers.
 func FallbackSlots(slots, liveEntries int) int {
@@ -174,8 +197,7 @@
 func (r *Router) tooManyWithheld(workers []Worker) bool {
 	withheld := 0
 	for _, worker := range workers {
-		known := r.health(worker.ID)
-		if known.probation || known.breaker.open {
+		if r.health(worker.ID).withheld() {
 			withheld++
 		}
 	}
@@ -187,6 +209,7 @@
 	if !found {
 		known = &health{}
 		r.workers[worker] = known
+		r.order = append(r.order, known)
 	}
 	return known
 }
--- a/route/router_test.go
+++ b/route/router_test.go
@@ -255,3 +255,38 @@
 		})
 	}
 }
+
+// TestFailingRequests guards against healthy workers that are withheld because of requests that fail on every worker, and against
+// a faulty worker that passes for usual beside them.
+func TestFailingRequests(t *testing.T) {
+	for name, share := range map[string]float64{"a tenth": 0.1, "a third": 0.33, "half": 0.5} {
+		t.Run(name, func(t *testing.T) {
+			router, workers, random := route.New(route.Config{}), pool(9), rand.New(rand.NewPCG(3, 4))
+			now := testStart
+			report := func(first int) {
+				now = now.Add(10 * time.Millisecond)
+				for _, worker := range workers[first:] {
+					result := answered
+					if random.Float64() < share {
+						result = fastError
+					}
+					router.Report(now, worker.ID, result)
+				}
+			}
+			withheld := 0
+			for range 3000 {
+				report(0)
+				withheld += 72 - router.Usable(now, workers)
+			}
+			require.Less(t, float64(withheld)/3000, 3.6, "more than a twentieth of the slots")
+			for range 200 {
+				report(1)
+				router.Report(now, "w0", fastError)
+			}
+			for i := range workers[1:] {
+				workers[1+i].Busy = 8
+			}
+			require.LessOrEqual(t, router.Usable(now, workers)-64, 1, "faulty worker")
+		})
+	}
+}
