Measure floods beside two faulty workers and the wait of urgent work

Cause: any two faults may occur together, and the median wait of all requests hides what urgent requests gain. Ruled out: faults for the baselines too, since they miss the goal without faults. Change: the experiment flood has a variant in which one worker of each pool fails fast and one is ten times slower; the experiment routing prints UrgentWaitP99.

--- a/experiment/flood.go
+++ b/experiment/flood.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"github.com/acaciatally/acaciatally"
 	"github.com/acaciatally/acaciatally/model"
@@ -13,21 +14,39 @@
 
 var floodPolicies = []model.Policy{model.SlotHome, model.BaselineArrivalOrder, model.BaselineStrictPriority}
 
-// quotaVariant says how the quotas of the teams are set.
-type quotaVariant struct {
-	suffix string // of the measures' names
-	apply  func(teams []model.Team)
+// floodVariant changes what else the floods meet.
+type floodVariant struct {
+	suffix   string // of the measures' names
+	policies []model.Policy
+	change   func(config *model.Config)
 }
 
-var quotaVariants = []quotaVariant{
-	{suffix: "", apply: func([]model.Team) {}},
-	{suffix: "WithoutQuotas", apply: func(teams []model.Team) {
-		for i := range teams {
-			teams[i].Quota = 0
+var floodVariants = []floodVariant{
+	{suffix: "", policies: floodPolicies, change: func(*model.Config) {}},
+	{suffix: "WithoutQuotas", policies: floodPolicies, change: withoutQuotas},
+	{suffix: "WithFaults", policies: floodPolicies[:1], change: withFaults},
+}
+
+func withoutQuotas(config *model.Config) {
+	for i := range config.Teams {
+		config.Teams[i].Quota = 0
+	}
+}
+
+// withFaults makes one worker of each pool fail fast and another one slow, from before the floods to their end.
+func withFaults(config *model.Config) {
+	for _, pool := range config.Pools {
+		for i, kind := range []model.FaultKind{model.FailsFast, model.Slow} {
+			config.Faults = append(config.Faults, model.Fault{
+				Pool: pool.Name, Worker: i, Kind: kind, From: faultsFrom, To: config.Duration,
+			})
 		}
-	}},
+	}
 }
 
+// faultsFrom is when workers become faulty in the floods.
+const faultsFrom = 2 * time.Second
+
 // String returns the experiment's name.
 func (Flood) String() string { return "flood" }
 
@@ -38,8 +57,8 @@
 		if err != nil {
 			return nil, err
 		}
-		for _, variant := range quotaVariants {
-			for _, policy := range floodPolicies {
+		for _, variant := range floodVariants {
+			for _, policy := range variant.policies {
 				if err := ctx.Err(); err != nil {
 					return nil, err
 				}
@@ -57,9 +76,9 @@
 // floodNames names the windows of the recorded floods in their order.
 var floodNames = []string{"LeastUrgentFlood", "MostUrgentFlood"}
 
-func floodFigures(recorded *trace.Trace, policy model.Policy, variant quotaVariant, seed uint64) (figures []Figure, err error) {
+func floodFigures(recorded *trace.Trace, policy model.Policy, variant floodVariant, seed uint64) (figures []Figure, err error) {
 	config := recorded.Config(policy, seed)
-	variant.apply(config.Teams)
+	variant.change(&config)
 	with, err := run(config)
 	if err != nil {
 		return nil, err
--- a/experiment/routing.go
+++ b/experiment/routing.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 
+	"github.com/acaciatally/acaciatally"
 	"github.com/acaciatally/acaciatally/model"
 	"github.com/acaciatally/acaciatally/trace"
 )
@@ -45,6 +46,7 @@
 	s.addRatio("Goodput", model.Goodput(result.Whole.Other), offered, unitShare)
 	s.addTime("WaitP50", waits.Wait(0.5))
 	s.addTime("WaitP99", waits.Wait(0.99))
+	s.addTime("UrgentWaitP99", result.Whole.Other[acaciatally.Urgent].Wait(0.99))
 	s.addRatio("Hops", result.Hops, offered, unitPer)
 	return s.figures
 }
