Count only what can pass in the wait of a team over its quota

A trial print showed ordinary teams, for a moment over their quotas, refused with 10 to 30 s to come back: the flooding team is just under its quota whenever one of its requests ends, and its whole queue then counted as ahead. Ruled out: longer queues and other floors, since no bound was reached. Change: of the teams under their quotas, only the requests that bring each to its quota count as ahead. Taken out, the change makes TestWaitOverQuota fail.

--- a/queue/admit.go
+++ b/queue/admit.go
@@ -102,12 +102,13 @@
 	return time.Duration(ahead / available * float64(q.classServiceTime(flow.class)))
 }
 
-// ahead is the number of queued items that are granted before a new item of the flow: its own, and those that other teams
-// with work queued are entitled to in the same time.
+// ahead is the number of queued items that are granted before a new item of the flow: its own, those that other teams with
+// work queued are entitled to in the same time, and for a team over its quota those of teams under theirs. Of the latter only
+// what brings each team to its quota counts: a flooding team is just under its quota whenever one of its requests ends.
 func (q *Queue) ahead(flow *flow) float64 {
 	line, passed := &flow.class.under, 0
 	if flow.team.over() {
-		line, passed = &flow.class.over, flow.class.under.length
+		line, passed = &flow.class.over, flow.class.under.ready
 	}
 	own := float64(flow.tickets.Len())
 	weight := line.weight
--- a/queue/flow.go
+++ b/queue/flow.go
@@ -80,6 +80,7 @@
 	line := f.class.line(f.team.over())
 	heap.Push(line, f)
 	line.length += f.tickets.Len()
+	line.ready += f.ready()
 	line.weight += f.team.weight()
 }
 
@@ -91,9 +92,18 @@
 	line := f.class.line(f.team.over())
 	heap.Remove(line, f.position)
 	line.length -= f.tickets.Len()
+	line.ready -= f.ready()
 	line.weight -= f.team.weight()
 }
 
+// ready is the number of queued items that may be granted before the team reaches its quota.
+func (f *flow) ready() int {
+	if f.team.quota == 0 {
+		return f.tickets.Len()
+	}
+	return min(f.tickets.Len(), max(0, f.team.quota-f.team.held))
+}
+
 // start moves an idle flow to the class's present virtual time, so that idle time earns no credit.
 func (f *flow) start() {
 	if f.tickets.Len() == 0 {
--- a/queue/heap.go
+++ b/queue/heap.go
@@ -60,6 +60,7 @@
 type flowHeap struct {
 	list   []*flow
 	length int     // queued items
+	ready  int     // queued items that may be granted before their teams reach their quotas
 	weight float64 // of the flows
 }
 
--- a/queue/queue_test.go
+++ b/queue/queue_test.go
@@ -333,3 +333,21 @@
 	_, found := q.Next(at.Add(9*time.Millisecond), 100)
 	require.True(t, found)
 }
+
+// TestWaitOverQuota guards against a team over its quota that is refused because a flooding team, just under its quota, has a
+// long queue of which only one request can pass.
+func TestWaitOverQuota(t *testing.T) {
+	q := flooded(t, queue.Config{}, 600, queue.Item{Team: "flood", Urgency: 1})
+	q.SetQuota("flood", 8)
+	q.SetQuota("a", 2)
+	for i := range 2 {
+		q.Hold(testStart, queue.Item{ID: fmt.Sprint("held-", i), Team: "a", Urgency: 1})
+	}
+	for range 7 {
+		_, found := q.Next(testStart, 9)
+		require.True(t, found)
+	}
+	_, found := q.Next(testStart, 9)
+	require.False(t, found)
+	require.Less(t, q.ExpectedWait(testStart, queue.Item{Team: "a", Urgency: 1}), 100*time.Millisecond)
+}
