Drop an unused count from the model

Cause: the sum of the times to come back was counted and never printed. Ruled out: printing it; TestExpectedWait checks the times to come back more closely. Change: Tally.Retries is gone. Conclusion: less to keep.

--- a/model/home.go
+++ b/model/home.go
@@ -94,10 +94,7 @@
 	var refusal *acaciatally.Refusal
 	if errors.As(err, &refusal) {
 		s.between(h.entry, request.entry, func() {
-			s.end(request, func(t *Tally) {
-				t.Refused++
-				t.Retries += refusal.RetryAfter
-			})
+			s.end(request, func(t *Tally) { t.Refused++ })
 		})
 		return
 	}
--- a/model/result.go
+++ b/model/result.go
@@ -36,8 +36,6 @@
 	Expired  int // refused as not run at their deadline
 	Failed   int // answered with an error
 	Waits    []time.Duration
-	// Retries sums RetryAfter of the refusals.
-	Retries time.Duration
 }
 
 // TeamTally counts what one team received.
