Report held slots in time when the slot home dies

Cause: an entry that held slots and had nothing waiting opened its report to the dead home without a bound, and missed a change of the ring between two reports; the next home then granted up to 7 requests to a worker of 4 slots (TestHomeChanges, home is killed, 9 entries, about one run in 40). Change: opening is bounded by AnswerLimit and the ring is read before the report.

--- a/slot/follow.go
+++ b/slot/follow.go
@@ -15,13 +15,13 @@
 	ticker := time.NewTicker(followInterval)
 	defer ticker.Stop()
 	for {
+		known := s.circle.current() // before the report, so that no change is missed
+		s.reportHeld()
 		select {
 		case <-ctx.Done():
 			return
 		case <-ticker.C:
-			s.reportHeld()
-		case <-s.circle.current().changed:
-			s.reportHeld()
+		case <-known.changed:
 		}
 	}
 }
--- a/slot/lease.go
+++ b/slot/lease.go
@@ -101,7 +101,9 @@
 func (l *remoteLease) run(ctx context.Context, to acaciatally.EntryID, kind peer.Kind, first *peerpb.SlotCall) {
 	defer close(l.done)
 	defer l.answer(reply{lost: true})
-	stream, err := l.service.sessions.Open(ctx, to, kind)
+	bounded, cancel := context.WithTimeout(ctx, l.service.config.AnswerLimit)
+	defer cancel()
+	stream, err := l.service.sessions.Open(bounded, to, kind)
 	if err != nil {
 		return
 	}
