--- a/slot/property_test.go
+++ b/slot/property_test.go
@@ -189,6 +189,24 @@
 	}
 }
 
+// TestSlotsOfLeavingWorker guards against an idle worker that gets no work while slots are held on a worker that leaves.
+func TestSlotsOfLeavingWorker(t *testing.T) {
+	now := time.Unix(1000, 0)
+	b := newBoard(queue.Config{}, route.Config{}, 0.05)
+	b.setWorkers([]route.Worker{{ID: "worker-0", Slots: 2}})
+	ask := func() {
+		require.Nil(t, b.ask(now, newTicket(queue.Item{Team: "t", Deadline: now.Add(time.Minute)})))
+	}
+	ask()
+	ask()
+	require.Len(t, b.grant(now), 2)
+	b.setWorkers([]route.Worker{{ID: "worker-1", Slots: 2}})
+	ask()
+	ask()
+	require.Len(t, b.grant(now), 2)
+	require.Equal(t, 2, b.busy["worker-1"])
+}
+
 // finish releases the tickets that hold a slot and keeps the ones that wait.
 func (b *boards) finish() {
 	var rest []*caller
