--- a/queue/grant.go
+++ b/queue/grant.go
@@ -18,16 +18,42 @@
 	if q.held >= slots {
 		return Item{}, false
 	}
-	class, byFloor := q.nextClass(slots)
-	if class == nil {
-		return Item{}, false
+	for {
+		flow, byFloor := q.nextFlow(slots)
+		if flow == nil {
+			return Item{}, false
+		}
+		ticket := flow.tickets.list[0]
+		if q.tooLate(now, ticket) {
+			q.setAside(ticket)
+			continue
+		}
+		q.grant(ticket, byFloor)
+		return ticket.item, true
+	}
+}
+
+// tooLate reports whether most requests of the flow would be cut off at the ticket's deadline if they started now. Starting
+// them would take slot time from requests that can still be answered.
+func (q *Queue) tooLate(now time.Time, ticket *ticket) bool {
+	return ticket.due != noDeadline && ticket.item.Deadline.Sub(now) < ticket.leastTime()
+}
+
+// leastTime is the time before its deadline at which a request is worth a start: the median service time of its flow, but at
+// most half of the time that it had on arrival. A request that starts promptly is so never refused because other requests
+// of its team take longer.
+func (t *ticket) leastTime() time.Duration {
+	if t.due == noDeadline || t.flow.service.samples < fewSamples {
+		return 0
 	}
-	flow := class.first()
-	class.virtual = max(class.virtual, flow.virtual)
-	ticket := flow.tickets.list[0]
+	return min(t.flow.service.median, t.item.Deadline.Sub(t.arrived)/2)
+}
+
+func (q *Queue) grant(ticket *ticket, byFloor bool) {
+	flow := ticket.flow
+	flow.class.virtual = max(flow.class.virtual, flow.virtual)
 	q.remove(ticket)
 	q.hold(ticket.item.ID, &grant{flow: flow, charged: q.estimate(flow), byFloor: byFloor})
-	return ticket.item, true
 }
 
 // Hold records a slot that the item holds already, as reported after a change of slot home.
@@ -78,26 +104,38 @@
 	q.held += sign
 }
 
-// nextClass returns the class whose turn it is: first those below their floors, then the most urgent.
-func (q *Queue) nextClass(slots int) (next *class, byFloor bool) {
+// nextFlow returns the flow whose turn it is. Work of teams within their quotas comes before that of teams over theirs in all
+// classes: otherwise a team that floods an urgent class would take the whole of that class's floor from other teams' work.
+func (q *Queue) nextFlow(slots int) (next *flow, byFloor bool) {
+	for _, over := range []bool{false, true} {
+		if class := q.furthestBelow(slots, over); class != nil {
+			return class.line(over).list[0], true
+		}
+		if class := q.mostUrgent(over); class != nil {
+			return class.line(over).list[0], false
+		}
+	}
+	return nil, false
+}
+
+// furthestBelow returns the class below its floor whose turn it is, or nil.
+func (q *Queue) furthestBelow(slots int, over bool) (next *class) {
 	for urgency := range q.classes {
 		candidate := &q.classes[urgency]
-		if candidate.length == 0 || !q.belowFloor(urgency, slots) {
+		if candidate.line(over).Len() == 0 || !q.belowFloor(urgency, slots) {
 			continue
 		}
 		if next == nil || q.furtherBelow(candidate, next) {
 			next = candidate
 		}
 	}
-	if next != nil {
-		return next, true
-	}
-	return q.mostUrgent(), false
+	return next
 }
 
-func (q *Queue) mostUrgent() *class {
+// mostUrgent returns the most urgent class with work queued, or nil.
+func (q *Queue) mostUrgent(over bool) *class {
 	for urgency := range q.classes {
-		if q.classes[urgency].length > 0 {
+		if q.classes[urgency].line(over).Len() > 0 {
 			return &q.classes[urgency]
 		}
 	}
@@ -116,9 +154,9 @@
 
 // estimate is the service time that an item of the flow is expected to take.
 func (q *Queue) estimate(flow *flow) time.Duration {
-	for _, known := range []mean{flow.service, flow.class.service, q.service} {
+	for _, known := range []serviceTimes{flow.service, flow.class.service, q.service} {
 		if known.samples > 0 {
-			return known.value
+			return known.mean
 		}
 	}
 	return unknownServiceTime
--- a/route/router_test.go
+++ b/route/router_test.go
@@ -234,3 +234,59 @@
 	_, found = router.Pick(testStart.Add(110*time.Millisecond), route.Request{}, workers)
 	require.True(t, found)
 }
+
+// TestCutOff guards against breakers opened by callers with short deadlines, and against workers that never answer and pass for
+// healthy.
+func TestCutOff(t *testing.T) {
+	tests := map[string]struct {
+		after  time.Duration
+		usable int
+	}{
+		"short deadlines":      {after: 60 * time.Millisecond, usable: 24},
+		"worker never answers": {after: time.Second, usable: 16},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			router, workers := route.New(route.Config{}), pool(3)
+			router.Report(testStart, "w1", answered)
+			cut := acaciatally.AttemptResult{Outcome: acaciatally.Unknown, CutOff: true, ServiceTime: test.after}
+			reports(router, testStart, "w0", repeat(cut, 20))
+			require.Equal(t, test.usable, router.Usable(testStart, workers))
+		})
+	}
+}
+
+// TestFailingRequests guards against healthy workers that are withheld because of requests that fail on every worker, and against
+// a faulty worker that passes for usual beside them.
+func TestFailingRequests(t *testing.T) {
+	for name, share := range map[string]float64{"a tenth": 0.1, "a third": 0.33, "half": 0.5} {
+		t.Run(name, func(t *testing.T) {
+			router, workers, random := route.New(route.Config{}), pool(9), rand.New(rand.NewPCG(3, 4))
+			now := testStart
+			report := func(first int) {
+				now = now.Add(10 * time.Millisecond)
+				for _, worker := range workers[first:] {
+					result := answered
+					if random.Float64() < share {
+						result = fastError
+					}
+					router.Report(now, worker.ID, result)
+				}
+			}
+			withheld := 0
+			for range 3000 {
+				report(0)
+				withheld += 72 - router.Usable(now, workers)
+			}
+			require.Less(t, float64(withheld)/3000, 3.6, "more than a twentieth of the slots")
+			for range 200 {
+				report(1)
+				router.Report(now, "w0", fastError)
+			}
+			for i := range workers[1:] {
+				workers[1+i].Busy = 8
+			}
+			require.LessOrEqual(t, router.Usable(now, workers)-64, 1, "faulty worker")
+		})
+	}
+}
--- a/slot/lease.go
+++ b/slot/lease.go
@@ -196,7 +196,7 @@
 
 func wireRelease(result acaciatally.AttemptResult) *peerpb.SlotCall {
 	return &peerpb.SlotCall{Call: &peerpb.SlotCall_Release{Release: &peerpb.SlotRelease{
-		Outcome: string(result.Outcome), Status: int32(result.Status), Refused: result.Refused,
+		Outcome: string(result.Outcome), Status: int32(result.Status), Refused: result.Refused, CutOff: result.CutOff,
 		ServiceTimeUs: result.ServiceTime.Microseconds(),
 	}}}
 }
