Return the context's error when a measurement is stopped

Cause: TestStops of package experiment failed for SlotGrant, which reported that the entries do not hear each other. Change: the error of the caller's context takes precedence. The test passes.

--- a/experiment/slot_grant.go
+++ b/experiment/slot_grant.go
@@ -135,7 +135,7 @@
 
 // await waits until all entries hear all others.
 func (g *group) await(ctx context.Context) error {
-	ctx, cancel := context.WithTimeout(ctx, groupStart)
+	bounded, cancel := context.WithTimeout(ctx, groupStart)
 	defer cancel()
 	for {
 		complete := true
@@ -146,8 +146,11 @@
 		if complete {
 			return nil
 		}
-		if !wait(ctx, 50*time.Millisecond) {
+		if !wait(bounded, 50*time.Millisecond) {
 			g.stop()
+			if ctx.Err() != nil {
+				return ctx.Err()
+			}
 			return fmt.Errorf("entries do not hear each other within %s", groupStart)
 		}
 	}
