--- a/attempt/filter.go
+++ b/attempt/filter.go
@@ -132,9 +132,9 @@
 	if err != nil {
 		return nil, c.noSlot(ctx, err)
 	}
-	release := c.releaser(grant)
+	release := c.releaser(ctx, grant)
 	if !c.exchange.Request.Deadline.After(c.filter.config.Clock.Now()) || ctx.Err() != nil {
-		release(&failure{outcome: acaciatally.NotRun}, nil)
+		grant.Release(acaciatally.AttemptResult{})
 		return nil, c.noSlot(ctx, context.DeadlineExceeded)
 	}
 	c.exchange.Attempts++
@@ -195,7 +195,7 @@
 type releaseFunc func(failed *failure, answer *acaciatally.Answer)
 
 // releaser returns a function that gives the slot back on its first call.
-func (c *course) releaser(grant *acaciatally.Grant) releaseFunc {
+func (c *course) releaser(ctx context.Context, grant *acaciatally.Grant) releaseFunc {
 	var once sync.Once
 	start := c.filter.config.Clock.Now()
 	return func(failed *failure, answer *acaciatally.Answer) {
@@ -204,6 +204,7 @@
 			if failed != nil {
 				result.Outcome, result.Status = failed.outcome, failed.status
 				result.Refused = errors.Is(failed.err, errProvedNotRun)
+				result.CutOff = ctx.Err() != nil
 			}
 			if answer != nil {
 				result.Outcome, result.Status = answer.Outcome, answer.Status
--- a/observation/recorder.go
+++ b/observation/recorder.go
@@ -65,6 +65,9 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.demand[pool]--
+	if result == (acaciatally.AttemptResult{}) { // the slot was not used
+		return
+	}
 	report := r.reports[worker]
 	if report == nil {
 		report = &acaciatally.InstanceReport{Entry: r.config.Entry, Instance: worker}
@@ -73,8 +76,12 @@
 	count(report, result)
 }
 
-// count sorts an attempt; a refusal of a full or leaving instance proves that it is reachable and says nothing else.
+// count sorts an attempt; a refusal of a full or leaving instance proves that it is reachable and says nothing else. An attempt
+// that its caller ended says nothing of the instance.
 func count(report *acaciatally.InstanceReport, result acaciatally.AttemptResult) {
+	if result.CutOff {
+		return
+	}
 	if result.Outcome == acaciatally.NotRun && !result.Refused {
 		report.Unreachable++
 		return
--- a/observation/recorder_test.go
+++ b/observation/recorder_test.go
@@ -27,13 +27,14 @@
 		result acaciatally.AttemptResult
 		want   acaciatally.InstanceReport
 	}{
-		"whole answer":     {acaciatally.AttemptResult{Status: 200}, acaciatally.InstanceReport{Connected: 1, Succeeded: 1}},
-		"error answer":     {acaciatally.AttemptResult{Status: 500}, acaciatally.InstanceReport{Connected: 1, Failed: 1}},
-		"caller's mistake": {acaciatally.AttemptResult{Status: 404}, acaciatally.InstanceReport{Connected: 1, Succeeded: 1}},
-		"no connection":    {acaciatally.AttemptResult{Outcome: acaciatally.NotRun}, acaciatally.InstanceReport{Unreachable: 1}},
-		"full":             {acaciatally.AttemptResult{Outcome: acaciatally.NotRun, Status: 429, Refused: true}, acaciatally.InstanceReport{Connected: 1}},
-		"broken off":       {acaciatally.AttemptResult{Outcome: acaciatally.Unknown}, acaciatally.InstanceReport{Failed: 1}},
-		"answer broke off": {acaciatally.AttemptResult{Outcome: acaciatally.Unknown, Status: 200}, acaciatally.InstanceReport{Connected: 1, Failed: 1}},
+		"whole answer":      {acaciatally.AttemptResult{Status: 200}, acaciatally.InstanceReport{Connected: 1, Succeeded: 1}},
+		"error answer":      {acaciatally.AttemptResult{Status: 500}, acaciatally.InstanceReport{Connected: 1, Failed: 1}},
+		"caller's mistake":  {acaciatally.AttemptResult{Status: 404}, acaciatally.InstanceReport{Connected: 1, Succeeded: 1}},
+		"no connection":     {acaciatally.AttemptResult{Outcome: acaciatally.NotRun}, acaciatally.InstanceReport{Unreachable: 1}},
+		"full":              {acaciatally.AttemptResult{Outcome: acaciatally.NotRun, Status: 429, Refused: true}, acaciatally.InstanceReport{Connected: 1}},
+		"cut off by caller": {acaciatally.AttemptResult{Outcome: acaciatally.Unknown, CutOff: true}, acaciatally.InstanceReport{}},
+		"broken off":        {acaciatally.AttemptResult{Outcome: acaciatally.Unknown}, acaciatally.InstanceReport{Failed: 1}},
+		"answer broke off":  {acaciatally.AttemptResult{Outcome: acaciatally.Unknown, Status: 200}, acaciatally.InstanceReport{Connected: 1, Failed: 1}},
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
--- a/slot/serve.go
+++ b/slot/serve.go
@@ -106,10 +106,14 @@
 	if release == nil || release.Moved {
 		return event{kind: unheard, ticket: t}
 	}
-	return event{kind: released, ticket: t, result: acaciatally.AttemptResult{
-		Outcome: acaciatally.Outcome(release.Outcome), Status: int(release.Status), Refused: release.Refused,
+	return event{kind: released, ticket: t, result: readRelease(release)}
+}
+
+func readRelease(release *peerpb.SlotRelease) acaciatally.AttemptResult {
+	return acaciatally.AttemptResult{
+		Outcome: acaciatally.Outcome(release.Outcome), Status: int(release.Status), Refused: release.Refused, CutOff: release.CutOff,
 		ServiceTime: max(0, time.Duration(release.ServiceTimeUs)*time.Microsecond),
-	}}
+	}
 }
 
 func ticketOf(request *peerpb.SlotRequest) *ticket {
