Blame no worker for attempts that their callers ended

Ruled out: leaving such attempts out of the slot's accounting (the slot must still go back). Before: short deadlines could quarantine a healthy worker. After: they leave no trace in its reports.

--- a/attempt/filter_test.go
+++ b/attempt/filter_test.go
@@ -262,12 +262,13 @@
 		want      time.Duration
 		outcome   acaciatally.Outcome
 		status    int
+		cutOff    bool
 	}{
 		"connect":       {serve: read, dialHangs: true, want: 2 * time.Second, outcome: acaciatally.NotRun, status: 503},
 		"first byte":    {serve: read, firstByte: 3 * time.Second, want: 3 * time.Second, outcome: acaciatally.Unknown, status: 502},
 		"idle":          {serve: still, want: 5 * time.Second, outcome: acaciatally.Unknown, status: 502},
-		"total":         {serve: read, want: 20 * time.Second, outcome: acaciatally.Unknown, status: 504},
-		"caller leaves": {serve: read, leave: time.Second, want: time.Second, outcome: acaciatally.Unknown, status: 502},
+		"total":         {serve: read, want: 20 * time.Second, outcome: acaciatally.Unknown, status: 504, cutOff: true},
+		"caller leaves": {serve: read, leave: time.Second, want: time.Second, outcome: acaciatally.Unknown, status: 502, cutOff: true},
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
@@ -299,6 +300,7 @@
 				require.Equal(t, test.status, refusal.Status)
 				require.Equal(t, test.want, time.Since(start))
 				require.Len(t, f.released, 1)
+				require.Equal(t, test.cutOff, f.released[0].CutOff, "whether the caller ended it, so that the worker is not blamed")
 				exchange.Finish()
 			})
 		})
