--- a/entry/peers.go
+++ b/entry/peers.go
@@ -19,6 +19,9 @@
 	"github.com/acaciatally/acaciatally/slot"
 )
 
+// incarnationLength keeps Hello messages short; 40 random bits tell the processes of one entry apart.
+const incarnationLength = 8
+
 // peers is this entry's part in the group of entries: sessions, membership and slot homes.
 type peers struct {
 	config Config
@@ -31,7 +34,7 @@
 // newPeers composes the parts; nothing runs yet.
 func newPeers(config Config, log *changelog.Log) *peers {
 	p := &peers{config: config, log: log, self: membership.Entry{
-		ID: config.Entry.ID, Incarnation: rand.Text(), Address: config.Entry.PeerAddress, DataCentre: config.Entry.DataCentre,
+		ID: config.Entry.ID, Incarnation: rand.Text()[:incarnationLength], Address: config.Entry.PeerAddress, DataCentre: config.Entry.DataCentre,
 	}}
 	limits := config.Settings.Peers
 	p.keeper = membership.New(membership.Config{
--- a/experiment/slot_grant.go
+++ b/experiment/slot_grant.go
@@ -179,8 +179,11 @@
 	}
 	defer g.stop()
 	holder, pool, found := g.remote()
-	if !found {
-		return nil, errors.New("each slot home is in the asking entry")
+	for tries := 0; !found; tries++ { // the slot homes follow the membership within 50 ms
+		if tries == 100 || !wait(ctx, 50*time.Millisecond) {
+			return nil, errors.Join(errors.New("each slot home is in the asking entry"), ctx.Err())
+		}
+		holder, pool, found = g.remote()
 	}
 	latencies := hdrhistogram.New(1, int64(time.Second), 3)
 	for i := range grantWarmUp + grantCount {
