Grant slots without a home in one place, and mark retries

Cause: two sources of slots stood in for an absent slot home; the one in use ignored hints of leaving instances and the isolation of its entry, and polling requests were not bounded. Retries were not marked, so the slot home's budget never counted them. Ruled out: keeping the entry's own source (it would need the hints, the router's probation and the isolation rule a second time). Change: slot.Choice is the only fallback, with a bound on waiting requests and a growing pause; the attempt filter marks retries and the workers that were tried.

--- a/attempt/filter.go
+++ b/attempt/filter.go
@@ -139,6 +139,8 @@
 	}
 	c.exchange.Attempts++
 	c.exchange.Grant = grant
+	c.exchange.Request.Retry = true // what the slot home is asked for from now on
+	c.exchange.Request.Tried = append(c.exchange.Request.Tried, grant.Worker)
 	answer, failed := c.filter.send(ctx, c.exchange, grant)
 	if failed != nil {
 		release(failed, nil)
--- a/entry/peers.go
+++ b/entry/peers.go
@@ -22,6 +22,9 @@
 	"github.com/acaciatally/acaciatally/slot"
 )
 
+// incarnationLength keeps Hello messages short; 40 random bits tell the processes of one entry apart.
+const incarnationLength = 8
+
 // peers is this entry's part in the group of entries: sessions, membership and slot homes.
 type peers struct {
 	config  Config
@@ -33,9 +36,9 @@
 }
 
 // newPeers composes the parts; nothing runs yet.
-func newPeers(config Config, log *changelog.Log, fallback acaciatally.SlotSource, set *metrics.Set) *peers {
+func newPeers(config Config, log *changelog.Log, set *metrics.Set) *peers {
 	p := &peers{config: config, log: log, metrics: set, self: membership.Entry{
-		ID: config.Entry.ID, Incarnation: rand.Text(), Address: config.Entry.PeerAddress, DataCentre: config.Entry.DataCentre,
+		ID: config.Entry.ID, Incarnation: rand.Text()[:incarnationLength], Address: config.Entry.PeerAddress, DataCentre: config.Entry.DataCentre,
 	}}
 	limits := config.Settings.Peers
 	p.keeper = membership.New(membership.Config{
@@ -43,17 +46,17 @@
 		HelloInterval: limits.HelloInterval, HeartbeatInterval: limits.HeartbeatInterval,
 		Rules: membership.Rules{ViewLimit: config.Settings.Control.ViewLimit, HintTerm: limits.HintTerm},
 	})
-	p.slots = slot.New(p.slotConfig(fallback))
+	p.slots = slot.New(p.slotConfig())
 	return p
 }
 
-func (p *peers) slotConfig(fallback acaciatally.SlotSource) slot.Config {
+func (p *peers) slotConfig() slot.Config {
 	limits, traffic := p.config.Settings.Peers, p.config.Settings.Traffic
 	floors := [acaciatally.UrgencyClasses]float64{traffic.Floors.Urgent, traffic.Floors.Normal, traffic.Floors.Background}
 	return slot.Config{
 		Self: p.self.ID, DataCentre: p.self.DataCentre, Membership: p.keeper, State: p.log.State, Hint: p.keeper.Hint,
-		Queue:    queue.Config{Floors: floors, MaxLength: traffic.QueueLength, MaxBytes: int64(traffic.QueueBytes)},
-		Fallback: fallback, Metrics: p.metrics, RetryShare: traffic.RetryBudget, AnswerLimit: limits.AnswerLimit, ProbeInterval: limits.ProbeInterval,
+		Queue:   queue.Config{Floors: floors, MaxLength: traffic.QueueLength, MaxBytes: int64(traffic.QueueBytes)},
+		Metrics: p.metrics, RetryShare: traffic.RetryBudget, AnswerLimit: limits.AnswerLimit, ProbeInterval: limits.ProbeInterval,
 	}
 }
 
--- a/entry/process.go
+++ b/entry/process.go
@@ -51,7 +51,6 @@
 	watch    *watch
 	tasks    *taskControl
 	lease    *changelog.Lease
-	local    *localSlots // grants slots while no slot home answers
 	claims   *claim.Runner
 	sweeper  *claim.Sweeper
 	traffic  *traffic
@@ -80,11 +79,7 @@
 		Table: config.Table, Objects: config.Objects, Clock: config.Clock, Archive: p.trail, Notify: func(uint64) { p.peers.keeper.Changed() },
 	})
 	p.cut = p.metrics.NewCounter("acaciatally_answers_cut_total")
-	p.local = newLocalSlots(localSlotsConfig{
-		State: p.log.State, Entries: func() int { return 1 + len(p.peers.keeper.Live()) }, MaxQueue: limits.QueueLength,
-		Clock: config.Clock, Random: newRandom(config.Seed),
-	})
-	p.peers = newPeers(config, p.log, p.local, p.metrics)
+	p.peers = newPeers(config, p.log, p.metrics)
 	p.lease = newControlLease(p)
 	p.watch = newWatch(p)
 	p.tasks = newTaskControl(p)
@@ -168,7 +163,6 @@
 		}
 		p.peers.polled()
 		if now := p.log.State().Version; now != version {
-			p.local.Refresh()
 			p.config.Logger.Info().Uint64("version", now).Msg("configuration in force")
 		}
 		select {
--- a/slot/fallback.go
+++ b/slot/fallback.go
@@ -7,11 +7,18 @@
 	"time"
 
 	"github.com/acaciatally/acaciatally"
+	"github.com/acaciatally/acaciatally/admission"
 	"github.com/acaciatally/acaciatally/route"
 )
 
-// choicePause is the wait before a full pool is looked at again.
-const choicePause = 10 * time.Millisecond
+const (
+	// choicePause is the first wait before a full pool is looked at again; it doubles up to maxChoicePause, so that thousands of
+	// waiting requests do not use up the processor.
+	choicePause    = 10 * time.Millisecond
+	maxChoicePause = 80 * time.Millisecond
+	// choiceRetryAfter is the advice when too many requests wait already.
+	choiceRetryAfter = time.Second
+)
 
 // Choice grants slots without a slot home: it chooses the less loaded of two random workers and uses at most this entry's share of
 // each worker's slots. It implements acaciatally.SlotSource and is safe for concurrent use.
@@ -21,6 +28,7 @@
 	mu      sync.Mutex
 	routers map[acaciatally.PoolName]*route.Router
 	busy    map[acaciatally.InstanceID]int
+	waiting int
 }
 
 // NewChoice returns a Choice for the pools of the configuration's State.
@@ -29,9 +37,13 @@
 	return &Choice{config: config, routers: map[acaciatally.PoolName]*route.Router{}, busy: map[acaciatally.InstanceID]int{}}
 }
 
-// Acquire waits for a slot until ctx ends; it fails with *acaciatally.Refusal when no worker serves the pool.
+// Acquire waits for a slot until ctx ends; it fails with *acaciatally.Refusal when no worker serves the pool or too many wait.
 func (c *Choice) Acquire(ctx context.Context, request acaciatally.Request) (grant *acaciatally.Grant, err error) {
-	for {
+	if !c.enter() {
+		return nil, admission.Full("too many requests wait without a slot home", choiceRetryAfter)
+	}
+	defer c.leave()
+	for pause := choicePause; ; pause = min(2*pause, maxChoicePause) {
 		if !c.config.Membership.MayServe() {
 			return nil, isolated()
 		}
@@ -42,12 +54,28 @@
 		if serving == 0 {
 			return nil, &acaciatally.Refusal{Outcome: acaciatally.NotRun, Status: http.StatusServiceUnavailable, Reason: "no worker serves the pool"}
 		}
-		if !sleep(ctx, choicePause) {
+		if !sleep(ctx, pause) {
 			return nil, ctx.Err()
 		}
 	}
 }
 
+func (c *Choice) enter() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.config.Queue.MaxLength > 0 && c.waiting >= c.config.Queue.MaxLength {
+		return false
+	}
+	c.waiting++
+	return true
+}
+
+func (c *Choice) leave() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.waiting--
+}
+
 func (c *Choice) try(request acaciatally.Request) (grant *acaciatally.Grant, serving int) {
 	state, leaving := c.config.State(), c.config.Membership.Leaving()
 	live := len(c.config.Membership.Live()) + 1
