--- a/entry/peers.go
+++ b/entry/peers.go
@@ -42,7 +42,7 @@
 	}}
 	limits := config.Settings.Peers
 	p.keeper = membership.New(membership.Config{
-		Self: p.self, Seeds: p.seeds(), Table: config.Table, Views: views{log}, Busy: p.busy, Logger: config.Logger,
+		Self: p.self, Seeds: p.seeds(), Table: config.Table, Views: views{log}, Busy: p.busy, Metrics: set, Logger: config.Logger,
 		HelloInterval: limits.HelloInterval, HeartbeatInterval: limits.HeartbeatInterval,
 		Rules: membership.Rules{ViewLimit: config.Settings.Control.ViewLimit, HintTerm: limits.HintTerm},
 	})
--- a/entry/process.go
+++ b/entry/process.go
@@ -91,6 +91,7 @@
 		Clock: config.Clock, Random: newRandom(config.Seed), Metrics: p.metrics,
 	})
 	p.traffic = newTraffic(p)
+	p.exposeState()
 	return p
 }
 
