Try to keep more capacity free where protection weighs more

Cause: the weight of protection had no effect on any decision. Ruled out: raising class floors with it (floors already keep all other work in the measured floods). Change: the share of the demand that is kept free is 3 % times protection over reserve, between 1 % and 10 %.

--- a/control/plan.go
+++ b/control/plan.go
@@ -27,6 +27,7 @@
 		config: config,
 		moves: move.New(move.Config{
 			Reserve: config.Weights.Reserve, Moves: config.Weights.Moves, Hold: config.Control.MoveHold,
+			Margin: move.Margin(config.Weights.Protection, config.Weights.Reserve),
 		}),
 		waves: wave.New(wave.Config{Calm: config.Control.WaveCalm, Relay: config.Weights.RollOut >= config.Weights.Moves}),
 	}
--- a/move/move.go
+++ b/move/move.go
@@ -44,7 +44,7 @@
 		c.Lead = 4 * time.Second
 	}
 	if c.Margin == 0 {
-		c.Margin = 0.03
+		c.Margin = defaultMargin
 	}
 	if c.MoveCost == 0 {
 		c.MoveCost = 10 * time.Second
@@ -54,6 +54,20 @@
 	}
 }
 
+const (
+	minMargin     = 0.01
+	defaultMargin = 0.03
+	maxMargin     = 0.1
+)
+
+// Margin returns the share of the demand to keep free at the weights of protection and of reserve.
+func Margin(protection, reserve float64) float64 {
+	if protection <= 0 || reserve <= 0 {
+		return defaultMargin
+	}
+	return min(max(defaultMargin*protection/reserve, minMargin), maxMargin)
+}
+
 // Planner plans moves.
 type Planner struct {
 	config Config
--- a/move/move_test.go
+++ b/move/move_test.go
@@ -182,3 +182,19 @@
 	actions := move.New(move.Config{}).Plan(move.Input{Now: now, Draft: state.Draft(now), Outlook: cold{quiet}})
 	require.Empty(t, actions)
 }
+
+// TestMargin guards against weights that have no effect on the capacity kept free, or an effect without bounds.
+func TestMargin(t *testing.T) {
+	tests := map[string]struct{ protection, reserve, want float64 }{
+		"equal weights":          {1, 1, 0.03},
+		"reserve weighs more":    {1, 3, 0.01},
+		"protection weighs more": {3, 1, 0.09},
+		"no bound is passed":     {1, 100, 0.01},
+		"weights are missing":    {0, 0, 0.03},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			require.InDelta(t, test.want, move.Margin(test.protection, test.reserve), 1e-9)
+		})
+	}
+}
