Keep less capacity free where reserve weighs more, and never more than 3 %

Change: the margin is capped at its default. Conclusion: the weight of protection acts through the capacity kept free, and only downwards.

--- a/move/move.go
+++ b/move/move.go
@@ -57,15 +57,15 @@
 const (
 	minMargin     = 0.01
 	defaultMargin = 0.03
-	maxMargin     = 0.1
 )
 
-// Margin returns the share of the demand to keep free at the weights of protection and of reserve.
+// Margin returns the share of the demand to keep free at the weights of protection and of reserve. It never passes the default,
+// above which reserve and moves rise and no more work is kept.
 func Margin(protection, reserve float64) float64 {
 	if protection <= 0 || reserve <= 0 {
 		return defaultMargin
 	}
-	return min(max(defaultMargin*protection/reserve, minMargin), maxMargin)
+	return min(max(defaultMargin*protection/reserve, minMargin), defaultMargin)
 }
 
 // Planner plans moves.
