Keep tasks on moved workers and stale views truthful

Cause: reports were asked for the pool's present workers only, so a task whose worker moved to another pool was given up or run again; a controller with a stale view went on placing tasks; nobody could ask whether an instance that is to be stopped still runs tasks.

Ruled out: a row of busy workers kept by the controller; the rows of the tasks are already the truth.

--- a/entry/taskcontrol.go
+++ b/entry/taskcontrol.go
@@ -96,7 +96,7 @@
 	view := &poolView{log: p.log, pool: pool}
 	return task.NewRunner(task.RunnerConfig{
 		Machine: task.MachineConfig{Pool: pool}, Table: p.config.Table, Leases: p.config.Tasks, Lease: taskLease{lease},
-		Clock: p.config.Clock, Fleet: view.get, Quarantine: t.quarantine, Metrics: p.metrics,
+		Clock: p.config.Clock, Fleet: view.get, Fresh: p.peers.keeper.Fresh, Quarantine: t.quarantine, Metrics: p.metrics,
 	})
 }
 
--- a/task/faults_test.go
+++ b/task/faults_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -249,12 +250,11 @@
 // usurper has another process take the pool's lease just before the controller's first write of a task.
 type usurper struct {
 	*standin.Faults
-	done bool
+	done atomic.Bool
 }
 
 func (u *usurper) Commit(ctx context.Context, transaction acaciatally.Transaction) (version uint64, err error) {
-	if len(transaction.Writes) > 1 && !u.done {
-		u.done = true
+	if len(transaction.Writes) > 1 && u.done.CompareAndSwap(false, true) {
 		row := []byte(`{"Holder":"entry-2","Epoch":2,"Expires":"2100-01-01T00:00:00Z"}`)
 		_, err = u.Faults.Commit(ctx, acaciatally.Transaction{Writes: []acaciatally.Write{{Key: leaseKey, Value: row}}})
 		if err != nil {
@@ -273,7 +273,7 @@
 		go func() { _ = runner.Run(w.ctx) }()
 		w.submit(spec("a", uses(1, 1, time.Second)))
 		time.Sleep(time.Minute)
-		require.True(t, way.done)
+		require.True(t, way.done.Load())
 		require.Equal(t, task.Waiting, w.record("a").Phase)
 		require.Empty(t, w.tasks.Trace("a"))
 	})
@@ -315,3 +315,68 @@
 		w.untilPhase("once", task.Done, time.Minute)
 	})
 }
+
+// TestStaleView guards against a task that is started on the strength of a stale view, on which a leaving worker still serves, and
+// against attempts that lapse in the meantime (P6).
+func TestStaleView(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t, 1)
+		var stale atomic.Bool
+		w.fresh = func() bool { return !stale.Load() }
+		w.control("entry-1")
+		w.submit(spec("a", uses(1, 1, 5*time.Minute)))
+		w.untilPhase("a", task.Placed, 10*time.Second)
+		stale.Store(true)
+		w.submit(spec("b", uses(1, 1, time.Second)))
+		time.Sleep(4 * time.Minute)
+		require.Empty(t, w.tasks.Trace("b"))
+		stale.Store(false)
+		w.untilPhase("b", task.Done, time.Minute)
+		w.untilPhase("a", task.Done, 5*time.Minute)
+		require.Len(t, w.tasks.Trace("a"), 1)
+	})
+}
+
+// TestOnWorker guards against a stop of an instance on which tasks are running (P7).
+func TestOnWorker(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t, 1)
+		w.control("entry-1")
+		specs := batch("many", 600, func(int) task.Spec { return spec("", uses(0.1, 1, time.Hour)) })
+		once := spec("once", uses(1, 1, 2*time.Minute))
+		w.submit(once)
+		w.untilPhase("once", task.Placed, time.Minute)
+		w.submit(specs...)
+		for _, one := range specs {
+			_, err := w.desk.Cancel(w.ctx, one.Team, one.ID)
+			require.NoError(t, err)
+		}
+		w.setState("chamber-1", task.Leaving)
+		ids, err := task.OnWorker(w.ctx, w.table, pool, "chamber-1")
+		require.NoError(t, err)
+		require.Equal(t, []string{"once"}, ids)
+		w.untilPhase("once", task.Done, 3*time.Minute)
+		ids, err = task.OnWorker(w.ctx, w.table, pool, "chamber-1")
+		require.NoError(t, err)
+		require.Empty(t, ids)
+		w.faults.Set(standin.Switches{Down: true})
+		_, err = task.OnWorker(w.ctx, w.faults, pool, "chamber-1")
+		require.ErrorIs(t, err, acaciatally.ErrUnavailable)
+	})
+}
+
+// TestMovedWorker guards against a task that is given up, or run again, because its worker was moved to another pool.
+func TestMovedWorker(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t, 1)
+		w.control("entry-1")
+		specs := eventful(w)
+		time.Sleep(30 * time.Second)
+		w.removeWorker("chamber-1")
+		w.addWorker("chamber-2", workerSize)
+		for _, one := range specs {
+			w.untilPhase(one.ID, task.Done, 10*time.Minute)
+			require.Len(t, w.tasks.Trace(one.ID), 1)
+		}
+	})
+}
--- a/task/machine.go
+++ b/task/machine.go
@@ -260,6 +260,18 @@
 	delete(m.dirty, id)
 }
 
+// Workers returns the workers of the pool and those that have left it with attempts that may be running, in order of id.
+func (m *Machine) Workers() (workers []acaciatally.InstanceID) {
+	for _, worker := range m.fleet.Workers {
+		workers = append(workers, worker.ID)
+	}
+	for _, j := range m.live {
+		workers = append(workers, j.record.Worker)
+	}
+	slices.Sort(workers)
+	return slices.Compact(workers)
+}
+
 // Running returns the number of attempts that may be running on a worker.
 func (m *Machine) Running(worker acaciatally.InstanceID) (count int) {
 	for _, j := range m.live {
--- a/task/property_test.go
+++ b/task/property_test.go
@@ -120,6 +120,7 @@
 		w.setState(worker.ID, task.Serving)
 	}
 	time.Sleep(calmTime)
+	synctest.Wait()
 	for i, one := range s.Specs {
 		var refused *acaciatally.Refusal
 		switch {
@@ -138,7 +139,11 @@
 	rapid.Check(t, func(rt *rapid.T) {
 		s := drawScenario(rt)
 		synctest.Test(t, func(t *testing.T) {
-			t.Logf("%+v", s)
+			defer func() {
+				if t.Failed() {
+					t.Logf("%+v", s)
+				}
+			}()
 			w := newWorld(t, 3)
 			w.round = time.Second
 			for _, one := range w.play(s) {
--- a/task/runner.go
+++ b/task/runner.go
@@ -35,6 +35,8 @@
 	Clock   acaciatally.Clock
 	// Fleet returns the present view of the pool.
 	Fleet func() Fleet
+	// Fresh reports whether the view is fresh enough to begin control actions; nil is always.
+	Fresh func() bool
 	// Quarantine has a worker taken out of service; nil leaves it to the runner's own placement to avoid it.
 	Quarantine func(ctx context.Context, worker acaciatally.InstanceID, reason string) (err error)
 	Round      time.Duration // between two looks for new tasks
@@ -137,7 +139,7 @@
 	case !held && tendErr == nil:
 		r.machine = nil
 		return
-	case !held:
+	case !held, r.config.Fresh != nil && !r.config.Fresh():
 		r.sustain(ctx)
 		return
 	}
@@ -159,7 +161,7 @@
 	r.loading, r.loaded, r.handled, r.sweep = "", false, nil, ""
 }
 
-// sustain keeps running attempts alive while the table cannot be reached.
+// sustain keeps running attempts alive while the table cannot be reached or the view is stale, and begins nothing.
 func (r *Runner) sustain(ctx context.Context) {
 	if r.machine == nil || !r.loaded {
 		return
--- a/task/runner_table.go
+++ b/task/runner_table.go
@@ -82,11 +82,7 @@
 		return
 	}
 	r.usageAt = now
-	var workers []acaciatally.InstanceID
-	for _, worker := range r.config.Fleet().Workers {
-		workers = append(workers, worker.ID)
-	}
-	for chunk := range slices.Chunk(workers, usageWorkers) {
+	for chunk := range slices.Chunk(r.machine.Workers(), usageWorkers) {
 		usage, err := r.usage(ctx, chunk)
 		if err != nil {
 			return
--- a/task/world_test.go
+++ b/task/world_test.go
@@ -34,6 +34,7 @@
 	desk   *task.Desk
 	mu     sync.Mutex    // guards fleet
 	round  time.Duration // of the controllers; 0 is the default
+	fresh  func() bool
 	quaran map[acaciatally.InstanceID]string
 }
 
@@ -73,6 +74,12 @@
 	}
 }
 
+func (w *world) removeWorker(id acaciatally.InstanceID) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.fleet.Workers = slices.DeleteFunc(w.fleet.Workers, func(worker task.Worker) bool { return worker.ID == id })
+}
+
 func (w *world) addWorker(id acaciatally.InstanceID, size acaciatally.Resources) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -93,7 +100,7 @@
 	return task.NewRunner(task.RunnerConfig{
 		Machine: task.MachineConfig{Pool: pool}, Table: table, Leases: leases,
 		Lease: &testLease{table: table, holder: holder},
-		Fleet: w.view, Round: w.round,
+		Fleet: w.view, Round: w.round, Fresh: w.fresh,
 		Quarantine: func(_ context.Context, worker acaciatally.InstanceID, reason string) error {
 			w.quaran[worker] = reason
 			return nil
