Put options changed at run time into force

Cause: `set option` was accepted and changed nothing: no code read the options, and two operators could overwrite each other's. Ruled out: options of the request path (floors, retry budget), whose slot homes would have to rebuild their queues; they are no longer offered. Change: the planners are made anew when the options in force change; options carry a version and take part in the race check; the state refuses unknown options whoever commits them. Before: 10 options without effect. Conclusion: an accepted option is in force in the next control round of every entry.

--- a/command/evaluator_test.go
+++ b/command/evaluator_test.go
@@ -180,6 +180,18 @@
 	require.EqualValues(t, 2, race.Version)
 }
 
+// TestOptionRace guards against two operators who tune the same option and do not hear of each other.
+func TestOptionRace(t *testing.T) {
+	table := standin.NewTable()
+	maria, joao := newEvaluator(t, table, nil), newEvaluator(t, table, nil)
+	_, err := maria.Run(t.Context(), command.Order{ID: "m", By: "maria", Text: "set option Weights.Moves 2"})
+	require.NoError(t, err)
+	_, err = joao.Run(t.Context(), command.Order{ID: "j", By: "joao", Text: "set option Weights.Moves 3"})
+	var race *fleet.RaceError
+	require.ErrorAs(t, err, &race)
+	require.Equal(t, "maria", race.By)
+}
+
 // TestDrainDuringOutage guards against a drain that stops no new work while the log cannot be written, or that claims to be accepted.
 func TestDrainDuringOutage(t *testing.T) {
 	table := &outage{Table: standin.NewTable()}
--- a/command/show.go
+++ b/command/show.go
@@ -31,7 +31,7 @@
 	}, showInstances},
 	{"teams", []string{"Name", "Quota", "Version", "By"}, showTeams},
 	{"waves", []string{"ID", "State", "Pools", "Done", "Total", "Started", "Ended", "Version", "By", "Reason"}, showWaves},
-	{"options", []string{"Name", "Value"}, showOptions},
+	{"options", []string{"Name", "Value", "Version", "By"}, showOptions},
 	{"entries", []string{"ID", "DataCentre", "View", "HeadReadAge"}, showEntries},
 	{"tasks", []string{"ID", "Team", "Pool", "Urgency", "Phase", "Worker", "Attempts", "Reason"}, showTasks},
 	{"audit", []string{"Version", "From", "At", "By", "Command", "Subject", "Change", "Reason"}, showAudit},
@@ -161,7 +161,11 @@
 func showOptions(_ context.Context, e *Evaluator, table *Table) error {
 	options := e.config.Log.State().Options
 	for _, name := range slices.Sorted(maps.Keys(options)) {
-		table.add(text(name), text(options[name]))
+		option := options[name]
+		if option.Value == "" {
+			continue
+		}
+		table.add(text(name), text(option.Value), version(option.Version), text(option.By))
 	}
 	return nil
 }
--- a/control/plan.go
+++ b/control/plan.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"strings"
 	"time"
 
@@ -11,26 +12,34 @@
 	"github.com/acaciatally/acaciatally/fleet"
 	"github.com/acaciatally/acaciatally/lifecycle"
 	"github.com/acaciatally/acaciatally/move"
+	"github.com/acaciatally/acaciatally/settings"
 	"github.com/acaciatally/acaciatally/wave"
 )
 
 // Plan plans repairs, the next steps of instances out of service, moves and waves on one draft, in this order.
 type Plan struct {
-	config *Config
-	moves  *move.Planner
-	waves  *wave.Planner
+	config  *Config
+	options map[string]fleet.Option // with which the planners were made
+	moves   *move.Planner
+	waves   *wave.Planner
 }
 
 // NewPlan returns the step.
 func NewPlan(config *Config) *Plan {
-	return &Plan{
-		config: config,
-		moves: move.New(move.Config{
-			Reserve: config.Weights.Reserve, Moves: config.Weights.Moves, Hold: config.Control.MoveHold,
-			Margin: move.Margin(config.Weights.Protection, config.Weights.Reserve),
-		}),
-		waves: wave.New(wave.Config{Calm: config.Control.WaveCalm, Relay: config.Weights.RollOut >= config.Weights.Moves}),
-	}
+	p := &Plan{config: config}
+	p.tune(nil)
+	return p
+}
+
+// tune makes the planners for the options in force.
+func (p *Plan) tune(options map[string]fleet.Option) {
+	limits, weights := settings.Tuned(p.config.Control, p.config.Weights, options)
+	p.options = options
+	p.moves = move.New(move.Config{
+		Reserve: weights.Reserve, Moves: weights.Moves, Hold: limits.MoveHold,
+		Margin: move.Margin(weights.Protection, weights.Reserve),
+	})
+	p.waves = wave.New(wave.Config{Calm: limits.WaveCalm, Relay: weights.RollOut >= weights.Moves})
 }
 
 // String returns the step's name.
@@ -41,6 +50,9 @@
 	if !round.Acting {
 		return nil
 	}
+	if !maps.Equal(p.options, round.State.Options) {
+		p.tune(round.State.Options)
+	}
 	draft := round.State.Draft(round.Now)
 	p.failures(round, draft)
 	p.progress(round, draft)
--- a/fleet/change.go
+++ b/fleet/change.go
@@ -131,18 +131,17 @@
 		s.Waves[wave.ID] = wave
 		return nil
 	case change.SetOption != nil:
-		s.setOption(*change.SetOption)
-		return nil
+		return s.setOption(*change.SetOption, record)
 	}
 	return invalid("change", "is empty")
 }
 
-func (s *State) setOption(option SetOption) {
-	if option.Value == "" {
-		delete(s.Options, option.Name)
-		return
+func (s *State) setOption(option SetOption, record Record) error {
+	if err := CheckOption(option); err != nil {
+		return err
 	}
-	s.Options[option.Name] = option.Value
+	s.Options[option.Name] = Option{Value: option.Value, Version: record.Version, By: record.By}
+	return nil
 }
 
 func (s *State) putPool(pool Pool, record Record) error {
--- a/fleet/option.go
+++ b/fleet/option.go
@@ -11,23 +11,18 @@
 type optionKind int
 
 const (
-	optionShare  optionKind = iota // number between 0 and 1
-	optionWeight                   // number of at least 0
+	optionWeight optionKind = iota // number of at least 0
 	optionDuration
 )
 
 // optionKinds lists the tunables that can be changed at run time, by their path in the settings.
 var optionKinds = map[string]optionKind{
-	"Traffic.RetryBudget":       optionShare,
-	"Traffic.Floors.Urgent":     optionShare,
-	"Traffic.Floors.Normal":     optionShare,
-	"Traffic.Floors.Background": optionShare,
-	"Weights.Reserve":           optionWeight,
-	"Weights.Moves":             optionWeight,
-	"Weights.RollOut":           optionWeight,
-	"Weights.Protection":        optionWeight,
-	"Control.WaveCalm":          optionDuration,
-	"Control.MoveHold":          optionDuration,
+	"Weights.Reserve":    optionWeight,
+	"Weights.Moves":      optionWeight,
+	"Weights.RollOut":    optionWeight,
+	"Weights.Protection": optionWeight,
+	"Control.WaveCalm":   optionDuration,
+	"Control.MoveHold":   optionDuration,
 }
 
 // OptionNames returns the names of all options in order.
@@ -50,16 +45,8 @@
 		}
 		return nil
 	}
-	value, err := strconv.ParseFloat(option.Value, 64)
-	if err != nil || value < 0 || (kind == optionShare && value > 1) {
-		return invalid("option "+option.Name, "%q is no %s", option.Value, optionRange(kind))
+	if value, err := strconv.ParseFloat(option.Value, 64); err != nil || value < 0 {
+		return invalid("option "+option.Name, "%q is no number of at least 0", option.Value)
 	}
 	return nil
 }
-
-func optionRange(kind optionKind) string {
-	if kind == optionShare {
-		return "number between 0 and 1"
-	}
-	return "number of at least 0"
-}
--- a/fleet/race.go
+++ b/fleet/race.go
@@ -9,7 +9,7 @@
 // SubjectKind is the kind of object that a change is about.
 type SubjectKind string
 
-// The kinds of objects of changes; all but options carry a version.
+// The kinds of objects that carry a version.
 const (
 	SubjectPool     SubjectKind = "Pool"
 	SubjectInstance SubjectKind = "Instance"
@@ -66,6 +66,9 @@
 	case SubjectWave:
 		wave := s.Waves[name]
 		return wave.Version, wave.By
+	case SubjectOption:
+		option := s.Options[name]
+		return option.Version, option.By
 	}
 	return 0, ""
 }
--- a/fleet/state.go
+++ b/fleet/state.go
@@ -115,6 +115,13 @@
 	Reason  string
 }
 
+// Option is a tunable changed at run time; an empty value stands for the settings' one.
+type Option struct {
+	Value   string
+	Version uint64
+	By      string
+}
+
 // State is one immutable version of the control state.
 type State struct {
 	Version   uint64
@@ -122,7 +129,7 @@
 	Instances map[acaciatally.InstanceID]Instance
 	Teams     map[acaciatally.TeamName]Team
 	Waves     map[string]Wave
-	Options   map[string]string // tunables changed at run time, by settings path
+	Options   map[string]Option // tunables changed at run time, by settings path
 
 	byPool map[acaciatally.PoolName][]Instance // members in order of id; a slice is replaced, never changed
 }
@@ -134,7 +141,7 @@
 		Instances: map[acaciatally.InstanceID]Instance{},
 		Teams:     map[acaciatally.TeamName]Team{},
 		Waves:     map[string]Wave{},
-		Options:   map[string]string{},
+		Options:   map[string]Option{},
 		byPool:    map[acaciatally.PoolName][]Instance{},
 	}
 }
