Release forgotten throttles and read only the rows of running tasks

Change: an attempt whose share is not known is given it again.

Ruled out: a release that is seen in the reported use; it lags and is noisy.

--- a/task/attempt.go
+++ b/task/attempt.go
@@ -19,7 +19,9 @@
 	orderAt    time.Time // no order before it, after a failed one
 	share      float64   // of the processors, as ordered last
 	want       float64
+	unsure     bool // the worker may apply another share than the one ordered last
 	throttled  bool // was ever throttled, so that its use of processors says little
+	checked    bool // the row was read after the attempt had been stopped by others
 	observed   bool
 	seenFull   bool // a report tells its use of processors without a throttle
 	peak       acaciatally.Resources
@@ -44,6 +46,7 @@
 		// Another controller may have renewed the lease up to now.
 		a.endsBy = now.Add(m.config.Term)
 		a.renewAt = now
+		a.unsure = true
 	}
 	if record.Phase == Vacating {
 		a.askedAt = time.Time{} // whether the checkpoint was ordered is not known
@@ -78,6 +81,9 @@
 
 // takes is what the attempt may be taking now, whichever of its orders have been carried out.
 func (j *job) takes() acaciatally.Resources {
+	if j.attempt.unsure {
+		return j.taking(1)
+	}
 	return j.taking(max(j.attempt.share, j.attempt.want))
 }
 
--- a/task/cancel.go
+++ b/task/cancel.go
@@ -124,7 +124,7 @@
 	return rest
 }
 
-// stopAll ends the attempts of the cancelled tasks at once; where it fails, the controller of the pool finds the row in its sweep.
+// stopAll ends the attempts of the cancelled tasks at once; where it fails, the controller of the pool finds the row when it reads it again.
 func (d *Desk) stopAll(ctx context.Context, batch []*cancellation) {
 	var group errgroup.Group
 	group.SetLimit(stopsInFlight)
--- a/task/faults_test.go
+++ b/task/faults_test.go
@@ -380,3 +380,19 @@
 		}
 	})
 }
+
+// TestThrottleForgotten guards against an attempt that stays throttled for ever because the controller that throttled it died.
+func TestThrottleForgotten(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t, 1)
+		stop := w.control("entry-1")
+		w.submit(spec("a", uses(60, 8, time.Minute)))
+		w.untilPhase("a", task.Placed, 10*time.Second)
+		time.Sleep(time.Second)
+		stop()
+		require.NoError(t, w.tasks.Throttle(t.Context(), "a", 1, 0.1))
+		w.control("entry-2")
+		w.untilPhase("a", task.Done, 2*time.Minute)
+		require.Len(t, w.tasks.Trace("a"), 1)
+	})
+}
--- a/task/machine.go
+++ b/task/machine.go
@@ -95,6 +95,7 @@
 	notes   []Decision // decisions that go into the next record
 	attempt attempt
 	retryAt time.Time // no new attempt before it
+	readAt  time.Time // when the row was last read or written
 	// believed keeps the declared size in force in the measurements of baselines.
 	believed bool
 	spoken   time.Time // when the reason for waiting was last written
@@ -130,6 +131,7 @@
 	prefix := RowKey(m.config.Pool, "")
 	for _, row := range rows {
 		if known, found := m.jobs[strings.TrimPrefix(row.Key, prefix)]; found && known.version >= row.Version {
+			known.readAt = now
 			continue
 		}
 		record, decodeErr := Decode(row.Value)
@@ -175,7 +177,7 @@
 // become makes a record that is in the table the present one; own tells that this machine wrote it.
 func (m *Machine) become(j *job, record Record, version uint64, now time.Time, own bool) {
 	same := record.Attempt == j.record.Attempt && j.version > 0
-	j.record, j.version = record, version
+	j.record, j.version, j.readAt = record, version, now
 	if !same {
 		j.attempt = m.newAttempt(record, now, own)
 	}
@@ -252,6 +254,37 @@
 	}
 }
 
+// rereadAfter bounds the time for which a cancelled attempt runs on when the order to stop it was lost. It is as long as the lease of
+// an attempt, since each read costs the platform's budget: about 15 bytes a second for a running task.
+const rereadAfter = time.Minute
+
+// Unread returns up to limit keys of tasks with live attempts whose rows have not been read for a while.
+func (m *Machine) Unread(now time.Time, limit int) (keys []string) {
+	for _, j := range m.sortedLive() {
+		if len(keys) < limit && now.Sub(j.readAt) >= rereadAfter {
+			keys = append(keys, RowKey(m.config.Pool, j.record.Spec.ID))
+		}
+	}
+	return keys
+}
+
+// NextWaiting returns up to limit keys of waiting tasks, the oldest first.
+func (m *Machine) NextWaiting(limit int) (keys []string) {
+	var waiting []*job
+	for _, j := range m.jobs {
+		if j.record.Phase == Waiting && j.next == nil {
+			waiting = append(waiting, j)
+		}
+	}
+	slices.SortFunc(waiting, func(a, b *job) int {
+		return cmp.Or(a.record.Accepted.Compare(b.record.Accepted), cmp.Compare(a.record.Spec.ID, b.record.Spec.ID))
+	})
+	for _, j := range waiting[:min(limit, len(waiting))] {
+		keys = append(keys, RowKey(m.config.Pool, j.record.Spec.ID))
+	}
+	return keys
+}
+
 // Missing tells the machine that a row no longer exists.
 func (m *Machine) Missing(key string) {
 	id, _ := strings.CutPrefix(key, RowKey(m.config.Pool, ""))
--- a/task/order.go
+++ b/task/order.go
@@ -142,7 +142,7 @@
 	if !a.confirmed {
 		return m.startOrder(j, loads, now)
 	}
-	if a.want != a.share {
+	if a.want != a.share || a.unsure {
 		order = j.order(OrderThrottle)
 		order.Share = a.want
 		return order, true
@@ -236,7 +236,7 @@
 		a.endsBy = laterOf(a.endsBy, order.Lease.Expires)
 		a.renewAt = order.Lease.Expires.Add(-m.config.Term / 2)
 	case OrderThrottle:
-		a.share = order.Share
+		a.share, a.unsure = order.Share, false
 		a.throttled = a.throttled || order.Share < 1
 	case OrderCheckpoint:
 		a.before, a.askedAt = a.checkpoint, now
@@ -266,6 +266,7 @@
 		}
 	default:
 		a.maybe = true
+		a.unsure = a.unsure || kind == OrderThrottle
 		if kind == OrderRenew {
 			a.endsBy = laterOf(a.endsBy, result.Order.Lease.Expires)
 		}
--- a/task/report.go
+++ b/task/report.go
@@ -61,6 +61,12 @@
 		delete(m.live, j.record.Spec.ID)
 		return
 	}
+	if report.State == acaciatally.TaskStopped && j.record.Phase == Placed && !j.attempt.checked {
+		// The controller did not stop it, so its row has probably been cancelled: it is read before the next report is believed.
+		j.attempt.checked = true
+		j.readAt = time.Time{}
+		return
+	}
 	record := j.record
 	record.Peak = largest(record.Peak, j.attempt.peak)
 	switch report.State {
--- a/task/runner.go
+++ b/task/runner.go
@@ -41,7 +41,6 @@
 	Quarantine func(ctx context.Context, worker acaciatally.InstanceID, reason string) (err error)
 	Round      time.Duration // between two looks for new tasks
 	UsageEvery time.Duration
-	SweepEvery time.Duration // between two pages of the sweep that finds rows changed by others
 	Timeout    time.Duration // of each call
 	Metrics    *metrics.Set  // nil keeps the counters out of every exposition
 }
@@ -49,7 +48,6 @@
 const (
 	defaultRound      = 250 * time.Millisecond
 	defaultUsageEvery = time.Second
-	defaultSweepEvery = 2 * time.Second
 	defaultTimeout    = 2 * time.Second
 	// pageRows bounds the rows of one read.
 	pageRows = 500
@@ -71,10 +69,8 @@
 	machine *Machine // nil while another process controls the pool
 	loading string   // key up to which the rows have been read after a takeover
 	loaded  bool
-	sweep   string   // key up to which the sweep has come
 	handled []string // inbox rows that can be deleted
 	usageAt time.Time
-	sweepAt time.Time
 	commits int
 	counts  runnerCounts
 }
@@ -97,7 +93,6 @@
 	}{
 		{&config.Round, defaultRound},
 		{&config.UsageEvery, defaultUsageEvery},
-		{&config.SweepEvery, defaultSweepEvery},
 		{&config.Timeout, defaultTimeout},
 	} {
 		if *value.field == 0 {
@@ -158,7 +153,7 @@
 func (r *Runner) begin(hold Hold) {
 	r.machine = NewMachine(r.config.Machine, hold.Epoch)
 	r.machine.SetFleet(r.config.Fleet())
-	r.loading, r.loaded, r.handled, r.sweep = "", false, nil, ""
+	r.loading, r.loaded, r.handled = "", false, nil
 }
 
 // sustain keeps running attempts alive while the table cannot be reached or the view is stale, and begins nothing.
--- a/task/runner_table.go
+++ b/task/runner_table.go
@@ -39,20 +39,7 @@
 func (r *Runner) look(ctx context.Context) {
 	r.lookAtInbox(ctx)
 	r.lookAtUsage(ctx)
-	now := r.config.Clock.Now()
-	if now.Sub(r.sweepAt) < r.config.SweepEvery {
-		return
-	}
-	r.sweepAt = now
-	rows, err := r.scan(ctx, RowKey(r.config.Machine.Pool, ""), r.sweep)
-	if err != nil {
-		return
-	}
-	r.takeIn(rows)
-	r.sweep = ""
-	if len(rows) == pageRows {
-		r.sweep = rows[len(rows)-1].Key
-	}
+	r.reread(ctx, r.machine.Unread(r.config.Clock.Now(), maxRows))
 }
 
 func (r *Runner) lookAtInbox(ctx context.Context) {
@@ -158,13 +145,17 @@
 	return transaction
 }
 
+// waitingPerConflict is the number of waiting tasks that are read with each row that others have changed: cancellations come in
+// waves, and each task of a wave that is placed in vain costs a write.
+const waitingPerConflict = 4
+
 // afterConflict takes in the rows that others have changed; without the lease the machine's view is worth nothing any more.
 func (r *Runner) afterConflict(ctx context.Context, hold Hold, keys []string) (ok bool) {
 	if slices.Contains(keys, hold.Condition.Key) {
 		r.machine = nil
 		return false
 	}
-	return r.reread(ctx, keys)
+	return r.reread(ctx, append(keys, r.machine.NextWaiting(min(waitingPerConflict*len(keys), pageRows-maxRows))...))
 }
 
 // reread takes in rows as they are; a transaction that took effect without an answer shows in them.
