Test the promises in a whole deployment under drawn sequences of faults

Cause: two faults at once, and one of them twice, had no test over entries, workers, platform, operators, control and tasks together.

--- a/entry/network_test.go
+++ b/entry/network_test.go
@@ -40,6 +40,13 @@
 type network struct {
 	mu        sync.Mutex
 	listeners map[string]*listener
+	cuts      map[cut]int // number of faults that cut the host off from the address
+}
+
+// cut separates a host from an address; the zero value separates nobody.
+type cut struct {
+	host    *host
+	address string
 }
 
 type listener struct {
@@ -73,18 +80,93 @@
 	*network
 	mu          sync.Mutex
 	dead        bool
-	connections []net.Conn
+	frozen      chan struct{} // closed on waking; nil while the host runs
+	connections []*hostConnection
+}
+
+// hostConnection hangs while its host is frozen, but for sessions between entries: their senders wait for locks, which would stop
+// virtual time. A test cuts these off for as long as the host is frozen.
+type hostConnection struct {
+	net.Conn
+	host    *host
+	to      string // address that the host dialled; empty for an accepted connection
+	session bool   // between entries
+	closed  chan struct{}
+	once    sync.Once
+}
+
+// Close also ends calls that hang.
+func (c *hostConnection) Close() error {
+	c.once.Do(func() { close(c.closed) })
+	return c.Conn.Close()
+}
+
+func (c *hostConnection) awake() {
+	c.host.mu.Lock()
+	frozen := c.host.frozen
+	c.host.mu.Unlock()
+	if frozen == nil || c.session {
+		return
+	}
+	select {
+	case <-frozen:
+	case <-c.closed:
+	}
+}
+
+func (c *hostConnection) Read(buffer []byte) (int, error) {
+	n, err := c.Conn.Read(buffer)
+	c.awake()
+	return n, err
+}
+
+func (c *hostConnection) Write(content []byte) (int, error) {
+	c.awake()
+	return c.Conn.Write(content)
+}
+
+func (h *host) freeze() {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.frozen == nil {
+		h.frozen = make(chan struct{})
+	}
+}
+
+func (h *host) wake() {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.frozen != nil {
+		close(h.frozen)
+		h.frozen = nil
+	}
 }
 
-func (h *host) keep(connection net.Conn) bool {
+// keep returns the host's end of a connection, or nil when the host is dead.
+func (h *host) keep(connection net.Conn, to string, port uint16) net.Conn {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	if h.dead {
 		_ = connection.Close()
-		return false
+		return nil
+	}
+	kept := &hostConnection{Conn: connection, host: h, to: to, session: port >= peerPorts, closed: make(chan struct{})}
+	h.connections = append(h.connections, kept)
+	return kept
+}
+
+// cutOff breaks the connections that the host dialled to the address and refuses new ones until the cut is undone.
+func (h *host) cutOff(address string, by int) {
+	h.network.mu.Lock()
+	h.cuts[cut{host: h, address: address}] += by
+	h.network.mu.Unlock()
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	for _, connection := range h.connections {
+		if connection.to == address && by > 0 {
+			_ = connection.Close()
+		}
 	}
-	h.connections = append(h.connections, connection)
-	return true
 }
 
 func (h *host) die() {
@@ -112,8 +194,11 @@
 func (l *hostListener) Accept() (net.Conn, error) {
 	for {
 		connection, err := l.listener.Accept()
-		if err != nil || l.host.keep(connection) {
-			return connection, err
+		if err != nil {
+			return nil, err
+		}
+		if kept := l.host.keep(connection, "", netip.MustParseAddrPort(l.address).Port()); kept != nil {
+			return kept, nil
 		}
 	}
 }
@@ -121,17 +206,19 @@
 func (h *host) Dial(ctx context.Context, _, address string) (net.Conn, error) {
 	h.network.mu.Lock()
 	l, found := h.listeners[address]
+	separated := h.cuts[cut{host: h, address: address}] > 0
 	h.network.mu.Unlock()
-	if !found {
+	if !found || separated {
 		return nil, errors.New("connection refused")
 	}
 	near, far := net.Pipe()
-	if !h.keep(near) {
+	kept := h.keep(near, address, netip.MustParseAddrPort(address).Port())
+	if kept == nil {
 		return nil, errors.New("host is dead")
 	}
 	select {
 	case l.accept <- far:
-		return near, nil
+		return kept, nil
 	case <-l.closed:
 		return nil, errors.New("connection refused")
 	case <-ctx.Done():
@@ -177,6 +264,7 @@
 // deployment is entries and workers in one bubble.
 type deployment struct {
 	t         *testing.T
+	equip     func(entry int, config *Config) // changes an entry before it starts; may be nil
 	settings  *settings.Settings
 	network   *network
 	table     *standin.Table
@@ -201,13 +289,21 @@
 )
 
 func newDeployment(t *testing.T, entries, workers int, endpoint http.Handler) *deployment {
-	d := &deployment{t: t, network: &network{listeners: map[string]*listener{}}, table: standin.NewTable(), settings: &settings.Settings{}}
+	d := composeDeployment(t, entries, workers, func(int) http.Handler { return endpoint })
+	d.begin()
+	return d
+}
+
+// composeDeployment starts the workers; begin starts the entries with the settings as they are then.
+func composeDeployment(t *testing.T, entries, workers int, endpoint func(worker int) http.Handler) *deployment {
+	wires := &network{listeners: map[string]*listener{}, cuts: map[cut]int{}}
+	d := &deployment{t: t, network: wires, table: standin.NewTable(), settings: &settings.Settings{}}
 	pool := settings.Pool{Name: "coating"}
 	for i := range workers {
 		pool.Instances = append(pool.Instances, settings.Instance{
 			ID: acaciatally.InstanceID(rune('a' + i)), Address: address(workerPorts, i),
 		})
-		d.startWorker(i, endpoint)
+		d.startWorker(i, endpoint(i))
 	}
 	d.settings.Pools = []settings.Pool{pool}
 	for i := range entries {
@@ -217,14 +313,17 @@
 		})
 	}
 	d.settings.Deployment, d.settings.Peers.Key = "test", "0123456789abcdef"
+	return d
+}
+
+func (d *deployment) begin() {
 	d.settings.Default()
 	d.load()
-	for i := range entries {
+	for i := range d.settings.Entries {
 		d.startEntry(i)
 	}
 	time.Sleep(100 * time.Millisecond)
-	t.Cleanup(d.close)
-	return d
+	d.t.Cleanup(d.close)
 }
 
 func (d *deployment) load() {
@@ -246,11 +345,15 @@
 
 func (d *deployment) startEntry(i int) {
 	h := &host{network: d.network}
-	process := New(Config{
+	config := Config{
 		Settings: d.settings, Entry: d.settings.Entries[i], Seed: 1, Dial: h.Dial, Listen: h.Listen,
 		Table:  &faultyTable{TableService: d.table, host: h, faults: &d.faults},
 		Logger: &log.Logger{Writer: &log.IOWriter{Writer: io.Discard}},
-	})
+	}
+	if d.equip != nil {
+		d.equip(i, &config)
+	}
+	process := New(config)
 	d.processes = append(d.processes, process)
 	ctx, cancel := context.WithCancel(context.Background())
 	ended := make(chan error, 1)
--- a/entry/traffic_test.go
+++ b/entry/traffic_test.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -35,9 +36,7 @@
 		return
 	}
 	time.Sleep(20 * time.Millisecond)
-	e.mu.Lock()
-	e.busy--
-	e.mu.Unlock()
+	e.end()
 	_, _ = io.WriteString(writer, request.Header.Get(acaciatally.RequestIDHeader))
 }
 
@@ -53,6 +52,12 @@
 	return true
 }
 
+func (e *endpoint) end() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.busy--
+}
+
 // reply is what a caller got: an outcome, a whole answer, or neither when the connection was cut.
 type reply struct {
 	call, id   string
@@ -61,17 +66,22 @@
 	outcome    acaciatally.Outcome
 	answer     string
 	cut        bool
+	impatient  bool // the caller gave up early
 }
 
 type caller struct {
-	d       *deployment
-	random  *rand.Rand
-	name    string
-	client  *http.Client
-	calls   int
-	replies []reply
+	d         *deployment
+	random    *rand.Rand
+	name      string
+	client    *http.Client
+	calls     int
+	replies   []reply
+	impatient *atomic.Bool // gives up after patience; may be nil
 }
 
+// patience is less than an answer takes.
+const patience = 10 * time.Millisecond
+
 // work sends requests until the time; a request that may not have run is repeated through another entry under its id.
 func (c *caller) work(until time.Time) {
 	for time.Now().Before(until) {
@@ -92,7 +102,11 @@
 func (c *caller) call(id string, idempotent bool, entry int) reply {
 	c.calls++
 	r := reply{call: fmt.Sprint(c.name, c.calls), id: id, idempotent: idempotent, entry: entry}
-	ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
+	limit := time.Minute
+	if c.impatient != nil && c.impatient.Load() {
+		r.impatient, limit = true, patience
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), limit)
 	defer cancel()
 	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address(callerPorts, entry).String()+"/coating/", strings.NewReader(id))
 	require.NoError(c.d.t, err)
