Measure the costs of each part at three sizes

Cause: the target size can only be judged from slopes, and no measurement gave processor time, memory and table calls by size. Ruled out: figures from elapsed time, which the load of a shared machine changes; the benchmarks that exist are kept as they are. Change: the experiment Slopes measures applying and replaying changes, the memory of the state, control rounds, whole waves, reports, polls, leases, task control, claims, slot grants and the sessions of an entry. A group on loopback takes its number of workers and counts the calls of its table.

--- a/experiment/list.go
+++ b/experiment/list.go
@@ -11,6 +11,7 @@
 		Capacity{},
 		TaskFlood{},
 		SlotGrant{},
+		Slopes{},
 		PathLatency{Rounds: 10, Requests: 800, FullLoad: 4000},
 	}
 }
--- /dev/null
+++ b/experiment/slopes_task.go
@@ -0,0 +1,101 @@
+package experiment
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"github.com/acaciatally/acaciatally"
+	"github.com/acaciatally/acaciatally/model"
+	"github.com/acaciatally/acaciatally/standin"
+	"github.com/acaciatally/acaciatally/task"
+)
+
+const (
+	slopeTaskWork  = 20 * time.Second
+	slopeTaskLimit = 10 * time.Minute // of modelled time
+)
+
+// tasks measures the table's calls for tasks that are submitted, run and end in one pool, without those of the idle controller.
+func (s *slopes) tasks() error {
+	for _, count := range []int{50, 200, 800} {
+		table, clock := newCountingTable(), model.NewClock()
+		leases := standin.NewTasks(standin.TasksConfig{Clock: clock})
+		state, err := sizedState(2 * slopePoolWorkers)
+		if err != nil {
+			return err
+		}
+		pool := state.PoolNames()[1]
+		view := task.FleetOf(state, pool)
+		for _, worker := range view.Workers {
+			leases.AddWorker(worker.ID, worker.Capacity)
+		}
+		if err = submitAll(s.ctx, task.NewDesk(task.DeskConfig{Table: table, Leases: leases, Clock: clock}), pool, count); err != nil {
+			return err
+		}
+		s.addCalls("TaskIntake", count, "Tasks", table.calls().since(calls{}, float64(count)), "task")
+		runner := task.NewRunner(task.RunnerConfig{
+			Machine: task.MachineConfig{Pool: pool}, Table: table, Leases: leases, Clock: clock,
+			Lease: heldLease{contenders(table, clock, "Tasks/"+string(pool), 1)[0]}, Fleet: func() task.Fleet { return view },
+		})
+		before := table.calls()
+		if err = runTasks(s.ctx, runner, table, clock); err != nil {
+			return err
+		}
+		total := table.calls()
+		s.addCalls("TaskControl", count, "Tasks", total.since(before, float64(count)), "task")
+		s.add("TaskRowsWritten", count, "Tasks", total.rows/float64(count), "rows/task")
+	}
+	return nil
+}
+
+func submitAll(ctx context.Context, desk *task.Desk, pool acaciatally.PoolName, count int) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	ended := make(chan error, 1)
+	go func() { ended <- desk.Run(ctx) }()
+	profile := standin.TaskProfile{Uses: acaciatally.Resources{Processors: 2, Memory: gibibyte}, Work: slopeTaskWork}
+	var calls errgroup.Group
+	for n := range count {
+		calls.Go(func() error {
+			_, err := desk.Submit(ctx, task.Spec{
+				ID: fmt.Sprintf("task-%d", n), Team: acaciatally.TeamName(fmt.Sprintf("team-%d", n%urgentTeams)), Pool: pool, Kind: "reduce",
+				Urgency: acaciatally.Normal, Idempotent: true, Declared: profile.Uses, Command: profile.Command(),
+			})
+			return err
+		})
+	}
+	err := calls.Wait()
+	cancel()
+	return errors.Join(err, <-ended)
+}
+
+// runTasks steps the controller until all tasks are done.
+func runTasks(ctx context.Context, runner *task.Runner, table *countingTable, clock *model.Clock) error {
+	for end := clock.Now().Add(slopeTaskLimit); clock.Now().Before(end); clock.Advance(slopeTaskRound) {
+		runner.Step(ctx)
+		rows, err := table.TableService.Scan(ctx, task.RowPrefix, "", maxSlopeTasks)
+		if err != nil {
+			return err
+		}
+		done := 0
+		for _, row := range rows {
+			record, err := task.Decode(row.Value)
+			if err != nil {
+				return err
+			}
+			if record.Phase == task.Done {
+				done++
+			}
+		}
+		if done == len(rows) {
+			return nil
+		}
+	}
+	return errors.Join(errors.New("the tasks do not end"), ctx.Err())
+}
+
+const maxSlopeTasks = 2000
--- a/experiment/slot_grant.go
+++ b/experiment/slot_grant.go
@@ -19,7 +19,6 @@
 	"github.com/acaciatally/acaciatally/peer"
 	"github.com/acaciatally/acaciatally/peer/peerpb"
 	"github.com/acaciatally/acaciatally/slot"
-	"github.com/acaciatally/acaciatally/standin"
 )
 
 const (
@@ -31,6 +30,8 @@
 	grantWorkers = 9
 	experimentID = "experiment-key-on-loopback"
 	helloBytes   = `acaciatally_peer_bytes_total{kind="Hello",direction="Sent"}`
+	// helloMessages counts the Hello messages that helloBytes measures.
+	helloMessages = `acaciatally_peer_messages_total{kind="Hello",direction="Sent"}`
 )
 
 // SlotGrant measures the time that a grant from a slot home in another entry takes on loopback, and the bytes of Hello messages.
@@ -67,6 +68,7 @@
 type group struct {
 	members []*member
 	state   *fleet.State
+	table   *countingTable
 	running sync.WaitGroup
 	cancel  context.CancelFunc
 }
@@ -79,12 +81,11 @@
 func (v views) Export(uint64) (*peerpb.View, error) { return &peerpb.View{}, nil }
 func (v views) Import(*peerpb.View) error           { return nil }
 
-func startGroup(ctx context.Context, seed uint64, entries int) (g *group, err error) {
+func startGroup(ctx context.Context, seed uint64, entries, workers int) (g *group, err error) {
 	ctx, cancel := context.WithCancel(ctx)
-	g = &group{state: grantState(), cancel: cancel}
-	table := standin.NewTable()
+	g = &group{state: grantState(workers), table: newCountingTable(), cancel: cancel}
 	for i := range entries {
-		if err = g.start(ctx, table, fmt.Sprintf("entry-%d-%02d", seed, i)); err != nil {
+		if err = g.start(ctx, fmt.Sprintf("entry-%d-%02d", seed, i)); err != nil {
 			g.stop()
 			return nil, err
 		}
@@ -92,13 +93,13 @@
 	return g, g.await(ctx)
 }
 
-func grantState() *fleet.State {
+func grantState(workers int) *fleet.State {
 	state := &fleet.State{
 		Version: 1, Pools: map[acaciatally.PoolName]fleet.Pool{}, Instances: map[acaciatally.InstanceID]fleet.Instance{},
 	}
 	for _, pool := range []acaciatally.PoolName{"intake", "coating", "booking", "chamber"} {
 		state.Pools[pool] = fleet.Pool{Name: pool}
-		for i := range grantWorkers {
+		for i := range workers {
 			id := acaciatally.InstanceID(fmt.Sprintf("%s-%d", pool, i))
 			state.Instances[id] = fleet.Instance{ID: id, Pool: pool, Slots: 8, Phase: fleet.Serving}
 		}
@@ -106,7 +107,7 @@
 	return state
 }
 
-func (g *group) start(ctx context.Context, table acaciatally.TableService, name string) error {
+func (g *group) start(ctx context.Context, name string) error {
 	listener, err := (&net.ListenConfig{}).Listen(ctx, "tcp", "127.0.0.1:0")
 	if err != nil {
 		return err
@@ -115,7 +116,7 @@
 	m := &member{set: metrics.NewSet()}
 	m.keeper = membership.New(membership.Config{
 		Self:  membership.Entry{ID: id, Incarnation: name, Address: netip.AddrPortFrom(address.Addr().Unmap(), address.Port())},
-		Table: table, Views: views{g.state},
+		Table: g.table, Views: views{g.state},
 	})
 	m.slots = slot.New(slot.Config{Self: id, Membership: m.keeper, State: func() *fleet.State { return g.state }, Metrics: m.set})
 	handlers := m.keeper.Handlers()
@@ -170,7 +171,7 @@
 }
 
 func measureGrants(ctx context.Context, seed uint64) (figures []Figure, err error) {
-	g, err := startGroup(ctx, seed, 3)
+	g, err := startGroup(ctx, seed, 3, grantWorkers)
 	if err != nil {
 		return nil, err
 	}
@@ -223,7 +224,7 @@
 
 // measureHello returns the bytes of Hello messages that an entry sends in a second, without the headers of yamux and TCP.
 func measureHello(ctx context.Context, seed uint64, entries int) (bytes float64, err error) {
-	g, err := startGroup(ctx, seed, entries)
+	g, err := startGroup(ctx, seed, entries, grantWorkers)
 	if err != nil {
 		return 0, err
 	}
@@ -231,16 +232,17 @@
 	if !wait(ctx, helloWarmUp) {
 		return 0, ctx.Err()
 	}
-	before, began := g.sent(), time.Now()
+	before, began := g.sent(helloBytes), time.Now()
 	if !wait(ctx, helloSpan) {
 		return 0, ctx.Err()
 	}
-	return float64(g.sent()-before) / time.Since(began).Seconds() / float64(entries), nil
+	return float64(g.sent(helloBytes)-before) / time.Since(began).Seconds() / float64(entries), nil
 }
 
-func (g *group) sent() (bytes uint64) {
+// sent returns the sum of a counter over all entries.
+func (g *group) sent(counter string) (sum uint64) {
 	for _, m := range g.members {
-		bytes += m.set.GetOrCreateCounter(helloBytes).Get()
+		sum += m.set.GetOrCreateCounter(counter).Get()
 	}
-	return bytes
+	return sum
 }
