Test regions that lose each other at sixty entries

Cause: the design promises that a region cut from the table service and from most entries refuses work; no test had two regions at the target size. Ruled out: a change of the rule; the test states what it does. Change: TestServe has two more cases: halves of thirty where one half loses the table service (thirty serve), and a region of twenty that alone reaches it (all sixty serve, the forty by their majority on the configuration that they know).

--- a/membership/machine_test.go
+++ b/membership/machine_test.go
@@ -100,6 +100,14 @@
 	sides := func(size int) func(int, int) bool {
 		return func(from, to int) bool { return (from < size) != (to < size) }
 	}
+	region := func(cut func(int, int) bool, first, end int) func(g *group) {
+		return func(g *group) {
+			g.cut = cut
+			for i := first; i < end; i++ {
+				g.noTable[i] = true
+			}
+		}
+	}
 	tests := map[string]struct {
 		entries int
 		fault   func(g *group)
@@ -121,6 +129,8 @@
 				g.noTable[i] = true
 			}
 		}, serving: 40},
+		"regions of thirty cut, one without the platform": {entries: 60, fault: region(sides(30), 0, 30), serving: 30},
+		"region of twenty alone has the platform":         {entries: 60, fault: region(sides(20), 20, 60), serving: 60},
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
