Wait for a worker's tasks before it stops or moves

Cause: a drained instance was rebooted while tasks ran on it; the tasks' rows were never asked. Ruled out: leaving it to the platform's drain, which waits for requests and not for tasks. Change: after the entries' acknowledgement the control path reads the pool's tasks and goes on once none may be running on the instance; a cold pool (too short a history) still sends its loans home. TestTasksEndBeforeStop fails without the wait. Before: Rebooting with a task in progress. After: Draining until the task has ended or moved.

--- a/control/control_test.go
+++ b/control/control_test.go
@@ -33,16 +33,20 @@
 func (d *desk) Fresh() bool                           { return !d.stale }
 func (d *desk) Reports() []acaciatally.InstanceReport { return d.reports }
 
-func newDesk(t testing.TB, deployment *settings.Settings) *desk {
+func newDesk(t testing.TB, deployment *settings.Settings, options ...func(config *control.Config)) *desk {
 	t.Helper()
 	clock, table := model.NewClock(), standin.NewTable()
 	d := &desk{clock: clock, log: changelog.New(changelog.Config{Table: table, Clock: clock})}
 	d.Machines = model.NewMachines(model.MachinesConfig{Clock: clock, Reboot: 20 * time.Second, Drain: time.Second})
-	d.controller = entry.NewControl(control.Config{
+	config := control.Config{
 		Log: d.log, Lease: changelog.NewLease(changelog.LeaseConfig{Table: table, Clock: clock, Name: control.LeaseName, Holder: "a"}),
 		Membership: d, Observer: d, List: d, Instances: d, Health: d, Clock: clock, By: "a",
 		Logger: &log.Logger{Writer: &log.IOWriter{Writer: io.Discard}},
-	})
+	}
+	for _, option := range options {
+		option(&config)
+	}
+	d.controller = entry.NewControl(config)
 	changes := append(deployment.Changes(), fleet.Change{PutWave: &fleet.Wave{ID: "wave", State: fleet.WaveRunning, Started: clock.Now()}})
 	_, err := d.log.Commit(t.Context(), changelog.Proposal{CommandID: "load", Decide: func(*fleet.State) ([]fleet.Change, error) { return changes, nil }})
 	require.NoError(t, err)
@@ -74,6 +78,34 @@
 	require.Equal(t, fleet.WaveDone, d.log.State().Waves["wave"].State)
 }
 
+// occupied says that a task runs on every worker until it is told otherwise.
+type occupied struct{ ended bool }
+
+func (o *occupied) OnWorker(context.Context, acaciatally.PoolName, acaciatally.InstanceID) (ids []string, err error) {
+	if o.ended {
+		return nil, nil
+	}
+	return []string{"inspection"}, nil
+}
+
+// TestTasksEndBeforeStop guards P7 for tasks: an instance is not stopped while its rows say that a task runs there.
+func TestTasksEndBeforeStop(t *testing.T) {
+	tasks := &occupied{}
+	d := newDesk(t, model.Authority(), func(config *control.Config) { config.Tasks = tasks })
+	d.rounds(t.Context(), 60)
+	drained := 0
+	for _, instance := range d.log.State().Instances {
+		require.Contains(t, []fleet.Phase{fleet.Serving, fleet.Draining}, instance.Phase, "%s", instance.ID)
+		if instance.Phase == fleet.Draining {
+			drained++
+		}
+	}
+	require.Positive(t, drained)
+	tasks.ended = true
+	d.rounds(t.Context(), 600)
+	require.Equal(t, fleet.WaveDone, d.log.State().Waves["wave"].State)
+}
+
 // TestQuarantine guards against a worker that fails all that it starts and stays in service, against one quarantined beyond the
 // budget, and against a change without its reason.
 func TestQuarantine(t *testing.T) {
--- a/control/observe.go
+++ b/control/observe.go
@@ -71,20 +71,30 @@
 func (o *Observe) instances(ctx context.Context, round *Round) {
 	out := outOfService(round.State)
 	operations, healthy := make([]acaciatally.OperationState, len(out)), make([]bool, len(out))
+	vacant := make([]bool, len(out))
 	group := errgroup.Group{}
 	group.SetLimit(observeLimit)
 	for i, instance := range out {
+		ask := o.config.Tasks != nil && instance.Phase == fleet.Draining
+		// Tasks are asked for once the entries have acknowledged the drain, since each answer costs a scan of the pool's tasks.
+		acknowledged := ask && o.config.Membership.Acknowledged(instance.ID, instance.Version)
+		vacant[i] = !ask
 		group.Go(func() error {
 			operations[i] = o.operation(ctx, instance)
 			healthy[i] = o.healthy(ctx, instance)
+			if acknowledged {
+				vacant[i] = o.vacant(ctx, instance)
+			}
 			return nil
 		})
 	}
 	_ = group.Wait()
 	round.Operations = map[acaciatally.InstanceID]acaciatally.OperationState{}
 	round.Healthy = map[acaciatally.InstanceID]bool{}
+	round.Vacant = map[acaciatally.InstanceID]bool{}
 	for i, instance := range out {
 		round.Operations[instance.ID], round.Healthy[instance.ID] = operations[i], healthy[i]
+		round.Vacant[instance.ID] = vacant[i]
 	}
 }
 
@@ -109,6 +119,12 @@
 	return o.config.Health.Check(ctx, instance.ID, instance.Address) == nil
 }
 
+// vacant reports whether it is known that no task runs on the instance.
+func (o *Observe) vacant(ctx context.Context, instance fleet.Instance) bool {
+	ids, err := o.config.Tasks.OnWorker(ctx, instance.Pool, instance.ID)
+	return err == nil && len(ids) == 0
+}
+
 // outOfService returns the instances that do not serve, in order of pool and id.
 func outOfService(state *fleet.State) (out []fleet.Instance) {
 	for _, pool := range state.PoolNames() {
--- a/control/plan.go
+++ b/control/plan.go
@@ -111,7 +111,7 @@
 	_, target := round.State.Pools[instance.Target]
 	return lifecycle.Facts{
 		Now:          round.Now,
-		Acknowledged: p.config.Membership.Acknowledged(instance.ID, instance.Version),
+		Acknowledged: p.config.Membership.Acknowledged(instance.ID, instance.Version) && round.Vacant[instance.ID],
 		Operation:    round.Operations[instance.ID],
 		Healthy:      round.Healthy[instance.ID],
 		TargetExists: target,
--- a/control/round.go
+++ b/control/round.go
@@ -20,6 +20,12 @@
 // for each pool would cost a write for each pool and renewal.
 const LeaseName = "Control"
 
+// WorkerTasks tells of the tasks on workers.
+type WorkerTasks interface {
+	// OnWorker returns the ids of the pool's tasks that may be running on the worker.
+	OnWorker(ctx context.Context, pool acaciatally.PoolName, worker acaciatally.InstanceID) (ids []string, err error)
+}
+
 // Config is what the steps share.
 type Config struct {
 	Log        *changelog.Log
@@ -29,13 +35,15 @@
 	List       acaciatally.InstanceList
 	Instances  acaciatally.InstanceControl
 	Health     acaciatally.HealthCheck
-	Clock      acaciatally.Clock
-	Control    settings.Control
-	Weights    settings.Weights
-	Limits     lifecycle.Limits
-	By         string // name of this process in the log
-	Logger     *log.Logger
-	Outlook    *Outlook // history of the demand, kept across rounds
+	// Tasks tells of the tasks on a worker, which end or checkpoint before it stops or moves; nil runs none.
+	Tasks   WorkerTasks
+	Clock   acaciatally.Clock
+	Control settings.Control
+	Weights settings.Weights
+	Limits  lifecycle.Limits
+	By      string // name of this process in the log
+	Logger  *log.Logger
+	Outlook *Outlook // history of the demand, kept across rounds
 }
 
 // SetDefaults fills in the zero values.
@@ -67,6 +75,7 @@
 	Acting     bool // this entry was in control with a fresh view when the round began
 	Operations map[acaciatally.InstanceID]acaciatally.OperationState
 	Healthy    map[acaciatally.InstanceID]bool
+	Vacant     map[acaciatally.InstanceID]bool // instances out of service that are known to have no task to wait for
 	Verdicts   []assessment.Verdict
 	Actions    []approval.Action
 	Calls      []lifecycle.Operation
--- a/entry/control.go
+++ b/entry/control.go
@@ -9,6 +9,7 @@
 	"github.com/acaciatally/acaciatally/changelog"
 	"github.com/acaciatally/acaciatally/control"
 	"github.com/acaciatally/acaciatally/observation"
+	"github.com/acaciatally/acaciatally/task"
 )
 
 // NewControl returns the control pipeline in the order in which its steps run.
@@ -63,6 +64,14 @@
 	return acaciatally.EntryID(entry)
 }
 
+// workerTasks reads the tasks of a worker from their rows.
+type workerTasks struct{ table acaciatally.TableService }
+
+// OnWorker returns the ids of the pool's tasks that may be running on the worker.
+func (w workerTasks) OnWorker(ctx context.Context, pool acaciatally.PoolName, worker acaciatally.InstanceID) (ids []string, err error) {
+	return task.OnWorker(ctx, w.table, pool, worker)
+}
+
 // runControl takes part in control until ctx ends.
 func (p *Process) runControl(ctx context.Context) error {
 	if p.config.Instances == nil || p.config.List == nil {
@@ -72,7 +81,7 @@
 		Log: p.log, Lease: p.lease, Membership: p.peers.keeper, Observer: p.watch.collector, List: p.config.List,
 		Instances: p.config.Instances, Health: newHealth(p.log.State, p.config.Dial), Clock: p.config.Clock,
 		Control: p.config.Settings.Control, Weights: p.config.Settings.Weights,
-		By: string(p.config.Entry.ID), Logger: p.config.Logger,
+		By: string(p.config.Entry.ID), Logger: p.config.Logger, Tasks: workerTasks{p.config.Table},
 	})
 	return controller.Run(ctx)
 }
--- a/move/move.go
+++ b/move/move.go
@@ -149,7 +149,7 @@
 		pool.kept = max(pool.soon, r.need(pool, max(r.payback(), r.config.Lead)))
 		pool.home = max(pool.kept, r.need(pool, min(r.config.MaxPayback, nativePaybacks*r.payback())))
 		if r.Outlook.Forecast(name, r.Now, r.Now).Cold {
-			pool.kept, pool.home = max(pool.kept, pool.have), max(pool.home, pool.have)
+			pool.home = max(pool.home, pool.have) // loans may still go home
 		}
 		r.pools = append(r.pools, pool)
 	}
