--- a/experiment/slopes_group.go
+++ b/experiment/slopes_group.go
@@ -1,7 +1,6 @@
 package experiment
 
 import (
-	"errors"
 	"time"
 
 	"github.com/acaciatally/acaciatally"
@@ -45,9 +44,9 @@
 		return err
 	}
 	defer g.stop()
-	holder, pool, found := g.remote()
-	if !found {
-		return errors.New("each slot home is in the asking entry")
+	holder, pool, err := g.awaitRemote(s.ctx)
+	if err != nil {
+		return err
 	}
 	for _, asking := range []struct {
 		measure string
--- a/experiment/slot_grant.go
+++ b/experiment/slot_grant.go
@@ -176,9 +176,9 @@
 		return nil, err
 	}
 	defer g.stop()
-	holder, pool, found := g.remote()
-	if !found {
-		return nil, errors.New("each slot home is in the asking entry")
+	holder, pool, err := g.awaitRemote(ctx)
+	if err != nil {
+		return nil, err
 	}
 	latencies := hdrhistogram.New(1, int64(time.Second), 3)
 	for i := range grantWarmUp + grantCount {
@@ -208,6 +208,24 @@
 	return figures, nil
 }
 
+// awaitRemote waits for remote, since the slot homes follow the membership with a delay.
+func (g *group) awaitRemote(ctx context.Context) (holder *member, pool acaciatally.PoolName, err error) {
+	ctx, cancel := context.WithTimeout(ctx, groupStart)
+	defer cancel()
+	for {
+		for _, m := range g.members {
+			m.keeper.HeadRead(time.Now())
+		}
+		holder, pool, found := g.remote()
+		if found {
+			return holder, pool, nil
+		}
+		if !wait(ctx, 50*time.Millisecond) {
+			return nil, "", fmt.Errorf("each slot home is in the asking entry: %w", ctx.Err())
+		}
+	}
+}
+
 // remote returns an entry and a pool whose slot home is in another entry.
 func (g *group) remote() (holder *member, pool acaciatally.PoolName, found bool) {
 	holder = g.members[0]
