Commit changes only with most entries in contact

Ruled out: counting rows with a recent heartbeat as contact (6.5 s in which the others may already be cut off), and letting the majority without the platform refuse work (a long outage would stop serving). Change: control actions and operators' changes need a fresh view and contact with more than half; a refused order is looked for in the log first, so that a repetition of an accepted one is not reported as not run. Before: TestMayChange and TestMinorityChangesNothing fail. After: they pass, with all tests of entry and the processes. Conclusion: P8 holds in that cut, at the price of no changes while all entries are cut from each other.

--- a/changelog/trail.go
+++ b/changelog/trail.go
@@ -7,6 +7,11 @@
 	"github.com/acaciatally/acaciatally"
 )
 
+// Find returns the version at which a command stands in the log; it fails when the log cannot be read.
+func (l *Log) Find(ctx context.Context, command string) (version uint64, found bool, err error) {
+	return l.readBack(ctx, command)
+}
+
 // RecordKey returns the key of the row that holds the record of that version.
 func RecordKey(version uint64) string {
 	return recordKey(version)
--- a/command/change.go
+++ b/command/change.go
@@ -26,9 +26,7 @@
 	if order.DryRun {
 		return e.tryOut(order, decide, result)
 	}
-	version, err := e.config.Log.Commit(ctx, changelog.Proposal{
-		CommandID: order.ID, By: order.By, Reason: order.Text, Decide: decide,
-	})
+	version, err := e.commit(ctx, changelog.Proposal{CommandID: order.ID, By: order.By, Reason: order.Text, Decide: decide})
 	if err != nil {
 		return e.hintLeaving(statement, result, err)
 	}
@@ -37,6 +35,22 @@
 	return result, nil
 }
 
+// commit refuses while this entry may not change anything, unless the order had been accepted before.
+func (e *Evaluator) commit(ctx context.Context, proposal changelog.Proposal) (version uint64, err error) {
+	if e.config.Membership == nil || e.config.Membership.Fresh() {
+		return e.config.Log.Commit(ctx, proposal)
+	}
+	const reason = "this entry hears too few entries, or the log is out of reach"
+	version, found, err := e.config.Log.Find(ctx, proposal.CommandID)
+	switch {
+	case err != nil:
+		return 0, fmt.Errorf("%s: %w", reason, acaciatally.ErrUnknownCommit)
+	case found:
+		return version, nil
+	}
+	return 0, fmt.Errorf("%s: %w", reason, acaciatally.ErrUnavailable)
+}
+
 // hintLeaving stops new work to drained instances while the log cannot be written; the order itself stays refused.
 func (e *Evaluator) hintLeaving(statement *Statement, result Result, cause error) (Result, error) {
 	outage := errors.Is(cause, acaciatally.ErrUnavailable) || errors.Is(cause, acaciatally.ErrUnknownCommit)
--- a/command/evaluator.go
+++ b/command/evaluator.go
@@ -15,6 +15,8 @@
 type Log interface {
 	// State returns the newest known state.
 	State() *fleet.State
+	// Find returns the version at which a command stands in the log.
+	Find(ctx context.Context, command string) (version uint64, found bool, err error)
 	// Commit appends a proposal's changes and returns the version at which the command stands.
 	Commit(ctx context.Context, proposal changelog.Proposal) (version uint64, err error)
 }
--- a/command/evaluator_test.go
+++ b/command/evaluator_test.go
@@ -192,6 +192,25 @@
 	require.Equal(t, "maria", race.By)
 }
 
+// cut is the membership of an entry that reaches the table service and too few other entries.
+type cut struct{ acaciatally.Membership }
+
+func (cut) Fresh() bool { return false }
+
+// TestMinorityChangesNothing guards P8: a minority that alone reaches the table service must not accept a change of which the others,
+// who serve on, never learn.
+func TestMinorityChangesNothing(t *testing.T) {
+	table := standin.NewTable()
+	newEvaluator(t, table, nil)
+	log := changelog.New(changelog.Config{Table: table})
+	require.NoError(t, log.Poll(t.Context()))
+	evaluator := command.New(command.Config{Log: log, Membership: cut{}})
+	_, err := evaluator.Run(t.Context(), command.Order{ID: "c", By: "maria", Text: "set quota observatories 5"})
+	require.ErrorIs(t, err, acaciatally.ErrUnavailable)
+	require.NoError(t, log.Poll(t.Context()))
+	require.EqualValues(t, 1, log.State().Version)
+}
+
 // TestDrainDuringOutage guards against a drain that stops no new work while the log cannot be written, or that claims to be accepted.
 func TestDrainDuringOutage(t *testing.T) {
 	table := &outage{Table: standin.NewTable()}
--- a/experiment/slot_grant.go
+++ b/experiment/slot_grant.go
@@ -179,12 +179,9 @@
 		return nil, err
 	}
 	defer g.stop()
-	holder, pool, found := g.remote()
-	for tries := 0; !found; tries++ { // the slot homes follow the membership within 50 ms
-		if tries == 100 || !wait(ctx, 50*time.Millisecond) {
-			return nil, errors.Join(errors.New("each slot home is in the asking entry"), ctx.Err())
-		}
-		holder, pool, found = g.remote()
+	holder, pool, err := g.awaitRemote(ctx)
+	if err != nil {
+		return nil, err
 	}
 	latencies := hdrhistogram.New(1, int64(time.Second), 3)
 	for i := range grantWarmUp + grantCount {
@@ -214,6 +211,24 @@
 	return figures, nil
 }
 
+// awaitRemote waits for remote, since the slot homes follow the membership with a delay.
+func (g *group) awaitRemote(ctx context.Context) (holder *member, pool acaciatally.PoolName, err error) {
+	ctx, cancel := context.WithTimeout(ctx, groupStart)
+	defer cancel()
+	for {
+		for _, m := range g.members {
+			m.keeper.HeadRead(time.Now())
+		}
+		holder, pool, found := g.remote()
+		if found {
+			return holder, pool, nil
+		}
+		if !wait(ctx, 50*time.Millisecond) {
+			return nil, "", fmt.Errorf("each slot home is in the asking entry: %w", ctx.Err())
+		}
+	}
+}
+
 // remote returns an entry and a pool whose slot home is in another entry.
 func (g *group) remote() (holder *member, pool acaciatally.PoolName, found bool) {
 	holder = g.members[0]
--- a/membership.go
+++ b/membership.go
@@ -15,7 +15,7 @@
 type Membership interface {
 	// Live returns the peers heard recently, without this entry, in order of id.
 	Live() []Peer
-	// Fresh reports whether the view is fresh enough to begin control actions.
+	// Fresh reports whether this entry's view is fresh and most entries hear it, so that it may begin control actions and commit changes.
 	Fresh() bool
 	// MayServe reports whether this entry may send new work to endpoints.
 	MayServe() bool
--- a/membership/keeper.go
+++ b/membership/keeper.go
@@ -138,9 +138,9 @@
 	return peers
 }
 
-// Fresh reports whether the view is fresh enough to begin control actions.
+// Fresh reports whether this entry may begin control actions and commit changes.
 func (k *Keeper) Fresh() (fresh bool) {
-	k.with(func(m *Machine, now time.Time) { fresh = m.Fresh(now) })
+	k.with(func(m *Machine, now time.Time) { fresh = m.MayChange(now) })
 	return fresh
 }
 
--- a/membership/machine.go
+++ b/membership/machine.go
@@ -229,6 +229,13 @@
 	return now.Before(m.FreshUntil())
 }
 
+// MayChange reports whether this entry may commit changes: its view is fresh, and it is in contact with more than half of the
+// registered entries. Entries that serve on without the platform are in contact with more than half as well, so one of them
+// hears of the change at once; without this rule a minority could put changes in force that the others never learn.
+func (m *Machine) MayChange(now time.Time) bool {
+	return m.Fresh(now) && now.Before(m.majorityUntil(now))
+}
+
 // FreshUntil returns the time until which the view stays fresh without further news.
 func (m *Machine) FreshUntil() time.Time {
 	return m.freshAt().Add(m.rules.ViewLimit)
--- a/membership/machine_test.go
+++ b/membership/machine_test.go
@@ -148,6 +148,53 @@
 	}
 }
 
+// TestMayChange guards P8: where entries serve on without the table service, no others may put a change in force unless one of the
+// former hears of it.
+func TestMayChange(t *testing.T) {
+	sides := func(size int) func(int, int) bool {
+		return func(from, to int) bool { return (from < size) != (to < size) }
+	}
+	tests := map[string]struct {
+		entries  int
+		fault    func(g *group)
+		changing int
+	}{
+		"no fault":                     {entries: 9, fault: func(*group) {}, changing: 9},
+		"one entry":                    {entries: 1, fault: func(*group) {}, changing: 1},
+		"platform is down for all":     {entries: 9, fault: func(g *group) { g.down = true }},
+		"one entry loses the platform": {entries: 9, fault: func(g *group) { g.noTable[4] = true }, changing: 9},
+		"four cut from five":           {entries: 9, fault: func(g *group) { g.cut = sides(4) }, changing: 5},
+		"four cut, they alone reach the table": {entries: 9, fault: func(g *group) {
+			g.cut = sides(4)
+			for i := 4; i < 9; i++ {
+				g.noTable[i] = true
+			}
+		}},
+		"five cut, they alone reach the table": {entries: 9, fault: func(g *group) {
+			g.cut = sides(4)
+			for i := range 4 {
+				g.noTable[i] = true
+			}
+		}, changing: 5},
+		"all apart": {entries: 9, fault: func(g *group) { g.cut = func(int, int) bool { return true } }},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			g := newGroup(test.entries)
+			g.run(5 * time.Second)
+			test.fault(g)
+			g.run(3 * time.Second)
+			changing := 0
+			for _, machine := range g.machines {
+				if machine.MayChange(g.now) {
+					changing++
+				}
+			}
+			require.Equal(t, test.changing, changing)
+		})
+	}
+}
+
 // TestWoken guards against an entry that wakes from a freeze and takes the Hellos that waited for it as fresh (P6).
 func TestWoken(t *testing.T) {
 	g := newGroup(9)
