Use the field's terms in the task planner

Ruled out: Victim for a preempted task (Placement says what it is at any time). Change: Preemption, Placement, WorkerLoad, Frontend; files follow. Conclusion: a reader who knows schedulers knows the names.

--- a/entry/callers.go
+++ b/entry/callers.go
@@ -35,7 +35,7 @@
 		})
 	}
 	if p.tasks != nil {
-		ServeTasks(server, p.tasks.desk, p.log.State)
+		ServeTasks(server, p.tasks.frontend, p.log.State)
 	}
 	server.Any("/*", p.receive)
 	return server
--- a/entry/process.go
+++ b/entry/process.go
@@ -121,7 +121,7 @@
 	group.Go(func() error { return p.runControl(ctx) })
 	if p.tasks != nil {
 		group.Go(func() error { return p.tasks.run(ctx) })
-		group.Go(func() error { return p.tasks.desk.Run(drained) })
+		group.Go(func() error { return p.tasks.frontend.Run(drained) })
 	}
 	group.Go(func() error { return p.claims.Run(drained) })
 	group.Go(func() error { return p.sweeper.Run(ctx) })
--- a/entry/taskcontrol.go
+++ b/entry/taskcontrol.go
@@ -28,15 +28,15 @@
 
 // taskControl runs the tasks of the pools for which this entry is a candidate.
 type taskControl struct {
-	process *Process
-	desk    *task.Desk
+	process  *Process
+	frontend *task.Frontend
 }
 
 func newTaskControl(p *Process) *taskControl {
 	if p.config.Tasks == nil {
 		return nil
 	}
-	return &taskControl{process: p, desk: task.NewDesk(task.DeskConfig{
+	return &taskControl{process: p, frontend: task.NewFrontend(task.FrontendConfig{
 		Table: p.config.Table, Leases: p.config.Tasks, Clock: p.config.Clock,
 	})}
 }
@@ -193,7 +193,7 @@
 		teams[known.ID] = known.Team
 	}
 	for _, id := range ids {
-		if _, err = b.control.desk.Cancel(ctx, teams[id], id); err != nil {
+		if _, err = b.control.frontend.Cancel(ctx, teams[id], id); err != nil {
 			return err
 		}
 	}
--- a/entry/tasks.go
+++ b/entry/tasks.go
@@ -20,8 +20,8 @@
 	maxTeamName = 64
 )
 
-// TaskDesk accepts, shows and cancels tasks.
-type TaskDesk interface {
+// TaskFrontend accepts, shows and cancels tasks.
+type TaskFrontend interface {
 	// Submit accepts a task durably before it returns.
 	Submit(ctx context.Context, spec task.Spec) (record task.Record, err error)
 	// Show returns a task of the team.
@@ -58,13 +58,13 @@
 }
 
 // ServeTasks adds the paths for tasks to the callers' server; state tells which pools exist.
-func ServeTasks(server *echo.Echo, desk TaskDesk, state func() *fleet.State) {
-	server.POST("/tasks", func(c *echo.Context) error { return submitTask(c, desk, state()) })
-	server.GET("/tasks/:id", func(c *echo.Context) error { return answerTask(c, http.StatusOK, desk.Show) })
-	server.DELETE("/tasks/:id", func(c *echo.Context) error { return answerTask(c, http.StatusOK, desk.Cancel) })
+func ServeTasks(server *echo.Echo, frontend TaskFrontend, state func() *fleet.State) {
+	server.POST("/tasks", func(c *echo.Context) error { return submitTask(c, frontend, state()) })
+	server.GET("/tasks/:id", func(c *echo.Context) error { return answerTask(c, http.StatusOK, frontend.Show) })
+	server.DELETE("/tasks/:id", func(c *echo.Context) error { return answerTask(c, http.StatusOK, frontend.Cancel) })
 }
 
-func submitTask(c *echo.Context, desk TaskDesk, state *fleet.State) error {
+func submitTask(c *echo.Context, frontend TaskFrontend, state *fleet.State) error {
 	team := c.Request().Header.Get(acaciatally.TeamHeader)
 	if team == "" || len(team) > maxTeamName {
 		return refuseTask(c, http.StatusBadRequest, acaciatally.NotRun, "header "+acaciatally.TeamHeader+" is missing or too long")
@@ -81,7 +81,7 @@
 	if err != nil {
 		return refuseTask(c, http.StatusBadRequest, acaciatally.NotRun, err.Error())
 	}
-	record, err := desk.Submit(c.Request().Context(), spec)
+	record, err := frontend.Submit(c.Request().Context(), spec)
 	if err != nil {
 		return taskError(c, err)
 	}
--- a/entry/tasks_test.go
+++ b/entry/tasks_test.go
@@ -22,15 +22,15 @@
 func taskServer(t *testing.T) (*standin.Faults, http.Handler) {
 	t.Helper()
 	faults := standin.NewFaults(standin.FaultsConfig{Table: standin.NewTable(), Leases: standin.NewTasks(standin.TasksConfig{})})
-	desk := task.NewDesk(task.DeskConfig{Table: faults, Leases: faults})
+	frontend := task.NewFrontend(task.FrontendConfig{Table: faults, Leases: faults})
 	ctx, cancel := context.WithCancel(t.Context())
 	ended := make(chan struct{})
-	go func() { _ = desk.Run(ctx); close(ended) }()
+	go func() { _ = frontend.Run(ctx); close(ended) }()
 	t.Cleanup(func() { cancel(); <-ended })
 	state := fleet.New()
 	state.Pools["chamber"] = fleet.Pool{Name: "chamber"}
 	server := echo.New()
-	entry.ServeTasks(server, desk, func() *fleet.State { return state })
+	entry.ServeTasks(server, frontend, func() *fleet.State { return state })
 	return faults, server
 }
 
--- a/experiment/slopes_task.go
+++ b/experiment/slopes_task.go
@@ -33,7 +33,7 @@
 		for _, worker := range view.Workers {
 			leases.AddWorker(worker.ID, worker.Capacity)
 		}
-		if err = submitAll(s.ctx, task.NewDesk(task.DeskConfig{Table: table, Leases: leases, Clock: clock}), pool, count); err != nil {
+		if err = submitAll(s.ctx, task.NewFrontend(task.FrontendConfig{Table: table, Leases: leases, Clock: clock}), pool, count); err != nil {
 			return err
 		}
 		s.addCalls("TaskIntake", count, "Tasks", table.calls().since(calls{}, float64(count)), "task")
@@ -52,16 +52,16 @@
 	return nil
 }
 
-func submitAll(ctx context.Context, desk *task.Desk, pool acaciatally.PoolName, count int) error {
+func submitAll(ctx context.Context, frontend *task.Frontend, pool acaciatally.PoolName, count int) error {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	ended := make(chan error, 1)
-	go func() { ended <- desk.Run(ctx) }()
+	go func() { ended <- frontend.Run(ctx) }()
 	profile := standin.TaskProfile{Uses: acaciatally.Resources{Processors: 2, Memory: gibibyte}, Work: slopeTaskWork}
 	var calls errgroup.Group
 	for n := range count {
 		calls.Go(func() error {
-			_, err := desk.Submit(ctx, task.Spec{
+			_, err := frontend.Submit(ctx, task.Spec{
 				ID: fmt.Sprintf("task-%d", n), Team: acaciatally.TeamName(fmt.Sprintf("team-%d", n%urgentTeams)), Pool: pool, Kind: "reduce",
 				Urgency: acaciatally.Normal, Idempotent: true, Declared: profile.Uses, Command: profile.Command(),
 			})
--- a/task/arrange.go
+++ b/task/arrange.go
@@ -36,7 +36,7 @@
 	rooms := m.rooms(now)
 	demands, waits := m.demands(now)
 	plan := MakePlan(Problem{
-		Now: now, Demands: demands, Rooms: rooms, Quotas: m.fleet.Quotas, Floors: m.config.Floors, MaxStarts: m.config.MaxStarts,
+		Now: now, Demands: demands, WorkerLoads: rooms, Quotas: m.fleet.Quotas, Floors: m.config.Floors, MaxStarts: m.config.MaxStarts,
 	})
 	m.carryOut(plan, now)
 	m.release(rooms, now)
@@ -119,12 +119,12 @@
 }
 
 // rooms returns the workers with what their attempts leave free, those that are ordered but not started included.
-func (m *Machine) rooms(now time.Time) []Room {
-	rooms := make([]Room, 0, len(m.fleet.Workers))
+func (m *Machine) rooms(now time.Time) []WorkerLoad {
+	rooms := make([]WorkerLoad, 0, len(m.fleet.Workers))
 	index := map[acaciatally.InstanceID]int{}
 	for _, worker := range m.fleet.Workers {
 		index[worker.ID] = len(rooms)
-		rooms = append(rooms, Room{
+		rooms = append(rooms, WorkerLoad{
 			Worker: worker.ID, Capacity: worker.Capacity, Free: worker.Capacity, Starts: m.worker(worker.ID).starts(now),
 		})
 	}
@@ -137,7 +137,7 @@
 		holds := j.holds()
 		room.Free = minus(room.Free, holds)
 		room.Probed = room.Probed || (j.attempt.peak.Memory == 0 && !m.learner.Known(j.record.Spec))
-		room.Tenants = append(room.Tenants, Tenant{
+		room.Placements = append(room.Placements, Placement{
 			Task: j.record.Spec.ID, Team: j.record.Spec.Team, Urgency: j.record.Spec.Urgency, Holds: holds,
 			Share: j.attempt.want, CanStop: j.canStop(), WorkSince: j.workSince(),
 		})
@@ -150,14 +150,14 @@
 }
 
 func (m *Machine) carryOut(plan Plan, now time.Time) {
-	for _, squeeze := range plan.Squeezes {
-		j := m.jobs[squeeze.Task]
-		if squeeze.Vacate {
-			m.vacate(j, now, m.config.UrgentVacate, squeeze.Reason)
+	for _, preempt := range plan.Preemptions {
+		j := m.jobs[preempt.Task]
+		if preempt.Vacate {
+			m.vacate(j, now, m.config.UrgentVacate, preempt.Reason)
 			continue
 		}
-		j.attempt.want = squeeze.Share
-		j.note(now, fmt.Sprintf("throttled to %.2f: %s", squeeze.Share, squeeze.Reason))
+		j.attempt.want = preempt.Share
+		j.note(now, fmt.Sprintf("throttled to %.2f: %s", preempt.Share, preempt.Reason))
 	}
 	for _, start := range plan.Starts {
 		j := m.jobs[start.Task]
@@ -223,11 +223,11 @@
 }
 
 // release gives throttled attempts their processors back where the plan left some free.
-func (m *Machine) release(rooms []Room, now time.Time) {
+func (m *Machine) release(rooms []WorkerLoad, now time.Time) {
 	for i := range rooms {
 		room := &rooms[i]
-		for _, tenant := range room.Tenants {
-			j := m.jobs[tenant.Task]
+		for _, placement := range room.Placements {
+			j := m.jobs[placement.Task]
 			back := j.need().Processors * (1 - j.attempt.want)
 			if j.record.Phase != Placed || j.attempt.want >= 1 || back > room.Free.Processors+roundingSlack {
 				continue
--- a/task/cancel.go
+++ b/task/cancel.go
@@ -15,11 +15,11 @@
 const stopsInFlight = 16
 
 // cancel writes each cancelled task once, and then stops the attempts that were running.
-func (d *Desk) cancel(ctx context.Context, batch []*cancellation) {
-	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), deskTries*d.config.Timeout)
+func (d *Frontend) cancel(ctx context.Context, batch []*cancellation) {
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), frontendTries*d.config.Timeout)
 	defer cancel()
 	outcome := acaciatally.NotRun
-	for range deskTries {
+	for range frontendTries {
 		open := openCancellations(batch)
 		if len(open) == 0 {
 			break
@@ -54,7 +54,7 @@
 	}
 }
 
-func (d *Desk) tryCancel(ctx context.Context, open []*cancellation) error {
+func (d *Frontend) tryCancel(ctx context.Context, open []*cancellation) error {
 	ids := make([]string, 0, len(open))
 	for _, call := range open {
 		ids = append(ids, call.id)
@@ -88,7 +88,7 @@
 }
 
 // commitCancelled writes the rows; rows that others have just written are left for the next try.
-func (d *Desk) commitCancelled(ctx context.Context, open []*cancellation, transaction acaciatally.Transaction, next map[string]Record) error {
+func (d *Frontend) commitCancelled(ctx context.Context, open []*cancellation, transaction acaciatally.Transaction, next map[string]Record) error {
 	for len(transaction.Writes) > 0 {
 		commitCtx, cancel := context.WithTimeout(ctx, d.config.Timeout)
 		_, err := d.config.Table.Commit(commitCtx, transaction)
@@ -125,7 +125,7 @@
 }
 
 // stopAll ends the attempts of the cancelled tasks at once; where it fails, the controller of the pool finds the row when it reads it again.
-func (d *Desk) stopAll(ctx context.Context, batch []*cancellation) {
+func (d *Frontend) stopAll(ctx context.Context, batch []*cancellation) {
 	var group errgroup.Group
 	group.SetLimit(stopsInFlight)
 	for _, call := range batch {
--- a/task/faults_test.go
+++ b/task/faults_test.go
@@ -348,7 +348,7 @@
 		w.untilPhase("once", task.Placed, time.Minute)
 		w.submit(specs...)
 		for _, one := range specs {
-			_, err := w.desk.Cancel(w.ctx, one.Team, one.ID)
+			_, err := w.frontend.Cancel(w.ctx, one.Team, one.ID)
 			require.NoError(t, err)
 		}
 		w.setState("chamber-1", task.Leaving)
--- a/task/desk.go
+++ b/task/frontend.go
@@ -17,8 +17,8 @@
 // ErrOtherTask reports that the id belongs to a task that differs from the submitted one.
 var ErrOtherTask = errors.New("a different task has this id")
 
-// DeskConfig is what a Desk needs; zero values take the defaults.
-type DeskConfig struct {
+// FrontendConfig is what a Frontend needs; zero values take the defaults.
+type FrontendConfig struct {
 	Table    acaciatally.TableService
 	Leases   acaciatally.TaskLeases
 	Clock    acaciatally.Clock
@@ -29,15 +29,15 @@
 }
 
 const (
-	defaultInterval = 20 * time.Millisecond
-	defaultBatch    = 100
-	defaultQueue    = 2000
-	deskRetryAfter  = time.Second
+	defaultInterval    = 20 * time.Millisecond
+	defaultBatch       = 100
+	defaultQueue       = 2000
+	frontendRetryAfter = time.Second
 )
 
-// Desk accepts, shows and cancels tasks in an entry; it is safe for concurrent use.
-type Desk struct {
-	config        DeskConfig
+// Frontend accepts, shows and cancels tasks in an entry; it is safe for concurrent use.
+type Frontend struct {
+	config        FrontendConfig
 	submissions   chan *submission
 	cancellations chan *cancellation
 }
@@ -60,8 +60,8 @@
 	done    chan struct{}
 }
 
-// NewDesk returns a desk whose calls wait until Run is called.
-func NewDesk(config DeskConfig) *Desk {
+// NewFrontend returns a frontend whose calls wait until Run is called.
+func NewFrontend(config FrontendConfig) *Frontend {
 	if config.Clock == nil {
 		config.Clock = acaciatally.SystemClock{}
 	}
@@ -77,7 +77,7 @@
 	if config.Timeout == 0 {
 		config.Timeout = defaultTimeout
 	}
-	return &Desk{
+	return &Frontend{
 		config:        config,
 		submissions:   make(chan *submission, config.Queue),
 		cancellations: make(chan *cancellation, config.Queue),
@@ -85,7 +85,7 @@
 }
 
 // Run carries out the calls until ctx ends.
-func (d *Desk) Run(ctx context.Context) (err error) {
+func (d *Frontend) Run(ctx context.Context) (err error) {
 	group, ctx := errgroup.WithContext(ctx)
 	group.Go(func() error {
 		for batch := d.collectSubmissions(ctx); len(batch) > 0; batch = d.collectSubmissions(ctx) {
@@ -104,7 +104,7 @@
 
 // Submit accepts a task durably; repeating it with the same content returns the task as it is. It fails with *InvalidSpecError,
 // ErrOtherTask, or a *acaciatally.Refusal whose outcome is NotRun only if the task will certainly not run.
-func (d *Desk) Submit(ctx context.Context, spec Spec) (record Record, err error) {
+func (d *Frontend) Submit(ctx context.Context, spec Spec) (record Record, err error) {
 	if err = spec.Validate(); err != nil {
 		return Record{}, err
 	}
@@ -123,7 +123,7 @@
 }
 
 // Cancel ends a task; it fails with ErrNoTask or a *acaciatally.Refusal, and returns a task that had ended before as it is.
-func (d *Desk) Cancel(ctx context.Context, team acaciatally.TeamName, id string) (record Record, err error) {
+func (d *Frontend) Cancel(ctx context.Context, team acaciatally.TeamName, id string) (record Record, err error) {
 	call := &cancellation{team: team, id: id, done: make(chan struct{})}
 	select {
 	case d.cancellations <- call:
@@ -139,7 +139,7 @@
 }
 
 // Show returns a task of the team; it fails with ErrNoTask or acaciatally.ErrUnavailable.
-func (d *Desk) Show(ctx context.Context, team acaciatally.TeamName, id string) (record Record, err error) {
+func (d *Frontend) Show(ctx context.Context, team acaciatally.TeamName, id string) (record Record, err error) {
 	found, err := d.find(ctx, []string{id})
 	if err != nil {
 		return Record{}, err
@@ -151,7 +151,7 @@
 }
 
 func refusal(outcome acaciatally.Outcome, reason string) error {
-	return &acaciatally.Refusal{Outcome: outcome, Status: http.StatusServiceUnavailable, Reason: reason, RetryAfter: deskRetryAfter}
+	return &acaciatally.Refusal{Outcome: outcome, Status: http.StatusServiceUnavailable, Reason: reason, RetryAfter: frontendRetryAfter}
 }
 
 type stored struct {
@@ -160,7 +160,7 @@
 }
 
 // find reads the tasks that exist among ids with two reads, in order of ids.
-func (d *Desk) find(ctx context.Context, ids []string) (found []stored, err error) {
+func (d *Frontend) find(ctx context.Context, ids []string) (found []stored, err error) {
 	ctx, cancel := context.WithTimeout(ctx, d.config.Timeout)
 	defer cancel()
 	keys := make([]string, 0, len(ids))
@@ -189,7 +189,7 @@
 	return found, nil
 }
 
-func (d *Desk) collectSubmissions(ctx context.Context) (batch []*submission) {
+func (d *Frontend) collectSubmissions(ctx context.Context) (batch []*submission) {
 	select {
 	case first := <-d.submissions:
 		batch = append(batch, first)
@@ -209,7 +209,7 @@
 	return batch
 }
 
-func (d *Desk) collectCancellations(ctx context.Context) (batch []*cancellation) {
+func (d *Frontend) collectCancellations(ctx context.Context) (batch []*cancellation) {
 	select {
 	case first := <-d.cancellations:
 		batch = append(batch, first)
--- a/task/desk_test.go
+++ b/task/frontend_test.go
@@ -20,12 +20,12 @@
 		one := spec("a", uses(1, 1, time.Second))
 		w.submit(one, one, one)
 		w.untilPhase("a", task.Done, time.Minute)
-		record, err := w.desk.Submit(w.ctx, one)
+		record, err := w.frontend.Submit(w.ctx, one)
 		require.NoError(t, err)
 		require.Equal(t, task.Done, record.Phase)
 		other := one
 		other.Command = []byte("{}")
-		_, err = w.desk.Submit(w.ctx, other)
+		_, err = w.frontend.Submit(w.ctx, other)
 		require.ErrorIs(t, err, task.ErrOtherTask)
 		require.Len(t, w.tasks.Trace("a"), 1)
 	})
@@ -49,7 +49,7 @@
 			synctest.Test(t, func(t *testing.T) {
 				w := newWorld(t, 1)
 				w.faults.Set(test.switches)
-				_, err := w.desk.Submit(w.ctx, spec("a", uses(1, 1, time.Second)))
+				_, err := w.frontend.Submit(w.ctx, spec("a", uses(1, 1, time.Second)))
 				var refused *acaciatally.Refusal
 				if test.outcome == "" {
 					require.NoError(t, err)
@@ -79,7 +79,7 @@
 		before := w.faults.Counters()
 		errs := make(chan error, len(specs))
 		for _, one := range specs {
-			go func() { _, err := w.desk.Cancel(w.ctx, one.Team, one.ID); errs <- err }()
+			go func() { _, err := w.frontend.Cancel(w.ctx, one.Team, one.ID); errs <- err }()
 		}
 		for range specs {
 			require.NoError(t, <-errs)
@@ -105,12 +105,12 @@
 		w := newWorld(t, 1)
 		w.control("entry-1")
 		w.submit(spec("a", uses(1, 1, time.Second)))
-		_, err := w.desk.Cancel(w.ctx, "archive", "a")
+		_, err := w.frontend.Cancel(w.ctx, "archive", "a")
 		require.ErrorIs(t, err, task.ErrNoTask)
-		_, err = w.desk.Show(w.ctx, "archive", "a")
+		_, err = w.frontend.Show(w.ctx, "archive", "a")
 		require.ErrorIs(t, err, task.ErrNoTask)
 		w.untilPhase("a", task.Done, time.Minute)
-		record, err := w.desk.Cancel(w.ctx, "survey", "a")
+		record, err := w.frontend.Cancel(w.ctx, "survey", "a")
 		require.NoError(t, err)
 		require.Equal(t, task.Done, record.Phase)
 	})
@@ -124,7 +124,7 @@
 		w.submit(spec("a", uses(1, 1, time.Hour)))
 		w.untilPhase("a", task.Placed, time.Minute)
 		w.tasks.SetFaults("chamber-1", standin.TaskWorkerFaults{Silent: true})
-		_, err := w.desk.Cancel(w.ctx, "survey", "a")
+		_, err := w.frontend.Cancel(w.ctx, "survey", "a")
 		require.NoError(t, err)
 		time.Sleep(time.Second)
 		w.tasks.SetFaults("chamber-1", standin.TaskWorkerFaults{})
--- a/task/intake.go
+++ b/task/intake.go
@@ -13,17 +13,17 @@
 	"github.com/acaciatally/acaciatally"
 )
 
-// deskTries bounds the transactions for one batch.
-const deskTries = 5
+// frontendTries bounds the transactions for one batch.
+const frontendTries = 5
 
-// deskPause lets a platform that lost an answer recover before the next try.
-const deskPause = 50 * time.Millisecond
+// frontendPause lets a platform that lost an answer recover before the next try.
+const frontendPause = 50 * time.Millisecond
 
 // submit writes the rows of a batch; a task is acknowledged only after its row is known to exist.
-func (d *Desk) submit(ctx context.Context, batch []*submission) {
-	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), deskTries*d.config.Timeout)
+func (d *Frontend) submit(ctx context.Context, batch []*submission) {
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), frontendTries*d.config.Timeout)
 	defer cancel()
-	for range deskTries {
+	for range frontendTries {
 		open := openSubmissions(batch)
 		if len(open) == 0 {
 			break
@@ -61,7 +61,7 @@
 	return refusal(acaciatally.NotRun, "the platform cannot store the task now")
 }
 
-func (d *Desk) trySubmit(ctx context.Context, open []*submission) {
+func (d *Frontend) trySubmit(ctx context.Context, open []*submission) {
 	records := make([]Record, len(open))
 	transaction := acaciatally.Transaction{ID: ulid.Make().String()}
 	now := d.config.Clock.Now()
@@ -99,7 +99,7 @@
 }
 
 // compare settles the calls whose task is in the table; keys nil stands for all calls.
-func (d *Desk) compare(ctx context.Context, open []*submission, keys []string) {
+func (d *Frontend) compare(ctx context.Context, open []*submission, keys []string) {
 	var ids []string
 	for _, call := range open {
 		if keys == nil || slices.Contains(keys, indexKey(call.spec.ID)) {
@@ -131,7 +131,7 @@
 }
 
 func pause(ctx context.Context) {
-	timer := time.NewTimer(deskPause)
+	timer := time.NewTimer(frontendPause)
 	defer timer.Stop()
 	select {
 	case <-ctx.Done():
--- a/task/plan.go
+++ b/task/plan.go
@@ -27,8 +27,8 @@
 	Probe   bool // nothing is known of the use of its kind
 }
 
-// Tenant is an attempt that holds resources of a worker.
-type Tenant struct {
+// Placement is an attempt that holds resources of a worker.
+type Placement struct {
 	Task      string
 	Team      acaciatally.TeamName
 	Urgency   acaciatally.Urgency
@@ -38,24 +38,24 @@
 	WorkSince time.Time // work done since then would be lost by stopping
 }
 
-// Room is a worker on which tasks may be placed.
-type Room struct {
-	Worker   acaciatally.InstanceID
-	Capacity acaciatally.Resources
-	Free     acaciatally.Resources
-	Starts   int  // attempts that may still be started; negative for any number
-	Probed   bool // holds an attempt of a kind of which nothing is known
-	Tenants  []Tenant
+// WorkerLoad is a worker on which tasks may be placed.
+type WorkerLoad struct {
+	Worker     acaciatally.InstanceID
+	Capacity   acaciatally.Resources
+	Free       acaciatally.Resources
+	Starts     int  // attempts that may still be started; negative for any number
+	Probed     bool // holds an attempt of a kind of which nothing is known
+	Placements []Placement
 }
 
 // Problem is the input of the planner.
 type Problem struct {
-	Now       time.Time
-	Demands   []Demand
-	Rooms     []Room
-	Quotas    []Quota
-	Floors    Floors
-	MaxStarts int // bounds the rows written by one round
+	Now         time.Time
+	Demands     []Demand
+	WorkerLoads []WorkerLoad
+	Quotas      []Quota
+	Floors      Floors
+	MaxStarts   int // bounds the rows written by one round
 }
 
 // Start is the decision to run a task on a worker.
@@ -66,8 +66,8 @@
 	Reason  string
 }
 
-// Squeeze is the decision to take resources from a running attempt.
-type Squeeze struct {
+// Preemption is the decision to take resources from a running attempt.
+type Preemption struct {
 	Task   string
 	Share  float64 // of the processors that the attempt keeps; unused when Vacate
 	Vacate bool    // the attempt has to leave the worker
@@ -82,9 +82,9 @@
 
 // Plan is the output of the planner.
 type Plan struct {
-	Starts   []Start
-	Squeezes []Squeeze
-	Waits    []Wait
+	Starts      []Start
+	Preemptions []Preemption
+	Waits       []Wait
 }
 
 const (
@@ -107,7 +107,7 @@
 	quotas    map[acaciatally.TeamName]float64
 }
 
-// MakePlan decides which waiting tasks start where, and which running ones make room; it changes the rooms of the problem.
+// MakePlan decides which waiting tasks start where, and which running ones make room; it changes the loads of the problem.
 func MakePlan(problem Problem) Plan {
 	p := &planner{
 		problem: problem,
@@ -117,8 +117,8 @@
 	for _, quota := range problem.Quotas {
 		p.quotas[quota.Team] = quota.Processors
 	}
-	for i := range problem.Rooms {
-		p.count(&problem.Rooms[i])
+	for i := range problem.WorkerLoads {
+		p.count(&problem.WorkerLoads[i])
 	}
 	for _, demand := range problem.Demands {
 		p.classWait[demand.Urgency]++
@@ -129,11 +129,11 @@
 	return p.plan
 }
 
-func (p *planner) count(room *Room) {
-	p.total = plus(p.total, room.Capacity)
-	for _, tenant := range room.Tenants {
-		p.classUse[tenant.Urgency] = plus(p.classUse[tenant.Urgency], tenant.Holds)
-		p.teamUse[tenant.Team] += tenant.Holds.Processors
+func (p *planner) count(load *WorkerLoad) {
+	p.total = plus(p.total, load.Capacity)
+	for _, placement := range load.Placements {
+		p.classUse[placement.Urgency] = plus(p.classUse[placement.Urgency], placement.Holds)
+		p.teamUse[placement.Team] += placement.Holds.Processors
 	}
 }
 
@@ -233,8 +233,8 @@
 	if len(demand.Avoid) == 0 && hopeless(demand, failed) {
 		return "no worker has " + describe(demand.Need) + " free"
 	}
-	if room := p.bestRoom(demand); room != nil {
-		p.start(demand, room, fmt.Sprintf("fits on %s with %s", room.Worker, describe(demand.Need)))
+	if load := p.bestLoad(demand); load != nil {
+		p.start(demand, load, fmt.Sprintf("fits on %s with %s", load.Worker, describe(demand.Need)))
 		return ""
 	}
 	if demand.Urgency == acaciatally.Background {
@@ -251,15 +251,15 @@
 
 // reserve keeps the emptiest worker that could hold the task from less urgent tasks and later ones of its class.
 func (p *planner) reserve(demand Demand) bool {
-	var best *Room
+	var best *WorkerLoad
 	bestFree := 0.0
-	for i := range p.problem.Rooms {
-		room := &p.problem.Rooms[i]
-		if !room.admits(demand) || !fits(demand.Need, room.Capacity) {
+	for i := range p.problem.WorkerLoads {
+		load := &p.problem.WorkerLoads[i]
+		if !load.admits(demand) || !fits(demand.Need, load.Capacity) {
 			continue
 		}
-		if free := 1 - dominantShare(minus(room.Capacity, room.Free), room.Capacity); best == nil || free > bestFree {
-			best, bestFree = room, free
+		if free := 1 - dominantShare(minus(load.Capacity, load.Free), load.Capacity); best == nil || free > bestFree {
+			best, bestFree = load, free
 		}
 	}
 	if best == nil {
@@ -309,38 +309,38 @@
 	return smallest(held, floor)
 }
 
-// bestRoom returns the room with the least left over, so that large tasks still find room later.
-func (p *planner) bestRoom(demand Demand) (best *Room) {
+// bestLoad returns the worker with the least left over, so that large tasks still find room later.
+func (p *planner) bestLoad(demand Demand) (best *WorkerLoad) {
 	bestLeft := 0.0
-	for i := range p.problem.Rooms {
-		room := &p.problem.Rooms[i]
-		if !fits(demand.Need, room.Free) || !room.admits(demand) {
+	for i := range p.problem.WorkerLoads {
+		load := &p.problem.WorkerLoads[i]
+		if !fits(demand.Need, load.Free) || !load.admits(demand) {
 			continue
 		}
-		left := dominantShare(minus(room.Free, demand.Need), room.Capacity)
-		if demand.Need.Accelerators == 0 && room.Free.Accelerators > 0 {
+		left := dominantShare(minus(load.Free, demand.Need), load.Capacity)
+		if demand.Need.Accelerators == 0 && load.Free.Accelerators > 0 {
 			left++ // keeps workers with free accelerators for the tasks that need them
 		}
 		if best == nil || left < bestLeft {
-			best, bestLeft = room, left
+			best, bestLeft = load, left
 		}
 	}
 	return best
 }
 
-func (r *Room) admits(demand Demand) bool {
+func (r *WorkerLoad) admits(demand Demand) bool {
 	if r.Starts == 0 || slices.Contains(demand.Avoid, r.Worker) {
 		return false
 	}
 	return !demand.Probe || !r.Probed || demand.Urgency == acaciatally.Urgent
 }
 
-func (p *planner) start(demand Demand, room *Room, reason string) {
-	room.Free = minus(room.Free, demand.Need)
-	room.Starts--
-	room.Probed = room.Probed || demand.Probe
+func (p *planner) start(demand Demand, load *WorkerLoad, reason string) {
+	load.Free = minus(load.Free, demand.Need)
+	load.Starts--
+	load.Probed = load.Probed || demand.Probe
 	p.classUse[demand.Urgency] = plus(p.classUse[demand.Urgency], demand.Need)
 	p.classWait[demand.Urgency]--
 	p.teamUse[demand.Team] += demand.Need.Processors
-	p.plan.Starts = append(p.plan.Starts, Start{Task: demand.Task, Worker: room.Worker, Granted: demand.Need, Reason: reason})
+	p.plan.Starts = append(p.plan.Starts, Start{Task: demand.Task, Worker: load.Worker, Granted: demand.Need, Reason: reason})
 }
--- a/task/property_test.go
+++ b/task/property_test.go
@@ -85,7 +85,7 @@
 		switches = standin.Switches{}
 	case "cancel":
 		one := s.Specs[happening.Pick%len(s.Specs)]
-		go func() { _, _ = w.desk.Cancel(w.ctx, one.Team, one.ID) }()
+		go func() { _, _ = w.frontend.Cancel(w.ctx, one.Team, one.ID) }()
 	case "drain":
 		w.setState(worker, task.Leaving)
 	case "serve":
@@ -104,7 +104,7 @@
 	w.control("entry-2")
 	errs := make([]error, len(s.Specs))
 	for i, one := range s.Specs {
-		go func() { _, errs[i] = w.desk.Submit(w.ctx, one) }()
+		go func() { _, errs[i] = w.frontend.Submit(w.ctx, one) }()
 	}
 	for second := range int(faultyTime.Seconds()) {
 		for _, happening := range s.Incidents {
--- a/task/world_test.go
+++ b/task/world_test.go
@@ -23,19 +23,19 @@
 	pool      = acaciatally.PoolName("chamber")
 )
 
-// world is a pool of simulated workers with a desk and any number of controllers.
+// world is a pool of simulated workers with a frontend and any number of controllers.
 type world struct {
-	t      *testing.T
-	ctx    context.Context
-	table  *standin.Table
-	tasks  *standin.Tasks
-	faults *standin.Faults // between the system and the platform
-	fleet  *task.Fleet
-	desk   *task.Desk
-	mu     sync.Mutex    // guards fleet
-	round  time.Duration // of the controllers; 0 is the default
-	fresh  func() bool
-	quaran map[acaciatally.InstanceID]string
+	t        *testing.T
+	ctx      context.Context
+	table    *standin.Table
+	tasks    *standin.Tasks
+	faults   *standin.Faults // between the system and the platform
+	fleet    *task.Fleet
+	frontend *task.Frontend
+	mu       sync.Mutex    // guards fleet
+	round    time.Duration // of the controllers; 0 is the default
+	fresh    func() bool
+	quaran   map[acaciatally.InstanceID]string
 }
 
 var workerSize = acaciatally.Resources{Processors: 64, Memory: 256 * gibibyte}
@@ -53,8 +53,8 @@
 	ctx, cancel := context.WithCancel(t.Context())
 	t.Cleanup(func() { cancel(); synctest.Wait() })
 	w.ctx = ctx
-	w.desk = task.NewDesk(task.DeskConfig{Table: w.faults, Leases: w.faults})
-	go func() { _ = w.desk.Run(ctx) }()
+	w.frontend = task.NewFrontend(task.FrontendConfig{Table: w.faults, Leases: w.faults})
+	go func() { _ = w.frontend.Run(ctx) }()
 	return w
 }
 
@@ -123,7 +123,7 @@
 	w.t.Helper()
 	errs := make(chan error, len(specs))
 	for _, one := range specs {
-		go func() { _, err := w.desk.Submit(w.ctx, one); errs <- err }()
+		go func() { _, err := w.frontend.Submit(w.ctx, one); errs <- err }()
 	}
 	for range specs {
 		require.NoError(w.t, <-errs)
