Test the promises to callers in real processes under both floods

Ruled out: asserting the share of other work there (it depends on the machine's speed; the modelled floods measure it). Change: ten times as many callers as slots, least urgent and then most urgent, beside ordinary work and a change of configuration; every answer is compared with the runs.

--- a/cmd/acaciatally/cluster_test.go
+++ b/cmd/acaciatally/cluster_test.go
@@ -137,14 +137,15 @@
 	body    string
 }
 
-func (c *cluster) send(entry int, id, body string, idempotent bool) reply {
+func (c *cluster) send(entry int, r *request) reply {
 	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
 	defer cancel()
-	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+c.callers[entry]+"/coating/strip", bytes.NewBufferString(body))
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+c.callers[entry]+"/coating/strip", bytes.NewBufferString(r.body))
 	require.NoError(c.t, err)
-	request.Header.Set(acaciatally.RequestIDHeader, id)
+	request.Header.Set(acaciatally.RequestIDHeader, r.id)
+	request.Header.Set(acaciatally.UrgencyHeader, r.urgency.String())
 	request.Header.Set(acaciatally.DeadlineHeader, "3s")
-	request.Header.Set(acaciatally.IdempotentHeader, fmt.Sprint(idempotent))
+	request.Header.Set(acaciatally.IdempotentHeader, fmt.Sprint(r.idempotent))
 	response, err := c.client.Do(request)
 	if err != nil {
 		return reply{}
@@ -162,6 +163,7 @@
 	id         string
 	body       string
 	idempotent bool
+	urgency    acaciatally.Urgency
 	replies    []reply
 }
 
@@ -172,7 +174,7 @@
 
 func (c *cluster) persist(r *request, first int) {
 	for try := range callerTries {
-		answer := c.send((first+try)%len(c.entries), r.id, r.body, r.idempotent)
+		answer := c.send((first+try)%len(c.entries), r)
 		r.replies = append(r.replies, answer)
 		if answer.status == http.StatusOK {
 			return
@@ -181,11 +183,16 @@
 	}
 }
 
-// load sends count requests from eight callers, every second one idempotent, and runs the fault when a third has been answered.
+// load sends count normal requests from eight callers, and runs the fault when a third has been answered.
 func (c *cluster) load(count int, fault func()) (requests []*request) {
+	return c.loadOf(count, 8, acaciatally.Normal, fault)
+}
+
+// loadOf sends count requests of a class from a number of callers, every second one idempotent.
+func (c *cluster) loadOf(count, parallel int, urgency acaciatally.Urgency, fault func()) (requests []*request) {
 	queue := make(chan *request)
 	var callers sync.WaitGroup
-	for caller := range 8 {
+	for caller := range parallel {
 		callers.Go(func() {
 			for r := range queue {
 				c.persist(r, caller)
@@ -196,7 +203,7 @@
 		if i == count/3 {
 			callers.Go(fault)
 		}
-		r := &request{id: ulid.Make().String(), body: fmt.Sprintf("mirror %d", i), idempotent: i%2 == 0}
+		r := &request{id: ulid.Make().String(), body: fmt.Sprintf("mirror %d", i), idempotent: i%2 == 0, urgency: urgency}
 		requests = append(requests, r)
 		queue <- r
 	}
