Run whole deployments as processes and measure an idle entry

Cause: the examples' fleets had run in models only, and no figure showed what a real idle entry costs. Ruled out: a deployment inside one process (the runtime would be shared and the cost per entry not visible). Change: scripts/fleet.sh and make fleet; the simulated workers answer the health path of the examples without taking a slot. Before: a probe of /healthz took a slot of a simulated worker each second.

--- a/Makefile
+++ b/Makefile
@@ -1,11 +1,14 @@
 export CGO_ENABLED = 1
-.PHONY: build run test measure lint format
+.PHONY: build run test fleet measure lint format
 build:
 	go build -o bin/ ./cmd/...
 run: build
 	bash scripts/run.sh
 test:
 	go test ./...
+fleet: build
+	bash scripts/fleet.sh authority
+	bash scripts/fleet.sh cavalcanti
 measure: build
 	bin/experiment
 lint:
--- /dev/null
+++ b/scripts/fleet.sh
@@ -0,0 +1,77 @@
+#!/usr/bin/env bash
+# Runs a whole example deployment as processes on loopback (platform, nine entries, 49 workers), prints what an idle entry costs,
+# takes the fleet through a maintenance wave and checks that every instance was maintained. Usage: scripts/fleet.sh authority
+set -euo pipefail
+cd "$(dirname "$0")/.."
+settings=examples/${1:-authority}.yaml
+idle_seconds=20
+export ACACIATALLY_TOKEN=replace-this-token
+logs=$(mktemp -d)
+pids=()
+entries=()
+stop() {
+  trap - EXIT INT TERM
+  for pid in "${pids[@]}"; do kill -TERM "$pid" 2>/dev/null || true; done
+  for pid in "${pids[@]}"; do wait "$pid" 2>/dev/null || true; done
+  rm -rf "$logs"
+}
+trap stop EXIT
+trap 'exit 1' INT TERM
+start() {
+  local name=$1
+  shift
+  "$@" >"$logs/$name" 2>&1 &
+  pids+=($!)
+}
+wait_for() {
+  for _ in $(seq 1200); do
+    if "$@" >/dev/null 2>&1; then return 0; fi
+    sleep 0.5
+  done
+  echo "gave up waiting for: $*" >&2
+  return 1
+}
+field() { # field KEY LINE: the value of a key in a flow mapping
+  sed -E "s/.*[{ ]$1: \"?([^,\"}]*).*/\1/" <<<"$2"
+}
+order() {
+  bin/acaciatally do -address "$operator" "$1"
+}
+shows() {
+  order "$1" | grep -q "$2"
+}
+ticks() { # processor time of a process in hundredths of a second
+  awk '{print $14 + $15}' "/proc/$1/stat"
+}
+
+platform=$(sed -nE 's/^  Address: (.*)/\1/p' "$settings")
+start platform bin/standin platform -listen "$platform" -reboot-time 2s -list-lag 5s
+wait_for curl -sf "http://$platform/admin/counters"
+while read -r line; do
+  start "$(field ID "$line")" bin/standin worker -id "$(field ID "$line")" -listen "$(field Address "$line")" -platform "$platform" \
+    -data-centre "$(field DataCentre "$line")" -rack "$(field Rack "$line")" -leave-time 100ms
+done < <(grep 'Slots:' "$settings")
+while read -r line; do
+  start "$(field ID "$line")" bin/acaciatally serve -settings "$settings" -entry "$(field ID "$line")"
+  entries+=("${pids[-1]}")
+  operator=$(field OperatorAddress "$line")
+  wait_for curl -sf "http://$operator/readyz"
+done < <(grep 'PeerAddress:' "$settings")
+order 'show pools'
+
+sleep 5
+before=()
+for pid in "${entries[@]}"; do before+=("$(ticks "$pid")"); done
+sleep "$idle_seconds"
+for i in "${!entries[@]}"; do
+  used=$(($(ticks "${entries[$i]}") - before[i]))
+  memory=$(awk '/VmRSS/ {print $2}' "/proc/${entries[$i]}/status")
+  echo "idle entry-$((i + 1)): $(awk "BEGIN {print $used / $idle_seconds}") % of a core, $((memory / 1024)) MiB resident"
+done
+
+order 'start wave fleet'
+began=$(date +%s)
+wait_for shows 'show waves where State = Done' fleet
+echo "wave over $(order 'show instances' | grep -c Serving) instances took $(($(date +%s) - began)) s"
+order 'show waves'
+order 'show budgets'
--- a/standin/worker.go
+++ b/standin/worker.go
@@ -32,6 +32,9 @@
 	ModePath    = "/standin/mode"
 )
 
+// usualHealthPath is the health path in the example deployments; a probe must not take a slot.
+const usualHealthPath = "/healthz"
+
 const (
 	slowFactor      = 10
 	oversizedAnswer = 2 << 20 // bytes; twice the 1 MiB that an entry buffers
@@ -79,6 +82,7 @@
 		routes: http.NewServeMux(),
 	}
 	w.routes.HandleFunc("GET "+HealthPath, w.health)
+	w.routes.HandleFunc("GET "+usualHealthPath, w.health)
 	w.routes.HandleFunc("POST "+DrainPath, func(http.ResponseWriter, *http.Request) { w.Drain() })
 	w.routes.HandleFunc("POST "+UndrainPath, func(http.ResponseWriter, *http.Request) { w.Undrain() })
 	w.routes.HandleFunc("GET "+BusyPath, w.showBusy)
