--- a/console/console.go
+++ b/console/console.go
@@ -39,6 +39,7 @@
 func subcommands() []subcommand {
 	return []subcommand{
 		{"serve", "run an entry", serve},
+		{"attend", "run an entry on the users' platform", attend},
 		{"check", "check settings files", check},
 		{"do", "carry out operators' statements", do},
 		{"complete", "list the words that may follow an unfinished statement", complete},
@@ -124,11 +125,14 @@
 }
 
 func version(config Config, _ []string) error {
-	build, found := debug.ReadBuildInfo()
-	name := "unknown"
-	if found {
-		name = build.Main.Version
-	}
-	_, err := fmt.Fprintf(config.Output, "acaciatally %s\n", name)
+	_, err := fmt.Fprintf(config.Output, "acaciatally %s\n", versionText())
 	return err
 }
+
+// versionText returns the version of the module that the program was built from.
+func versionText() string {
+	if build, found := debug.ReadBuildInfo(); found {
+		return build.Main.Version
+	}
+	return "unknown"
+}
--- a/console/serve.go
+++ b/console/serve.go
@@ -12,7 +12,7 @@
 
 	"github.com/acaciatally/acaciatally"
 	"github.com/acaciatally/acaciatally/entry"
-	"github.com/acaciatally/acaciatally/platform"
+	"github.com/acaciatally/acaciatally/hosting"
 	"github.com/acaciatally/acaciatally/settings"
 )
 
@@ -49,7 +49,7 @@
 		Level: log.InfoLevel, TimeFormat: "2006-01-02T15:04:05.000Z07:00", Writer: &log.IOWriter{Writer: os.Stderr},
 		Context: log.NewContext(nil).Str("entry", string(self.ID)).Value(),
 	}
-	client := platform.New(platform.Config{Address: loaded.Platform.Address, Timeout: loaded.Platform.Timeout, Metrics: metrics.GetDefaultSet()})
+	client := hosting.New(hosting.Config{Address: loaded.Platform.Address, Timeout: loaded.Platform.Timeout, Metrics: metrics.GetDefaultSet()})
 	entry.TuneMemory()
 	process := entry.New(entry.Config{
 		Settings: loaded, Entry: self, Table: client, Objects: client, List: client, Instances: client, Tasks: client, Logger: logger,
--- /dev/null
+++ b/dispatch/plan.go
@@ -0,0 +1,280 @@
+package dispatch
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/acaciatally/acaciatally"
+	"github.com/acaciatally/acaciatally/job"
+)
+
+// Plan opens occurrences, gives up lost runs and places what may run; wall is the time of day.
+func (m *Machine) Plan(now time.Duration, wall time.Time) {
+	for _, j := range m.jobs {
+		if j.live() {
+			m.begin(j, wall)
+		}
+	}
+	m.expire(now)
+	m.moveStuck(now)
+	m.place(now)
+}
+
+// unit is what is placed together: a task, or all tasks of a gang.
+type unit struct {
+	job   *activeJob
+	step  *acaciatally.Step
+	tasks []*task
+	late  bool // its job can no longer be done in time
+}
+
+// waiting returns the units of a pool that may start, in the order in which they are to be placed.
+func (m *Machine) waiting(now time.Duration) map[acaciatally.PoolName][]unit {
+	pools := map[acaciatally.PoolName][]unit{}
+	for _, j := range m.jobs {
+		if !j.live() {
+			continue
+		}
+		pool := j.accepted.Queue.Pool
+		for _, o := range j.open {
+			pools[pool] = j.appendReady(pools[pool], o, now)
+		}
+	}
+	for _, units := range pools {
+		slices.SortFunc(units, compareUnits)
+	}
+	return pools
+}
+
+func (j *activeJob) appendReady(units []unit, o *occurrence, now time.Duration) []unit {
+	spec := &j.accepted.Spec
+	late := now > j.arrived+j.allowance()
+	for number, tasks := range o.steps {
+		if !o.ready(spec, number) {
+			continue
+		}
+		step := &spec.Steps[number]
+		if step.Gang {
+			if all(tasks, waitingTask) {
+				units = append(units, unit{job: j, step: step, tasks: tasks, late: late})
+			}
+			continue
+		}
+		for _, t := range tasks {
+			if waitingTask(t) {
+				units = append(units, unit{job: j, step: step, tasks: []*task{t}, late: late})
+			}
+		}
+	}
+	return units
+}
+
+func waitingTask(t *task) bool { return t.phase == job.Waiting }
+
+func all(tasks []*task, holds func(t *task) bool) bool {
+	for _, t := range tasks {
+		if !holds(t) {
+			return false
+		}
+	}
+	return true
+}
+
+// allowance estimates the time from a job's arrival after which its answer is late.
+func (j *activeJob) allowance() time.Duration {
+	var chain time.Duration
+	for _, step := range j.accepted.Spec.Steps {
+		chain += step.Estimate
+	}
+	return j.accepted.Queue.Objective + time.Duration(max(1, j.accepted.Queue.Stretch)*float64(chain))
+}
+
+// compareUnits puts lasting work first, then by priority, what can still be done in time, and age.
+func compareUnits(a, b unit) int {
+	return cmp.Or(
+		compareBool(b.step.Lasting && !b.step.Backfill, a.step.Lasting && !a.step.Backfill),
+		cmp.Compare(a.job.accepted.Queue.Priority, b.job.accepted.Queue.Priority),
+		compareBool(a.late, b.late),
+		cmp.Compare(a.job.arrived, b.job.arrived),
+		cmp.Compare(a.job.id, b.job.id),
+		cmp.Compare(a.tasks[0].ref.Step, b.tasks[0].ref.Step),
+		cmp.Compare(a.tasks[0].ref.Index, b.tasks[0].ref.Index),
+	)
+}
+
+// compareBool orders false before true.
+func compareBool(a, b bool) int {
+	switch {
+	case a == b:
+		return 0
+	case b:
+		return -1
+	}
+	return 1
+}
+
+// place assigns waiting units to workers.
+func (m *Machine) place(now time.Duration) {
+	for pool, units := range m.waiting(now) {
+		candidates := m.candidates(pool, now)
+		for _, u := range units {
+			m.placeUnit(u, candidates, now)
+		}
+	}
+}
+
+// candidate is a worker that may get new runs, and what it has left.
+type candidate struct {
+	w       *worker
+	free    acaciatally.Room
+	serving int // assigned tasks with an objective on their response time
+	filling int // assigned tasks that use what others leave
+	perStep map[stepKey]int
+	runs    int
+}
+
+// candidates returns the workers of a pool that may get new runs.
+func (m *Machine) candidates(pool acaciatally.PoolName, now time.Duration) (list []*candidate) {
+	for _, w := range m.workers {
+		if w.entry.Pool != pool || !m.mayStart(w, now) {
+			continue
+		}
+		list = append(list, newCandidate(w))
+	}
+	slices.SortFunc(list, func(a, b *candidate) int { return cmp.Compare(a.w.entry.ID, b.w.entry.ID) })
+	return list
+}
+
+func newCandidate(w *worker) *candidate {
+	c := &candidate{w: w, free: w.entry.Capacity, perStep: map[stepKey]int{}, runs: len(w.runs)}
+	for t := range w.runs {
+		c.take(t, false)
+	}
+	return c
+}
+
+// take counts a task against the candidate.
+func (c *candidate) take(t *task, fresh bool) {
+	c.free = c.free.Minus(t.step.Takes())
+	c.perStep[t.stepKey()]++
+	if t.step.TailObjective > 0 {
+		c.serving++
+	}
+	if t.step.Backfill {
+		c.filling++
+	}
+	if fresh {
+		c.runs++
+	}
+}
+
+// mayStart reports whether the worker may get new runs at all.
+func (m *Machine) mayStart(w *worker, now time.Duration) bool {
+	return w.listed && w.known && !w.gone && !w.entry.Draining && w.failures == 0 && now-w.clockAt < contactLimit &&
+		len(w.orphans) == 0 && m.withheld[w.entry.ID] == ""
+}
+
+// fits reports whether the candidate may run one more task of the step.
+func (c *candidate) fits(t *task, now time.Duration) bool {
+	step := t.step
+	return c.w.entry.HasLabel(step.Label) && c.free.Holds(step.Takes()) &&
+		(step.PerWorker == 0 || c.perStep[t.stepKey()] < step.PerWorker) && c.w.health.admits(c.runs, now)
+}
+
+// placeUnit assigns all tasks of a unit or none.
+func (m *Machine) placeUnit(u unit, candidates []*candidate, now time.Duration) {
+	if len(u.tasks) == 1 {
+		if c := best(u.tasks[0], candidates, now); c != nil {
+			m.assign(u.tasks[0], c, u.tasks[0].attempt+1)
+		}
+		return
+	}
+	m.placeGang(u, candidates, now)
+}
+
+// placeGang places the members one by one on copies of the candidates, and keeps the result only if all fit.
+func (m *Machine) placeGang(u unit, candidates []*candidate, now time.Duration) {
+	trial := make([]*candidate, 0, len(candidates))
+	original := map[*candidate]*candidate{}
+	for _, c := range candidates {
+		copied := newCandidate(c.w)
+		copied.free, copied.runs = c.free, c.runs
+		trial = append(trial, copied)
+		original[copied] = c
+	}
+	attempt := 0
+	checkpoint := ""
+	chosen := make([]*candidate, 0, len(u.tasks))
+	for _, t := range u.tasks {
+		c := best(t, trial, now)
+		if c == nil {
+			return
+		}
+		c.take(t, true)
+		chosen = append(chosen, original[c])
+		attempt = max(attempt, t.attempt+1)
+		if t.checkpoint != "" {
+			checkpoint = t.checkpoint
+		}
+	}
+	for i, t := range u.tasks {
+		t.checkpoint = checkpoint
+		m.assign(t, chosen[i], attempt)
+	}
+}
+
+func (m *Machine) assign(t *task, c *candidate, attempt int) {
+	t.attempt = attempt
+	t.assign(c.w, planned)
+	m.config.Journal.RunPlanned(t.ref, attempt, c.w.entry.ID, c.free.Processors)
+	c.take(t, true)
+}
+
+// best returns the most suitable candidate for the task, or nil.
+func best(t *task, candidates []*candidate, now time.Duration) (chosen *candidate) {
+	for _, c := range candidates {
+		if c.fits(t, now) && (chosen == nil || better(t, c, chosen, now)) {
+			chosen = c
+		}
+	}
+	return chosen
+}
+
+// better reports whether a suits the task more than b.
+func better(t *task, a, b *candidate, now time.Duration) bool {
+	avoidA, avoidB := now < t.avoid[a.w.entry.ID], now < t.avoid[b.w.entry.ID]
+	if avoidA != avoidB {
+		return avoidB
+	}
+	if near := acaciatally.Rack(t.step.NearRack); near != "" && (a.w.entry.Rack == near) != (b.w.entry.Rack == near) {
+		return a.w.entry.Rack == near
+	}
+	if t.step.SameRack {
+		if siblingsA, siblingsB := a.sameRack(t), b.sameRack(t); siblingsA != siblingsB {
+			return siblingsA > siblingsB
+		}
+	}
+	if t.step.TailObjective > 0 && a.filling != b.filling {
+		return a.filling < b.filling
+	}
+	if t.step.Backfill && a.serving != b.serving {
+		return a.serving < b.serving
+	}
+	return a.free.Processors > b.free.Processors
+}
+
+// sameRack counts the assigned siblings of the task in the candidate's rack.
+func (c *candidate) sameRack(t *task) (count int) {
+	for _, o := range t.job.open {
+		if o.number != t.ref.Occurrence {
+			continue
+		}
+		for _, sibling := range o.steps[t.ref.Step] {
+			if sibling.at != nil && sibling.at.entry.Rack == c.w.entry.Rack {
+				count++
+			}
+		}
+	}
+	return count
+}
--- /dev/null
+++ b/dispatch/renew.go
@@ -0,0 +1,54 @@
+package dispatch
+
+import (
+	"time"
+
+	"github.com/acaciatally/acaciatally"
+)
+
+const (
+	// renewGap bounds the renewals of one worker, each of which may return at once with an end.
+	renewGap = 40 * time.Millisecond
+	// renewRetry is the pause after a renewal without effect.
+	renewRetry = 200 * time.Millisecond
+	// settleWait is how long a renewal waits for the ends of the last report to be recorded.
+	settleWait = 300 * time.Millisecond
+	// busyWait lets a renewal of a worker with runs show their progress about once a second.
+	busyWait = 900 * time.Millisecond
+	// idleWait is for workers without runs.
+	idleWait = 2 * time.Second
+)
+
+// Renewal is a renewal to be sent to a worker.
+type Renewal struct {
+	Worker acaciatally.Worker
+	Order  acaciatally.RenewOrder
+}
+
+// Renewals returns the renewals that are to be sent now, at most one for each worker at a time.
+func (m *Machine) Renewals(now time.Duration) (renewals []Renewal) {
+	for _, w := range m.workers {
+		if w.gone || w.renewing || now < w.renewAt || !w.entry.Address.IsValid() {
+			continue
+		}
+		if len(w.ends) > 0 && now < w.clockAt+settleWait {
+			continue
+		}
+		w.renewing = true
+		renewals = append(renewals, Renewal{Worker: w.entry, Order: acaciatally.RenewOrder{
+			Fence: m.fence(w), LeaseUntil: m.extend(w, now), Acknowledged: w.acked, Wait: w.patience(),
+		}})
+	}
+	return renewals
+}
+
+// patience is how long the answer to a renewal may wait; the first one is wanted at once.
+func (w *worker) patience() time.Duration {
+	switch {
+	case !w.known || w.failures > 0 || len(w.orphans) > 0:
+		return 0
+	case len(w.runs) > 0:
+		return busyWait
+	}
+	return idleWait
+}
--- /dev/null
+++ b/dispatch/worker.go
@@ -0,0 +1,410 @@
+package dispatch
+
+import (
+	"errors"
+	"time"
+
+	"github.com/acaciatally/acaciatally"
+	"github.com/acaciatally/acaciatally/job"
+)
+
+const (
+	// slowestClock is the rate of the slowest clock of a worker.
+	slowestClock = 0.98
+	// lapseMargin covers the delivery of the last renewal and the resolution of the clocks.
+	lapseMargin = 250 * time.Millisecond
+	// fenceShift leaves room for raising a worker's fencing token within one tenure.
+	fenceShift = 20
+	// contactLimit is how long a worker without a fresh report still gets new runs.
+	contactLimit = 3500 * time.Millisecond
+)
+
+// worker is what is known of one worker.
+type worker struct {
+	listed    bool // the directory names it now
+	entry     acaciatally.Worker
+	born      time.Time // as its own reports say
+	fenceBump uint64
+	clock     time.Duration // of the last report
+	clockAt   time.Duration // when that report was received
+	known     bool          // it has reported under this tenure's fencing token
+	until     time.Duration // latest end of its lease, on its clock
+	failures  int           // renewals without answer since the last report
+	gone      bool          // its life is surely over
+	ends      []endState    // listed and not yet acknowledged, by number
+	acked     uint64
+	orphans   map[runKey]bool // listed runs of no known task
+	stopping  map[runKey]bool // stops of orphans on their way
+	runs      map[*task]bool  // assigned tasks
+	health    health
+	renewing  bool          // a renewal is on its way
+	renewAt   time.Duration // when the next one may be sent
+}
+
+type endState struct {
+	number  uint64
+	settled bool // its effect is recorded
+}
+
+type runKey struct {
+	task    acaciatally.TaskRef
+	attempt int
+}
+
+type stepKey struct {
+	job        acaciatally.JobID
+	occurrence int
+	step       int
+}
+
+func (t *task) stepKey() stepKey { return stepKey{t.ref.Job, t.ref.Occurrence, t.ref.Step} }
+
+func (t *task) runKey() runKey { return runKey{t.ref, t.attempt} }
+
+// SetDirectory replaces the list of workers.
+func (m *Machine) SetDirectory(list []acaciatally.Worker, now time.Duration) {
+	named := map[acaciatally.WorkerID]bool{}
+	for _, entry := range list {
+		named[entry.ID] = true
+		w := m.workers[entry.ID]
+		if w == nil {
+			w = m.worker(entry.ID)
+			w.entry = entry
+			m.config.Journal.WorkerChanged(entry.ID, entry.Pool, "listed", 0)
+		}
+		m.update(w, entry, now)
+	}
+	for id, w := range m.workers {
+		if !named[id] && w.listed {
+			w.listed = false
+			m.config.Journal.WorkerChanged(id, w.entry.Pool, "not listed", now-w.clockAt)
+		}
+		if !w.listed && (w.gone || len(w.runs) == 0) {
+			m.lose(w, "left the directory", now)
+			delete(m.workers, id)
+		}
+	}
+	m.supersede(now)
+}
+
+// worker returns the worker of the id; one that is only known from a record has no address yet.
+func (m *Machine) worker(id acaciatally.WorkerID) *worker {
+	w := m.workers[id]
+	if w == nil {
+		w = &worker{
+			entry: acaciatally.Worker{ID: id}, orphans: map[runKey]bool{}, stopping: map[runKey]bool{},
+			runs: map[*task]bool{}, fenceBump: m.bumps,
+		}
+		m.workers[id] = w
+	}
+	return w
+}
+
+func (m *Machine) update(w *worker, entry acaciatally.Worker, now time.Duration) {
+	if !w.listed || w.entry.Draining != entry.Draining {
+		belief := "ready"
+		if entry.Draining {
+			belief = "draining"
+		}
+		m.config.Journal.WorkerChanged(entry.ID, entry.Pool, belief, now-w.clockAt)
+	}
+	if !entry.Born.IsZero() && !w.entry.Born.IsZero() && entry.Born.After(w.entry.Born) {
+		m.reborn(w, entry.Born, now)
+	}
+	w.listed, w.gone, w.entry = true, false, entry
+}
+
+// supersede ends the life of workers whose instance has a younger one.
+func (m *Machine) supersede(now time.Duration) {
+	youngest := map[acaciatally.InstanceID]*worker{}
+	for _, w := range m.workers {
+		if w.entry.Instance == "" || w.entry.Born.IsZero() {
+			continue
+		}
+		other := youngest[w.entry.Instance]
+		if other == nil || w.entry.Born.After(other.entry.Born) {
+			youngest[w.entry.Instance] = w
+		}
+	}
+	for _, w := range m.workers {
+		if other := youngest[w.entry.Instance]; other != nil && other != w && !w.gone && w.entry.Born.Before(other.entry.Born) {
+			m.lose(w, "a younger worker runs on its instance", now)
+		}
+	}
+}
+
+// reborn takes in that a worker has started again under its id: it holds nothing of before and has seen no fencing token.
+func (m *Machine) reborn(w *worker, born time.Time, now time.Duration) {
+	if !w.born.IsZero() && !born.After(w.born) {
+		return
+	}
+	known := !w.born.IsZero() || w.known
+	w.born = born
+	if !known {
+		return
+	}
+	m.lose(w, "started again", now)
+	m.raiseFence(w)
+	w.gone, w.known, w.clock, w.clockAt, w.until, w.acked = false, false, 0, 0, 0, 0
+	w.ends, w.health = nil, health{}
+	w.orphans = map[runKey]bool{}
+}
+
+// lose releases all runs of a worker whose life, or whose lease, is surely over.
+func (m *Machine) lose(w *worker, reason string, now time.Duration) {
+	for t := range w.runs {
+		m.config.Journal.RunDropped(t.ref, t.attempt, w.entry.ID, reason)
+		t.release()
+	}
+	if !w.gone {
+		m.config.Journal.WorkerChanged(w.entry.ID, w.entry.Pool, reason, now-w.clockAt)
+	}
+	w.gone = true
+	w.ends = nil
+	w.orphans = map[runKey]bool{}
+}
+
+// clockNow is a lower estimate of the worker's clock.
+func (w *worker) clockNow(now time.Duration) time.Duration {
+	return w.clock + time.Duration(float64(now-w.clockAt)*slowestClock)
+}
+
+// lapsed reports whether the worker's lease is surely over.
+func (m *Machine) lapsed(w *worker, now time.Duration) bool {
+	if w.clockAt == 0 {
+		longest := time.Duration(float64(m.config.LongestLease) / slowestClock)
+		return now > m.config.Began+longest+lapseMargin
+	}
+	return w.clockNow(now) > w.until+lapseMargin
+}
+
+func (m *Machine) fence(w *worker) uint64 {
+	return m.config.Epoch<<fenceShift + w.fenceBump
+}
+
+// raiseFence makes the worker refuse orders that were sent before; it rises over all workers, so that it never falls on any.
+func (m *Machine) raiseFence(w *worker) {
+	m.bumps++
+	w.fenceBump = m.bumps
+}
+
+// extend returns the end of the lease that an order sent now carries, and remembers it.
+func (m *Machine) extend(w *worker, now time.Duration) time.Duration {
+	if w.clockAt == 0 {
+		return 0
+	}
+	w.until = max(w.until, w.clockNow(now)+m.config.WorkerLease)
+	return w.until
+}
+
+// RenewalFailed takes in that a renewal had no effect or no answer.
+func (m *Machine) RenewalFailed(id acaciatally.WorkerID, err error, now time.Duration) {
+	w := m.workers[id]
+	if w == nil {
+		return
+	}
+	w.renewing, w.renewAt = false, now+renewRetry
+	if w.gone {
+		return
+	}
+	if errors.Is(err, acaciatally.ErrOtherWorker) {
+		m.lose(w, "another worker answers at its address", now)
+		return
+	}
+	w.failures++
+	if w.failures == 1 {
+		m.config.Journal.WorkerChanged(id, w.entry.Pool, "no answer: "+err.Error(), now-w.clockAt)
+	}
+}
+
+// expire releases the runs of workers whose lease is surely over.
+func (m *Machine) expire(now time.Duration) {
+	for _, w := range m.workers {
+		if w.gone || !m.lapsed(w, now) {
+			continue
+		}
+		if (w.failures > 0 || w.clockAt == 0) && len(w.runs) > 0 {
+			m.lose(w, "its lease has lapsed", now)
+			w.gone = !w.listed // a listed one may answer again
+			m.raiseFence(w)
+		}
+	}
+}
+
+// Report takes in a worker's answer to the renewal that was sent at the time.
+func (m *Machine) Report(id acaciatally.WorkerID, report acaciatally.WorkerReport, sent, now time.Duration) {
+	w := m.workers[id]
+	if w == nil {
+		return
+	}
+	w.renewing, w.renewAt = false, sent+renewGap
+	if w.gone {
+		return
+	}
+	if !report.Born.IsZero() && !report.Born.Equal(w.born) {
+		m.reborn(w, report.Born, now)
+	}
+	if w.failures > 0 {
+		m.config.Journal.WorkerChanged(id, w.entry.Pool, "answers again", now-w.clockAt)
+	}
+	w.failures, w.known, w.clock, w.clockAt = 0, true, report.Clock, now
+	listed := map[runKey]bool{}
+	for _, run := range report.Running {
+		listed[runKey{run.Task, run.Attempt}] = true
+	}
+	for _, ended := range report.Ended {
+		listed[runKey{ended.Task, ended.Attempt}] = true
+		m.end(w, ended, now)
+	}
+	orphans := map[runKey]bool{}
+	for _, run := range report.Running {
+		if !m.observe(w, run, now) {
+			orphans[runKey{run.Task, run.Attempt}] = true
+		}
+	}
+	w.orphans = orphans
+	m.reconcile(w, listed, sent)
+	w.settle()
+}
+
+// observe takes in a running task; false means that nothing is known of such a run.
+func (m *Machine) observe(w *worker, run acaciatally.RunningTask, now time.Duration) bool {
+	t := m.find(run.Task)
+	if t == nil || t.at != w || t.attempt != run.Attempt {
+		return false
+	}
+	if t.stage == ordered || t.stage == unknown {
+		t.stage, t.confirmed, t.moved = running, now, now
+		t.ambiguous = false
+		m.started(t)
+	}
+	if run.Percent > t.percent || t.percentAt == 0 {
+		t.moved = now
+	}
+	t.percent, t.percentAt, t.tail = run.Percent, now, 0
+	if t.step.TailObjective > 0 {
+		t.tail = run.Tail
+	}
+	if run.Checkpoint != "" {
+		t.checkpoint = run.Checkpoint
+	}
+	return true
+}
+
+// started takes in that a run has begun.
+func (m *Machine) started(t *task) {
+	if t.job.state == acaciatally.JobQueued {
+		t.job.state = acaciatally.JobRunning
+		t.job.dirty = true
+	}
+}
+
+// reconcile releases runs that the worker should know, but neither runs nor lists as ended.
+func (m *Machine) reconcile(w *worker, listed map[runKey]bool, sent time.Duration) {
+	for t := range w.runs {
+		if listed[t.runKey()] {
+			continue
+		}
+		settled := t.stage == unknown || (t.stage == running && t.confirmed < sent) || (t.stopped > 0 && t.stopped < sent)
+		if settled {
+			m.config.Journal.RunDropped(t.ref, t.attempt, w.entry.ID, "the worker does not know it")
+			t.release()
+		}
+	}
+}
+
+func (m *Machine) find(ref acaciatally.TaskRef) *task {
+	j := m.jobs[ref.Job]
+	if j == nil {
+		return nil
+	}
+	for _, o := range j.open {
+		if o.number == ref.Occurrence && ref.Step < len(o.steps) && ref.Index < len(o.steps[ref.Step]) && ref.Step >= 0 && ref.Index >= 0 {
+			return o.steps[ref.Step][ref.Index]
+		}
+	}
+	return nil
+}
+
+// settle moves the acknowledged number past the ends whose effect is recorded.
+func (w *worker) settle() {
+	for len(w.ends) > 0 && w.ends[0].settled {
+		w.acked = w.ends[0].number
+		w.ends = w.ends[1:]
+	}
+}
+
+// end takes in an end that the worker lists.
+func (m *Machine) end(w *worker, ended acaciatally.EndedTask, now time.Duration) {
+	if ended.Number <= w.acked || (len(w.ends) > 0 && ended.Number <= w.ends[len(w.ends)-1].number) {
+		return
+	}
+	t := m.find(ended.Task)
+	counts := t != nil && t.at == w && t.attempt == ended.Attempt
+	m.config.Journal.RunEnded(ended, w.entry.ID, counts)
+	w.ends = append(w.ends, endState{number: ended.Number, settled: !counts})
+	if !counts {
+		return
+	}
+	t.job.unacked = append(t.job.unacked, endRef{worker: w.entry.ID, born: w.born, number: ended.Number})
+	t.job.dirty = true
+	m.started(t)
+	m.judge(w, t, ended, now)
+	m.applyEnd(t, ended, now)
+}
+
+// applyEnd changes the task by the end of its current run.
+func (m *Machine) applyEnd(t *task, ended acaciatally.EndedTask, now time.Duration) {
+	if ended.Checkpoint != "" {
+		t.checkpoint = ended.Checkpoint
+	}
+	switch {
+	case ended.End == acaciatally.EndDone && !t.step.Lasting:
+		m.complete(t)
+		return
+	case ended.End == acaciatally.EndFailed:
+		t.failures++
+		if t.avoid == nil {
+			t.avoid = map[acaciatally.WorkerID]time.Duration{}
+		}
+		t.avoid[t.at.entry.ID] = now + avoidFor
+	}
+	t.release()
+	if t.job.live() && !t.step.Lasting && t.failures >= max(1, t.job.accepted.Queue.Attempts) {
+		m.finish(t.job, acaciatally.JobFailed)
+	}
+}
+
+// avoidFor is how long a task stays away from a worker on which it failed, if there are others.
+const avoidFor = 30 * time.Second
+
+// complete marks the task done, with its whole gang, and the job if it was the last one.
+func (m *Machine) complete(t *task) {
+	t.release()
+	t.phase = job.Done
+	t.checkpoint = ""
+	j := t.job
+	for _, o := range j.open {
+		if o.number == t.ref.Occurrence && t.step.Gang {
+			completeGang(o.steps[t.ref.Step])
+		}
+	}
+	open := j.open[:0]
+	for _, o := range j.open {
+		if !o.done() {
+			open = append(open, o)
+		}
+	}
+	j.open = open
+	if j.live() && len(j.open) == 0 && j.next >= job.Occurrences(j.accepted.Spec) {
+		m.finish(j, acaciatally.JobCompleted)
+	}
+}
+
+// completeGang marks all members done, since one member's end stands for all.
+func completeGang(members []*task) {
+	for _, member := range members {
+		member.release()
+		member.phase, member.checkpoint = job.Done, ""
+	}
+}
--- a/platform/client_test.go
+++ b/hosting/client_test.go
@@ -1,4 +1,4 @@
-package platform_test
+package hosting_test
 
 import (
 	"context"
@@ -14,16 +14,16 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/acaciatally/acaciatally"
-	"github.com/acaciatally/acaciatally/platform"
+	"github.com/acaciatally/acaciatally/hosting"
 	"github.com/acaciatally/acaciatally/standin"
 )
 
-func clientOf(t *testing.T, handler http.Handler) *platform.Client {
+func clientOf(t *testing.T, handler http.Handler) *hosting.Client {
 	t.Helper()
 	server := httptest.NewServer(handler)
 	t.Cleanup(server.Close)
 	address := netip.MustParseAddrPort(server.Listener.Addr().String())
-	client := platform.New(platform.Config{Address: address, Timeout: 5 * time.Second})
+	client := hosting.New(hosting.Config{Address: address, Timeout: 5 * time.Second})
 	t.Cleanup(client.Close)
 	return client
 }
@@ -148,7 +148,7 @@
 	refuse := func(context.Context, string, string) (net.Conn, error) {
 		return nil, &net.OpError{Op: "dial", Err: errors.New("connection refused")}
 	}
-	client := platform.New(platform.Config{Address: netip.MustParseAddrPort("127.0.0.1:1"), Dial: refuse})
+	client := hosting.New(hosting.Config{Address: netip.MustParseAddrPort("127.0.0.1:1"), Dial: refuse})
 	_, err := client.Commit(t.Context(), write)
 	require.ErrorIs(t, err, acaciatally.ErrUnavailable)
 	require.NotErrorIs(t, err, acaciatally.ErrUnknownCommit)
@@ -173,7 +173,7 @@
 	server := httptest.NewServer(handler)
 	defer server.Close()
 	address := netip.MustParseAddrPort(server.Listener.Addr().String())
-	client := platform.New(platform.Config{Address: address, Concurrency: 1})
+	client := hosting.New(hosting.Config{Address: address, Concurrency: 1})
 	defer client.Close()
 	done := make(chan error, 2)
 	go func() { _, err := client.Read(t.Context(), "Row"); done <- err }()
@@ -194,9 +194,9 @@
 	f.Add([]byte(`{"Instances":[{"ID":"a","Address":"127.0.0.1:1"}]}`), 2)
 	f.Add([]byte(`{"Version":-1}`), 3)
 	f.Fuzz(func(t *testing.T, content []byte, kind int) {
-		responses := []any{&platform.RowsResponse{}, &platform.UsageResponse{}, &platform.InstancesResponse{}, &platform.CommitResponse{}}
+		responses := []any{&hosting.RowsResponse{}, &hosting.UsageResponse{}, &hosting.InstancesResponse{}, &hosting.CommitResponse{}}
 		response := responses[uint(kind)%uint(len(responses))]
-		if err := platform.Decode(content, response); err != nil {
+		if err := hosting.Decode(content, response); err != nil {
 			require.ErrorIs(t, err, acaciatally.ErrUnknownCommit)
 		}
 	})
--- a/platform/instances.go
+++ b/hosting/instances.go
@@ -1,4 +1,4 @@
-package platform
+package hosting
 
 import (
 	"context"
--- /dev/null
+++ b/intake/desk.go
@@ -0,0 +1,197 @@
+package intake
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/samber/oops"
+
+	"github.com/acaciatally/acaciatally"
+	"github.com/acaciatally/acaciatally/job"
+)
+
+const (
+	// outageRetryAfter is the advice to callers while the record store refuses.
+	outageRetryAfter = time.Second
+	// retryPause is between two tries of a commit without answer.
+	retryPause = 50 * time.Millisecond
+)
+
+// Config is what a Desk needs.
+type Config struct {
+	Store   acaciatally.RecordStore
+	Routes  func() *Routes // the configuration in force; nil before the first one
+	Journal Journal
+}
+
+// Desk records what callers ask for; it is safe for concurrent use.
+type Desk struct{ config Config }
+
+// New returns a desk.
+func New(config Config) *Desk { return &Desk{config: config} }
+
+// Limits returns the configured bounds of callers' requests.
+func (d *Desk) Limits() acaciatally.FrontLimits {
+	if routes := d.config.Routes(); routes != nil {
+		return routes.Limits
+	}
+	return acaciatally.FrontLimits{}
+}
+
+// Queue returns the queue of a host and path and the rest of the path.
+func (d *Desk) Queue(host, path string) (queue acaciatally.Queue, rest string, err error) {
+	routes := d.config.Routes()
+	if routes == nil {
+		return queue, "", &acaciatally.NotAcceptedError{Reason: "no configuration yet", RetryAfter: outageRetryAfter}
+	}
+	queue, rest, found := routes.Find(host, path)
+	if !found {
+		return queue, "", acaciatally.ErrNoQueue
+	}
+	return queue, rest, nil
+}
+
+// Submit records a job; repeating it changes nothing.
+func (d *Desk) Submit(ctx context.Context, queue acaciatally.Queue, id acaciatally.JobID, spec acaciatally.JobSpec) (err error) {
+	begun := time.Now()
+	defer func() {
+		d.config.Journal.Submitted(queue, id, time.Since(begun), err)
+		err = oops.In("intake").With("job", id).Wrapf(err, "submit job")
+	}()
+	transaction, digest, err := submission(queue, id, spec, begun)
+	if err != nil {
+		return err
+	}
+	err = d.commit(ctx, transaction)
+	var conflict *acaciatally.RecordConflictError
+	if !errors.As(err, &conflict) {
+		return err
+	}
+	current, found := conflict.Find(job.ProgressKey(queue.Name, id))
+	if !found {
+		return acaciatally.ErrNoAnswer
+	}
+	progress, err := job.DecodeProgress(current.Value)
+	if err != nil {
+		return err
+	}
+	if progress.Digest != digest {
+		return acaciatally.ErrOtherJob
+	}
+	return nil
+}
+
+func submission(
+	queue acaciatally.Queue, id acaciatally.JobID, spec acaciatally.JobSpec, now time.Time,
+) (transaction acaciatally.RecordTransaction, digest uint64, err error) {
+	digest = job.Digest(spec)
+	accepted, err := job.Encode(job.Accepted{Spec: spec, Queue: queue, Received: now.UTC()})
+	if err != nil {
+		return transaction, 0, err
+	}
+	progress, err := job.Encode(job.Progress{State: acaciatally.JobQueued, Digest: digest})
+	if err != nil {
+		return transaction, 0, err
+	}
+	transaction = acaciatally.RecordTransaction{
+		Conditions: []acaciatally.RecordCondition{{RecordKey: job.ProgressKey(queue.Name, id)}},
+		Writes: []acaciatally.RecordWrite{
+			{RecordKey: job.Key(queue.Name, id), Value: accepted},
+			{RecordKey: job.ProgressKey(queue.Name, id), Value: progress},
+		},
+	}
+	if spec.Repeat == 0 {
+		transaction.Writes = append(transaction.Writes, acaciatally.RecordWrite{RecordKey: job.WaitingKey(queue.Name, id), Value: job.Mark})
+	}
+	return transaction, digest, nil
+}
+
+// commit repeats a commit whose answer was lost, which is safe under its conditions. It fails with *NotAcceptedError only if no
+// try may have taken effect.
+func (d *Desk) commit(ctx context.Context, transaction acaciatally.RecordTransaction) error {
+	unsure := false
+	for {
+		_, err := d.config.Store.Commit(ctx, transaction)
+		var conflict *acaciatally.RecordConflictError
+		switch {
+		case err == nil || errors.As(err, &conflict):
+			return err
+		case errors.Is(err, acaciatally.ErrUnknownCommit):
+			unsure = true
+		case !unsure:
+			return &acaciatally.NotAcceptedError{Reason: "the record store refuses", RetryAfter: outageRetryAfter}
+		}
+		select {
+		case <-ctx.Done():
+			return acaciatally.ErrNoAnswer
+		case <-time.After(retryPause):
+		}
+	}
+}
+
+// State returns a job's state.
+func (d *Desk) State(ctx context.Context, queue acaciatally.Queue, id acaciatally.JobID) (state acaciatally.JobState, err error) {
+	defer func() {
+		d.config.Journal.Read(queue, id, state, err)
+		err = oops.In("intake").With("job", id).Wrapf(err, "read state")
+	}()
+	record, err := d.read(ctx, job.ProgressKey(queue.Name, id))
+	if err != nil {
+		return "", err
+	}
+	progress, err := job.DecodeProgress(record.Value)
+	if err != nil {
+		return "", err
+	}
+	return progress.State, nil
+}
+
+// read returns one record; it fails with ErrNoJob if there is none.
+func (d *Desk) read(ctx context.Context, key acaciatally.RecordKey) (record acaciatally.Record, err error) {
+	page, err := d.config.Store.Read(ctx, acaciatally.RecordRange{
+		Table: key.Table, Partition: key.Partition, From: key.Key, To: key.Key + "\x00",
+	})
+	if err != nil {
+		return record, &acaciatally.NotAcceptedError{Reason: "the record store refuses", RetryAfter: outageRetryAfter}
+	}
+	if len(page.Records) == 0 {
+		return record, acaciatally.ErrNoJob
+	}
+	return page.Records[0], nil
+}
+
+// Cancel records that a job is to end.
+func (d *Desk) Cancel(ctx context.Context, queue acaciatally.Queue, id acaciatally.JobID) (err error) {
+	defer func() {
+		d.config.Journal.Cancelled(queue, id, err)
+		err = oops.In("intake").With("job", id).Wrapf(err, "cancel job")
+	}()
+	accepted, err := d.read(ctx, job.Key(queue.Name, id))
+	if errors.Is(err, acaciatally.ErrNoJob) {
+		_, err = d.read(ctx, job.ProgressKey(queue.Name, id)) // an ended job is known, and nothing is left to cancel
+		return err
+	}
+	if err != nil {
+		return err
+	}
+	err = d.commit(ctx, acaciatally.RecordTransaction{
+		Conditions: []acaciatally.RecordCondition{{RecordKey: accepted.RecordKey, Version: accepted.Version}},
+		Writes:     []acaciatally.RecordWrite{{RecordKey: job.CancelKey(queue.Name, id), Value: job.Mark}},
+	})
+	var conflict *acaciatally.RecordConflictError
+	if errors.As(err, &conflict) {
+		return nil // it has ended meanwhile
+	}
+	return err
+}
+
+// Waiting returns the number of accepted jobs of which nothing has started.
+func (d *Desk) Waiting(ctx context.Context, queue acaciatally.Queue) (count int, err error) {
+	defer func() { err = oops.In("intake").With("queue", queue.Name).Wrapf(err, "count waiting jobs") }()
+	page, err := d.config.Store.Read(ctx, acaciatally.RecordRange{Table: job.WaitingTable, Partition: string(queue.Name)})
+	if err != nil {
+		return 0, &acaciatally.NotAcceptedError{Reason: "the record store refuses", RetryAfter: outageRetryAfter}
+	}
+	return len(page.Records), nil
+}
--- /dev/null
+++ b/intake/routes.go
@@ -0,0 +1,41 @@
+package intake
+
+import (
+	"net"
+	"slices"
+	"strings"
+
+	"github.com/acaciatally/acaciatally"
+)
+
+// Routes finds the queue of a request under one version of the configuration.
+type Routes struct {
+	Version uint64
+	Limits  acaciatally.FrontLimits
+	byHost  map[string][]acaciatally.Queue // longest prefix first
+}
+
+// NewRoutes prepares the routes of a configuration.
+func NewRoutes(configuration *acaciatally.Configuration) *Routes {
+	routes := &Routes{Version: configuration.Version, Limits: configuration.Limits, byHost: map[string][]acaciatally.Queue{}}
+	for _, queue := range configuration.Queues {
+		routes.byHost[queue.Host] = append(routes.byHost[queue.Host], queue)
+	}
+	for _, queues := range routes.byHost {
+		slices.SortStableFunc(queues, func(a, b acaciatally.Queue) int { return len(b.Prefix) - len(a.Prefix) })
+	}
+	return routes
+}
+
+// Find returns the queue with the longest prefix of the path and what follows that prefix.
+func (r *Routes) Find(host, path string) (queue acaciatally.Queue, rest string, found bool) {
+	if name, _, err := net.SplitHostPort(host); err == nil {
+		host = name
+	}
+	for _, queue = range r.byHost[strings.ToLower(host)] {
+		if rest, found = strings.CutPrefix(path, queue.Prefix); found {
+			return queue, rest, true
+		}
+	}
+	return acaciatally.Queue{}, "", false
+}
--- /dev/null
+++ b/site/clock.go
@@ -0,0 +1,16 @@
+package site
+
+import (
+	"time"
+
+	"golang.org/x/sys/unix"
+)
+
+// Uptime returns a monotonic clock that also counts the time for which the machine was suspended.
+func Uptime() time.Duration {
+	var now unix.Timespec
+	if err := unix.ClockGettime(unix.CLOCK_BOOTTIME, &now); err != nil {
+		panic(err) // the kernel has had this clock since 2.6.39
+	}
+	return time.Duration(now.Nano())
+}
--- a/standin/admin.go
+++ b/standin/admin.go
@@ -7,7 +7,7 @@
 	"github.com/labstack/echo/v5"
 
 	"github.com/acaciatally/acaciatally"
-	"github.com/acaciatally/acaciatally/platform"
+	"github.com/acaciatally/acaciatally/hosting"
 )
 
 // The paths under which scripts switch faults.
@@ -56,7 +56,7 @@
 				return err
 			}
 			config.Tasks.SetFaults(request.Worker, request.Faults)
-			return c.JSON(http.StatusOK, platform.Empty{})
+			return c.JSON(http.StatusOK, hosting.Empty{})
 		})
 	}
 }
@@ -87,7 +87,7 @@
 		if tasks != nil {
 			tasks.AddWorker(request.ID, request.Resources)
 		}
-		return c.JSON(http.StatusOK, platform.Empty{})
+		return c.JSON(http.StatusOK, hosting.Empty{})
 	})
 	server.POST(FailPath, func(c *echo.Context) error {
 		var request Failure
@@ -95,7 +95,7 @@
 			return err
 		}
 		machines.fail(request)
-		return c.JSON(http.StatusOK, platform.Empty{})
+		return c.JSON(http.StatusOK, hosting.Empty{})
 	})
 }
 
--- a/standin/server.go
+++ b/standin/server.go
@@ -7,7 +7,7 @@
 	"github.com/labstack/echo/v5"
 
 	"github.com/acaciatally/acaciatally"
-	"github.com/acaciatally/acaciatally/platform"
+	"github.com/acaciatally/acaciatally/hosting"
 )
 
 // ServerConfig names the services behind the HTTP face; the paths of a nil service are absent.
@@ -47,23 +47,23 @@
 }
 
 func serveTable(server *echo.Echo, table acaciatally.TableService) {
-	server.POST(platform.ReadPath, func(c *echo.Context) error {
-		var request platform.ReadRequest
+	server.POST(hosting.ReadPath, func(c *echo.Context) error {
+		var request hosting.ReadRequest
 		if err := c.Bind(&request); err != nil {
 			return err
 		}
 		rows, err := table.Read(c.Request().Context(), request.Keys...)
-		return answer(c, platform.RowsResponse{Rows: rows}, err)
+		return answer(c, hosting.RowsResponse{Rows: rows}, err)
 	})
-	server.POST(platform.ScanPath, func(c *echo.Context) error {
-		var request platform.ScanRequest
+	server.POST(hosting.ScanPath, func(c *echo.Context) error {
+		var request hosting.ScanRequest
 		if err := c.Bind(&request); err != nil {
 			return err
 		}
 		rows, err := table.Scan(c.Request().Context(), request.Prefix, request.After, request.Limit)
-		return answer(c, platform.RowsResponse{Rows: rows}, err)
+		return answer(c, hosting.RowsResponse{Rows: rows}, err)
 	})
-	server.POST(platform.CommitPath, func(c *echo.Context) error {
+	server.POST(hosting.CommitPath, func(c *echo.Context) error {
 		var transaction acaciatally.Transaction
 		if err := c.Bind(&transaction); err != nil {
 			return err
@@ -71,55 +71,55 @@
 		version, err := table.Commit(c.Request().Context(), transaction)
 		var conflict *acaciatally.ConflictError
 		if errors.As(err, &conflict) {
-			return c.JSON(http.StatusOK, platform.CommitResponse{Conflict: conflict.Keys})
+			return c.JSON(http.StatusOK, hosting.CommitResponse{Conflict: conflict.Keys})
 		}
-		return answer(c, platform.CommitResponse{Version: version}, err)
+		return answer(c, hosting.CommitResponse{Version: version}, err)
 	})
 }
 
 func serveObjects(server *echo.Echo, objects acaciatally.ObjectStore) {
-	server.POST(platform.PutPath, func(c *echo.Context) error {
-		var object platform.Object
+	server.POST(hosting.PutPath, func(c *echo.Context) error {
+		var object hosting.Object
 		if err := c.Bind(&object); err != nil {
 			return err
 		}
-		return answer(c, platform.Empty{}, objects.Put(c.Request().Context(), object.Name, object.Content))
+		return answer(c, hosting.Empty{}, objects.Put(c.Request().Context(), object.Name, object.Content))
 	})
-	server.POST(platform.GetPath, func(c *echo.Context) error {
-		var object platform.Object
+	server.POST(hosting.GetPath, func(c *echo.Context) error {
+		var object hosting.Object
 		if err := c.Bind(&object); err != nil {
 			return err
 		}
 		content, err := objects.Get(c.Request().Context(), object.Name)
-		return answer(c, platform.Object{Name: object.Name, Content: content}, err)
+		return answer(c, hosting.Object{Name: object.Name, Content: content}, err)
 	})
-	server.POST(platform.ListPath, func(c *echo.Context) error {
-		var object platform.Object
+	server.POST(hosting.ListPath, func(c *echo.Context) error {
+		var object hosting.Object
 		if err := c.Bind(&object); err != nil {
 			return err
 		}
 		names, err := objects.List(c.Request().Context(), object.Name)
-		return answer(c, platform.ListResponse{Names: names}, err)
+		return answer(c, hosting.ListResponse{Names: names}, err)
 	})
 }
 
-// answer writes the response, or the error with the code that platform.Client turns back into a typed error.
+// answer writes the response, or the error with the code that hosting.Client turns back into a typed error.
 func answer(c *echo.Context, response any, err error) error {
 	if err == nil {
 		return c.JSON(http.StatusOK, response)
 	}
-	status, code := http.StatusInternalServerError, platform.CodeUnknown
+	status, code := http.StatusInternalServerError, hosting.CodeUnknown
 	switch {
 	case errors.Is(err, acaciatally.ErrUnavailable):
-		status, code = http.StatusServiceUnavailable, platform.CodeUnavailable
+		status, code = http.StatusServiceUnavailable, hosting.CodeUnavailable
 	case errors.Is(err, acaciatally.ErrUnknownCommit):
 		status = http.StatusGatewayTimeout
 	case errors.Is(err, acaciatally.ErrRejected):
-		status, code = http.StatusConflict, platform.CodeRejected
+		status, code = http.StatusConflict, hosting.CodeRejected
 	case errors.Is(err, acaciatally.ErrLeaseExpired):
-		status, code = http.StatusGone, platform.CodeLeaseExpired
+		status, code = http.StatusGone, hosting.CodeLeaseExpired
 	case errors.Is(err, acaciatally.ErrNoObject):
-		status, code = http.StatusNotFound, platform.CodeNoObject
+		status, code = http.StatusNotFound, hosting.CodeNoObject
 	}
-	return c.JSON(status, platform.ErrorResponse{Code: code, Message: err.Error()})
+	return c.JSON(status, hosting.ErrorResponse{Code: code, Message: err.Error()})
 }
