Ask workers only after all jobs are read

Cause: a new leader took in workers' reports while partitions were still being read; runs of unread jobs seemed unknown and were stopped (AVAIL), or vanished for reconciliation and started twice (TWICE). Ruled out: late orders of the old leader; its epoch was fenced on each worker. Change: no round of decisions before all partitions are read. Conclusion: taking over has to be complete before it acts.

--- a/dispatch/runner.go
+++ b/dispatch/runner.go
@@ -57,6 +57,7 @@
 	loaded    map[acaciatally.QueueName]uint64 // versions at which partitions were read
 	loading   map[acaciatally.QueueName]bool
 	directory map[acaciatally.WorkerID]acaciatally.Worker
+	complete  bool // all partitions are read; before that a run of an unread job would seem to be unknown
 	senders   sync.WaitGroup
 }
 
@@ -104,7 +105,7 @@
 			}
 		case <-timer.C:
 		}
-		if r.config.Leads() {
+		if r.complete && r.config.Leads() {
 			r.round(ctx)
 		}
 	}
@@ -307,6 +308,7 @@
 		if group.Wait() != nil {
 			continue
 		}
+		r.Post(ctx, func() { r.complete = true })
 		r.follow(ctx, job.Table, version, func(records []acaciatally.Record) { r.arrive(ctx, records) })
 	}
 	return nil
