Move instances to the pools that need them and carry out waves

Change: package capacity decides on moves from demand in use, waiting and expected; package maintenance decides the order of a wave; package roster empties workers, orders instances and keeps the progress of waves in the store; lasting tasks leave such workers within their disruption budgets.

--- a/console/attend.go
+++ b/console/attend.go
@@ -59,7 +59,13 @@
 }
 
 func siteConfig(settings platform.Settings, book *logbook.Book) site.Config {
+	var fleet acaciatally.FleetControl
+	if settings.Control.IsValid() {
+		fleet = platform.NewFleet(settings.Control, nil)
+	}
 	return site.Config{
+		Fleet: fleet, WaveStatus: platform.WaveStatus, MoveTime: settings.Bounds.MoveTime,
+		MaintenanceTime: settings.Bounds.MaintenanceTime,
 		Name: settings.Name, CallerListen: settings.Front, ReadyListen: settings.Ready, Grace: settings.Bounds.Grace,
 		Store:  platform.NewStore(settings.Store, nil),
 		Orders: platform.NewOrders(nil),
--- a/dispatch/arrive.go
+++ b/dispatch/arrive.go
@@ -27,6 +27,7 @@
 		j.open = append(j.open, m.loadOccurrence(j, open, now))
 	}
 	m.jobs[id] = j
+	m.noteArrival(j, now)
 	m.partition(accepted.Queue.Name)
 	m.config.Journal.JobTaken(id, accepted.Queue.Name, progress.State)
 }
--- a/dispatch/machine.go
+++ b/dispatch/machine.go
@@ -25,8 +25,10 @@
 	jobs          map[acaciatally.JobID]*activeJob
 	workers       map[acaciatally.WorkerID]*worker
 	partitions    map[acaciatally.QueueName]*partition
-	finished      map[acaciatally.JobID]bool      // recorded as ended, and retained
-	bumps         uint64                          // rises whenever late orders of before are to be refused
+	finished      map[acaciatally.JobID]bool // recorded as ended, and retained
+	bumps         uint64                     // rises whenever late orders of before are to be refused
+	arrivals      map[acaciatally.PoolName]*arrivals
+	runTimes      map[acaciatally.QueueName]*runTime
 	withheld      map[acaciatally.WorkerID]string // workers that are to be emptied, and why
 }
 
@@ -38,6 +40,8 @@
 		workers:    map[acaciatally.WorkerID]*worker{},
 		partitions: map[acaciatally.QueueName]*partition{},
 		finished:   map[acaciatally.JobID]bool{},
+		arrivals:   map[acaciatally.PoolName]*arrivals{},
+		runTimes:   map[acaciatally.QueueName]*runTime{},
 		withheld:   map[acaciatally.WorkerID]string{},
 	}
 }
--- a/dispatch/plan.go
+++ b/dispatch/plan.go
@@ -18,6 +18,7 @@
 	}
 	m.expire(now)
 	m.moveStuck(now)
+	m.evacuate()
 	m.place(now)
 }
 
@@ -130,6 +131,7 @@
 	free    acaciatally.Room
 	serving int // assigned tasks with an objective on their response time
 	filling int // assigned tasks that use what others leave
+	lasting int // assigned tasks that last
 	perStep map[stepKey]int
 	runs    int
 }
@@ -164,6 +166,9 @@
 	if t.step.Backfill {
 		c.filling++
 	}
+	if t.step.Lasting {
+		c.lasting++
+	}
 	if fresh {
 		c.runs++
 	}
@@ -261,7 +266,10 @@
 	if t.step.Backfill && a.serving != b.serving {
 		return a.serving < b.serving
 	}
-	return a.free.Processors > b.free.Processors
+	if t.step.Lasting && (a.lasting > 0) != (b.lasting > 0) {
+		return a.lasting > 0 // lasting work keeps its instance in the pool
+	}
+	return a.free.Processors < b.free.Processors // so that other instances become idle and can move
 }
 
 // sameRack counts the assigned siblings of the task in the candidate's rack.
--- /dev/null
+++ b/dispatch/view.go
@@ -0,0 +1,156 @@
+package dispatch
+
+import (
+	"time"
+
+	"github.com/acaciatally/acaciatally"
+	"github.com/acaciatally/acaciatally/job"
+)
+
+// WorkerView is what the fleet's planning needs to know of a worker.
+type WorkerView struct {
+	ID       acaciatally.WorkerID
+	Pool     acaciatally.PoolName
+	Runs     int
+	Lasting  int
+	Idle     time.Duration // since its last run ended, or since it was first seen
+	Usable   bool          // it may get new runs, or would if it were not withheld
+	Capacity acaciatally.Room
+}
+
+// PoolView is the demand on a pool, in thousandths of a core.
+type PoolView struct {
+	Used     int // by runs
+	Waiting  int // by tasks that could run now
+	Expected int // in the near future, from the arrivals of the last seconds
+}
+
+// View returns the state of all workers and the demand on all pools.
+func (m *Machine) View(now time.Duration) (workers map[acaciatally.WorkerID]WorkerView, pools map[acaciatally.PoolName]PoolView) {
+	workers = map[acaciatally.WorkerID]WorkerView{}
+	pools = map[acaciatally.PoolName]PoolView{}
+	for id, w := range m.workers {
+		if w.gone || !w.listed {
+			continue
+		}
+		workers[id] = m.viewOf(w, now)
+	}
+	for _, j := range m.jobs {
+		pool := pools[j.accepted.Queue.Pool]
+		j.addDemand(&pool)
+		pools[j.accepted.Queue.Pool] = pool
+	}
+	for name, arrivals := range m.arrivals {
+		pool := pools[name]
+		pool.Expected = pool.lastingUse(m, name) + arrivals.expected(now)
+		pools[name] = pool
+	}
+	return workers, pools
+}
+
+func (m *Machine) viewOf(w *worker, now time.Duration) WorkerView {
+	view := WorkerView{
+		ID: w.entry.ID, Pool: w.entry.Pool, Runs: len(w.runs) + len(w.orphans), Capacity: w.entry.Capacity,
+		Usable: w.known && !w.entry.Draining && w.failures == 0, Idle: now - w.idleSince,
+	}
+	if len(w.runs) > 0 {
+		w.idleSince = now
+		view.Idle = 0
+	}
+	for t := range w.runs {
+		if t.step.Lasting {
+			view.Lasting++
+		}
+	}
+	return view
+}
+
+// addDemand adds what the job uses and could use now.
+func (j *activeJob) addDemand(pool *PoolView) {
+	for _, o := range j.open {
+		for number, tasks := range o.steps {
+			ready := j.live() && o.ready(&j.accepted.Spec, number)
+			for _, t := range tasks {
+				switch {
+				case t.assigned():
+					pool.Used += t.step.Takes().Processors
+				case ready && t.phase == job.Waiting:
+					pool.Waiting += t.step.Takes().Processors
+				}
+			}
+		}
+	}
+}
+
+// lastingUse returns what the lasting tasks of a pool use.
+func (p PoolView) lastingUse(m *Machine, name acaciatally.PoolName) (use int) {
+	for _, w := range m.workers {
+		if w.entry.Pool != name {
+			continue
+		}
+		for t := range w.runs {
+			if t.step.Lasting {
+				use += t.step.Takes().Processors
+			}
+		}
+	}
+	return use
+}
+
+// Withhold sets the workers that are to be emptied, each with the reason; they get no new runs.
+func (m *Machine) Withhold(withheld map[acaciatally.WorkerID]string) {
+	for id, reason := range withheld {
+		if m.withheld[id] == "" {
+			if w := m.workers[id]; w != nil {
+				m.config.Journal.WorkerChanged(id, w.entry.Pool, "withheld: "+reason, 0)
+			}
+		}
+	}
+	m.withheld = withheld
+}
+
+// Removed takes in that a worker's instance was ordered away, which ended all of its runs.
+func (m *Machine) Removed(id acaciatally.WorkerID, now time.Duration) {
+	if w := m.workers[id]; w != nil {
+		m.lose(w, "its instance was ordered away", now)
+	}
+}
+
+// evacuate stops the lasting tasks on workers that are to be emptied or leave, within their steps' disruption budgets.
+func (m *Machine) evacuate() {
+	for _, w := range m.workers {
+		if w.gone || (m.withheld[w.entry.ID] == "" && !w.entry.Draining) {
+			continue
+		}
+		for t := range w.runs {
+			if t.step.Lasting && t.stop == "" && t.stage == running && mayInterrupt(t) {
+				m.stopTask(t, stopMoved)
+			}
+		}
+	}
+}
+
+// mayInterrupt reports whether the disruption budget of a lasting task's step allows to stop it now.
+func mayInterrupt(t *task) bool {
+	budget := 1
+	if t.step.HasMayMiss {
+		budget = t.step.MayMiss
+	}
+	away := 0
+	for _, o := range t.job.open {
+		if o.number != t.ref.Occurrence {
+			continue
+		}
+		for _, sibling := range o.steps[t.ref.Step] {
+			if sibling != t && !sibling.atWork() {
+				away++
+			}
+		}
+	}
+	return away < budget
+}
+
+// atWork reports whether a lasting task does its work, as far as its worker has said.
+func (t *task) atWork() bool {
+	return t.stage == running && t.assigned() && t.stop == "" && t.percent >= fullPace && t.at != nil && t.at.failures == 0
+}
--- a/dispatch/worker.go
+++ b/dispatch/worker.go
@@ -37,6 +37,7 @@
 	stopping  map[runKey]bool // stops of orphans on their way
 	runs      map[*task]bool  // assigned tasks
 	health    health
+	idleSince time.Duration // when a run was last seen on it
 	renewing  bool          // a renewal is on its way
 	renewAt   time.Duration // when the next one may be sent
 }
@@ -69,7 +70,7 @@
 		w := m.workers[entry.ID]
 		if w == nil {
 			w = m.worker(entry.ID)
-			w.entry = entry
+			w.entry, w.idleSince = entry, now
 			m.config.Journal.WorkerChanged(entry.ID, entry.Pool, "listed", 0)
 		}
 		m.update(w, entry, now)
@@ -172,7 +173,7 @@
 // lapsed reports whether the worker's lease is surely over.
 func (m *Machine) lapsed(w *worker, now time.Duration) bool {
 	if w.clockAt == 0 {
-		longest := time.Duration(float64(m.config.LongestLease) / slowestClock)
+		longest := time.Duration(float64(m.config.WorkerLease) / slowestClock)
 		return now > m.config.Began+longest+lapseMargin
 	}
 	return w.clockNow(now) > w.until+lapseMargin
@@ -360,6 +361,7 @@
 	}
 	switch {
 	case ended.End == acaciatally.EndDone && !t.step.Lasting:
+		m.noteRun(t, now)
 		m.complete(t)
 		return
 	case ended.End == acaciatally.EndFailed:
--- a/logbook/dispatch.go
+++ b/logbook/dispatch.go
@@ -55,3 +55,18 @@
 
 // Deposed notes that another leader has taken over.
 func (b *Book) Deposed(epoch uint64) { b.line("Deposed").Uint64("Epoch", epoch).Msg("") }
+
+// InstancePlanned notes that an instance is to be emptied for a purpose.
+func (b *Book) InstancePlanned(id acaciatally.InstanceID, pool acaciatally.PoolName, purpose string) {
+	b.line("InstancePlanned").Str("Instance", string(id)).Str("Pool", string(pool)).Str("Purpose", purpose).Msg("")
+}
+
+// InstanceOrdered notes the result of an order on an instance.
+func (b *Book) InstanceOrdered(id acaciatally.InstanceID, purpose string, err error) {
+	b.line("InstanceOrdered").Str("Instance", string(id)).Str("Purpose", purpose).Err(err).Msg("")
+}
+
+// WaveChanged notes the progress of a wave.
+func (b *Book) WaveChanged(number, left int, completed bool) {
+	b.line("WaveChanged").Int("Wave", number).Int("Left", left).Bool("Completed", completed).Msg("")
+}
--- /dev/null
+++ b/maintenance/plan.go
@@ -0,0 +1,113 @@
+package maintenance
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/acaciatally/acaciatally"
+)
+
+// Phase is how far the maintenance of an instance is.
+type Phase int
+
+// The phases of an instance in a wave.
+const (
+	Pending  Phase = iota
+	Emptying       // it gets no new runs
+	Down           // ordered down, and not back yet
+	Finished
+	Missing // it is no longer part of the fleet
+)
+
+// Instance is an instance of a wave as the planner sees it.
+type Instance struct {
+	ID       acaciatally.InstanceID
+	Pool     acaciatally.PoolName
+	Phase    Phase
+	Up       bool // it can be ordered
+	Standby  bool
+	Runs     int
+	Lasting  int
+	Reserved bool // it is being emptied for another purpose
+	Spare    bool // its pool has more instances than it needs
+}
+
+// Wave is a wave as the planner sees it.
+type Wave struct {
+	Number    int
+	AtOnce    int
+	Left      time.Duration // until it is to be done
+	Instances []Instance
+}
+
+// Config is the time that one instance takes.
+type Config struct {
+	Each time.Duration // from the decision until the instance is back
+}
+
+// pressure is how much of the wave's time is kept in reserve, as a factor on the time that the rest takes.
+const pressure = 1.6
+
+// Done reports whether nothing of the wave is left to be begun.
+func (w Wave) Done() bool {
+	for _, instance := range w.Instances {
+		if instance.Phase == Pending || instance.Phase == Emptying {
+			return false
+		}
+	}
+	return true
+}
+
+// Next returns the instances to empty now: idle ones that their pools can spare at any time, others when time gets short.
+func (c Config) Next(wave Wave) (chosen []acaciatally.InstanceID) {
+	busy, pending := 0, []Instance{}
+	for _, instance := range wave.Instances {
+		switch instance.Phase {
+		case Emptying, Down:
+			busy++
+		case Pending:
+			if instance.Up && !instance.Reserved {
+				pending = append(pending, instance)
+			}
+		}
+	}
+	slices.SortFunc(pending, compare)
+	urgent := c.urgent(wave, len(pending))
+	for _, instance := range pending {
+		if busy >= wave.AtOnce {
+			return chosen
+		}
+		if !urgent && !instance.Standby && (!instance.Spare || instance.Runs > 0) {
+			continue
+		}
+		busy++
+		chosen = append(chosen, instance.ID)
+	}
+	return chosen
+}
+
+// urgent reports whether the rest of the wave takes most of the time that is left.
+func (c Config) urgent(wave Wave, pending int) bool {
+	rounds := (pending + wave.AtOnce - 1) / wave.AtOnce
+	return wave.Left < time.Duration(pressure*float64(rounds+1)*float64(c.Each))
+}
+
+// compare puts first what costs the least to take down.
+func compare(a, b Instance) int {
+	return cmp.Or(
+		compareBool(b.Standby, a.Standby), cmp.Compare(a.Lasting, b.Lasting), compareBool(b.Spare, a.Spare),
+		cmp.Compare(a.Runs, b.Runs), cmp.Compare(a.ID, b.ID),
+	)
+}
+
+// compareBool orders false before true.
+func compareBool(a, b bool) int {
+	switch {
+	case a == b:
+		return 0
+	case b:
+		return -1
+	}
+	return 1
+}
--- /dev/null
+++ b/roster/roster.go
@@ -0,0 +1,399 @@
+package roster
+
+import (
+	"errors"
+	"time"
+
+	"github.com/acaciatally/acaciatally"
+	"github.com/acaciatally/acaciatally/capacity"
+	"github.com/acaciatally/acaciatally/dispatch"
+	"github.com/acaciatally/acaciatally/maintenance"
+)
+
+const (
+	// emptyLimit is how long a worker may take to become empty before its move is given up; maintenance has no such limit.
+	emptyLimit = 5 * time.Second
+	// orderRetry is the pause after an order without a definite result.
+	orderRetry = 250 * time.Millisecond
+	// fenceShift leaves room for a fencing token of its own for each decision of a tenure.
+	fenceShift = 20
+)
+
+// Config is what a Roster needs.
+type Config struct {
+	Epoch           uint64
+	Holder          string
+	MoveTime        time.Duration
+	MaintenanceTime time.Duration
+	Capacity        capacity.Config
+	Journal         Journal
+}
+
+// Journal takes a line for each decision on an instance.
+type Journal interface {
+	// InstancePlanned notes that an instance is to be emptied for a purpose.
+	InstancePlanned(id acaciatally.InstanceID, pool acaciatally.PoolName, purpose string)
+	// InstanceOrdered notes the result of an order.
+	InstanceOrdered(id acaciatally.InstanceID, purpose string, err error)
+	// WaveChanged notes the progress of a wave.
+	WaveChanged(number, left int, completed bool)
+}
+
+// purpose is why an instance is taken out of service.
+type purpose int
+
+const (
+	toMove purpose = iota
+	toMaintain
+)
+
+// intent is what is to be done with an instance.
+type intent struct {
+	purpose  purpose
+	to       acaciatally.PoolName
+	wave     int
+	since    time.Duration
+	fence    uint64
+	sending  bool
+	unsure   bool // an order may have been carried out
+	retryAt  time.Duration
+	done     bool // the order was carried out
+	doneAt   time.Duration
+	doneLife acaciatally.WorkerID // the worker whose life the order ended
+}
+
+// wave is the progress of one wave.
+type wave struct {
+	request  acaciatally.MaintenanceWave
+	began    time.Duration
+	finished map[acaciatally.InstanceID]bool
+	saved    bool // the finished instances are recorded
+	told     bool // its completion is recorded
+}
+
+// Roster is the state of all instances.
+type Roster struct {
+	config    Config
+	instances map[acaciatally.InstanceID]acaciatally.FleetInstance
+	listed    bool
+	listedAt  time.Duration
+	intents   map[acaciatally.InstanceID]*intent
+	waves     map[int]*wave
+	orders    uint64
+}
+
+// New returns a roster that knows no instances yet.
+func New(config Config) *Roster {
+	return &Roster{
+		config: config, instances: map[acaciatally.InstanceID]acaciatally.FleetInstance{},
+		intents: map[acaciatally.InstanceID]*intent{}, waves: map[int]*wave{},
+	}
+}
+
+// SetFleet replaces the list of instances, which was asked for at the time sent.
+func (r *Roster) SetFleet(list []acaciatally.FleetInstance, sent time.Duration) {
+	r.listed, r.listedAt = true, sent
+	clear(r.instances)
+	for _, instance := range list {
+		r.instances[instance.ID] = instance
+	}
+	for id, todo := range r.intents {
+		instance, exists := r.instances[id]
+		back := todo.done && todo.doneAt < sent && instance.State == acaciatally.InstanceUp && instance.Worker != todo.doneLife
+		if !exists || back {
+			delete(r.intents, id)
+		}
+	}
+}
+
+// AddWave takes in a wave that was first seen at a time, and what earlier leaders have recorded of it.
+func (r *Roster) AddWave(request acaciatally.MaintenanceWave, seen time.Duration, finished []acaciatally.InstanceID, told bool) {
+	if r.waves[request.Number] != nil {
+		return
+	}
+	w := &wave{request: request, began: seen, finished: map[acaciatally.InstanceID]bool{}, saved: true, told: told}
+	for _, id := range finished {
+		w.finished[id] = true
+	}
+	r.waves[request.Number] = w
+}
+
+// Knows reports whether the wave was taken in.
+func (r *Roster) Knows(number int) bool { return r.waves[number] != nil }
+
+// Plan decides on moves and maintenance and returns which workers are to be emptied, and why.
+func (r *Roster) Plan(m *dispatch.Machine, configuration *acaciatally.Configuration, now time.Duration) (withheld map[acaciatally.WorkerID]string) {
+	if !r.listed || configuration == nil {
+		return map[acaciatally.WorkerID]string{}
+	}
+	workers, demand := m.View(now)
+	r.expire(workers, now)
+	pools := r.pools(configuration, demand)
+	r.planWaves(pools, workers, now)
+	for _, move := range capacity.Plan(r.config.Capacity, pools, r.capacityView(workers)) {
+		r.intend(move.Instance, &intent{purpose: toMove, to: move.To, since: now})
+	}
+	return r.withheld()
+}
+
+func (r *Roster) intend(id acaciatally.InstanceID, todo *intent) {
+	r.orders++
+	todo.fence = r.config.Epoch<<fenceShift + r.orders
+	r.intents[id] = todo
+	r.config.Journal.InstancePlanned(id, r.instances[id].Pool, todo.String())
+}
+
+// String returns the purpose for logs.
+func (i *intent) String() string {
+	if i.purpose == toMove {
+		return "move to " + string(i.to)
+	}
+	return "maintenance"
+}
+
+// expire gives up moves whose worker does not become empty, and those to pools that are gone.
+func (r *Roster) expire(workers map[acaciatally.WorkerID]dispatch.WorkerView, now time.Duration) {
+	for id, todo := range r.intents {
+		if todo.done || todo.sending || todo.unsure || todo.purpose != toMove {
+			continue
+		}
+		if w, found := workers[r.instances[id].Worker]; found && (w.Lasting > 0 || now-todo.since > emptyLimit) {
+			delete(r.intents, id)
+		}
+	}
+}
+
+func (r *Roster) withheld() map[acaciatally.WorkerID]string {
+	list := map[acaciatally.WorkerID]string{}
+	for id, todo := range r.intents {
+		if worker := r.instances[id].Worker; worker != "" && !todo.done {
+			list[worker] = todo.String()
+		}
+	}
+	return list
+}
+
+// pools returns the demand on each configured pool.
+func (r *Roster) pools(
+	configuration *acaciatally.Configuration, demand map[acaciatally.PoolName]dispatch.PoolView,
+) (pools []capacity.Pool) {
+	units := map[acaciatally.PoolName]int{}
+	most := 0
+	for _, instance := range r.instances {
+		units[instance.Pool] = max(units[instance.Pool], instance.Capacity.Processors)
+		most = max(most, instance.Capacity.Processors)
+	}
+	incoming := map[acaciatally.PoolName]int{}
+	for id, todo := range r.intents {
+		if todo.purpose == toMove {
+			incoming[todo.to]++
+		} else if todo.done {
+			incoming[r.instances[id].Pool]++
+		}
+	}
+	for name, options := range configuration.Pools {
+		unit := units[name]
+		if unit == 0 {
+			unit = most
+		}
+		pools = append(pools, capacity.Pool{
+			Name: name, Standby: options.Standby, Used: demand[name].Used, Waiting: demand[name].Waiting,
+			Expected: demand[name].Expected, Incoming: incoming[name], PerUnit: unit,
+		})
+	}
+	return pools
+}
+
+func (r *Roster) capacityView(workers map[acaciatally.WorkerID]dispatch.WorkerView) (view []capacity.Instance) {
+	for id, instance := range r.instances {
+		w, serves := workers[instance.Worker]
+		_, reserved := r.intents[id]
+		up := instance.State == acaciatally.InstanceUp
+		view = append(view, capacity.Instance{
+			ID: id, Pool: instance.Pool, Up: up, Runs: w.Runs, Lasting: w.Lasting, Reserved: reserved, Idle: w.Idle,
+			Unhealthy: serves && !w.Usable,
+		})
+	}
+	return view
+}
+
+// planWaves chooses the next instances of each wave.
+func (r *Roster) planWaves(pools []capacity.Pool, workers map[acaciatally.WorkerID]dispatch.WorkerView, now time.Duration) {
+	spare := r.spare(pools)
+	planner := maintenance.Config{Each: r.config.MaintenanceTime + r.config.MoveTime}
+	for number, w := range r.waves {
+		if w.told {
+			continue
+		}
+		view := r.waveView(w, pools, workers, spare, now)
+		for _, id := range planner.Next(view) {
+			r.intend(id, &intent{purpose: toMaintain, wave: number, since: now})
+		}
+	}
+}
+
+// spare returns how many instances each pool has above its need.
+func (r *Roster) spare(pools []capacity.Pool) map[acaciatally.PoolName]int {
+	up := map[acaciatally.PoolName]int{}
+	for id, instance := range r.instances {
+		if _, reserved := r.intents[id]; !reserved && instance.State == acaciatally.InstanceUp {
+			up[instance.Pool]++
+		}
+	}
+	return r.config.Capacity.Spares(pools, up)
+}
+
+func (r *Roster) waveView(
+	w *wave, pools []capacity.Pool, workers map[acaciatally.WorkerID]dispatch.WorkerView,
+	spare map[acaciatally.PoolName]int, now time.Duration,
+) maintenance.Wave {
+	standby := map[acaciatally.PoolName]bool{}
+	for _, pool := range pools {
+		standby[pool.Name] = pool.Standby
+	}
+	view := maintenance.Wave{Number: w.request.Number, AtOnce: w.request.AtOnce, Left: w.began + w.request.Within - now}
+	for _, id := range w.request.Instances {
+		instance, exists := r.instances[id]
+		todo, reserved := r.intents[id]
+		member := maintenance.Instance{
+			ID: id, Pool: instance.Pool, Up: instance.State == acaciatally.InstanceUp, Standby: standby[instance.Pool],
+			Runs: workers[instance.Worker].Runs, Lasting: workers[instance.Worker].Lasting, Spare: spare[instance.Pool] > 0,
+		}
+		switch {
+		case reserved && todo.purpose == toMaintain && (todo.done || todo.unsure):
+			member.Phase = maintenance.Down
+		case reserved && todo.purpose == toMaintain:
+			member.Phase = maintenance.Emptying
+		case w.finished[id] && instance.State == acaciatally.InstanceMaintenance:
+			member.Phase = maintenance.Down
+		case w.finished[id]:
+			member.Phase = maintenance.Finished
+		case !exists:
+			member.Phase = maintenance.Missing
+		default:
+			member.Reserved = reserved
+		}
+		view.Instances = append(view.Instances, member)
+	}
+	return view
+}
+
+// Order is a call to the instance control.
+type Order struct {
+	Instance acaciatally.InstanceID
+	Lease    acaciatally.FleetLease
+	Maintain bool
+	Wave     int
+	To       acaciatally.PoolName
+	worker   acaciatally.WorkerID
+	todo     *intent
+}
+
+// Orders returns the orders to send now: those on instances whose workers are empty.
+func (r *Roster) Orders(m *dispatch.Machine, now time.Duration) (orders []Order) {
+	workers, _ := m.View(now)
+	for id, todo := range r.intents {
+		instance := r.instances[id]
+		if todo.done || todo.sending || now < todo.retryAt {
+			continue
+		}
+		if w, serves := workers[instance.Worker]; serves && w.Runs > 0 && !todo.unsure {
+			continue
+		}
+		if instance.State != acaciatally.InstanceUp && !todo.unsure {
+			continue
+		}
+		todo.sending = true
+		orders = append(orders, Order{
+			Instance: id, Maintain: todo.purpose == toMaintain, Wave: todo.wave, To: todo.to, worker: instance.Worker, todo: todo,
+			Lease: acaciatally.FleetLease{Holder: r.config.Holder, Fence: todo.fence},
+		})
+	}
+	return orders
+}
+
+// Ordered takes in the result of an order; resign means that another holder has ordered the instance.
+func (r *Roster) Ordered(m *dispatch.Machine, order Order, err error, now time.Duration) (resign bool) {
+	todo := order.todo
+	todo.sending = false
+	r.config.Journal.InstanceOrdered(order.Instance, todo.String(), err)
+	var rejected *acaciatally.OrderRejectedError
+	var busy *acaciatally.InstanceBusyError
+	switch {
+	case err == nil:
+		todo.done, todo.doneAt, todo.doneLife = true, now, order.worker
+		m.Removed(order.worker, now)
+		if w := r.waves[order.Wave]; order.Maintain && w != nil {
+			w.finished[order.Instance] = true
+			w.saved = false
+			r.config.Journal.WaveChanged(order.Wave, w.left(), false)
+		}
+	case errors.As(err, &rejected):
+		delete(r.intents, order.Instance)
+		return rejected.Reason == acaciatally.RejectFence
+	case errors.As(err, &busy):
+		if !todo.unsure {
+			delete(r.intents, order.Instance)
+		}
+		todo.retryAt = now + orderRetry
+	default:
+		todo.unsure = todo.unsure || errors.Is(err, acaciatally.ErrNoAnswer)
+		todo.retryAt = now + orderRetry
+	}
+	return false
+}
+
+func (w *wave) left() (count int) {
+	for _, id := range w.request.Instances {
+		if !w.finished[id] {
+			count++
+		}
+	}
+	return count
+}
+
+// WaveRecord is what is to be recorded of a wave.
+type WaveRecord struct {
+	Number    int
+	Finished  []acaciatally.InstanceID
+	Completed bool
+}
+
+// Records returns the waves whose record is out of date.
+func (r *Roster) Records(now time.Duration) (records []WaveRecord) {
+	for number, w := range r.waves {
+		completed := r.listed && r.complete(w)
+		if w.saved && (w.told || !completed) {
+			continue
+		}
+		record := WaveRecord{Number: number, Completed: completed}
+		for id := range w.finished {
+			record.Finished = append(record.Finished, id)
+		}
+		records = append(records, record)
+	}
+	return records
+}
+
+// complete reports whether all instances of the wave that still exist have had their maintenance.
+func (r *Roster) complete(w *wave) bool {
+	for _, id := range w.request.Instances {
+		if _, exists := r.instances[id]; exists && !w.finished[id] {
+			return false
+		}
+	}
+	return true
+}
+
+// Recorded takes in that a record was written.
+func (r *Roster) Recorded(record WaveRecord) {
+	w := r.waves[record.Number]
+	if w == nil {
+		return
+	}
+	w.saved = len(w.finished) == len(record.Finished)
+	if record.Completed && !w.told {
+		w.told = true
+		r.config.Journal.WaveChanged(record.Number, 0, true)
+	}
+}
--- a/site/site.go
+++ b/site/site.go
@@ -15,6 +15,7 @@
 	"github.com/acaciatally/acaciatally/dispatch"
 	"github.com/acaciatally/acaciatally/intake"
 	"github.com/acaciatally/acaciatally/leadership"
+	"github.com/acaciatally/acaciatally/roster"
 )
 
 const (
@@ -39,6 +40,7 @@
 	intake.Journal
 	dispatch.Journal
 	leadership.Journal
+	roster.Journal
 	// Stopping notes why the process stops.
 	Stopping(reason string)
 	// Dependency notes that something outside is lost or reached again.
@@ -68,15 +70,21 @@
 	Store        acaciatally.RecordStore
 	Orders       acaciatally.WorkerOrders
 	Operators    OperatorRecords
+	Fleet        acaciatally.FleetControl // nil leaves all instances where they are
+	WaveStatus   func(number int, completed bool) (write acaciatally.RecordWrite)
 	WorkerTable  string
 	DecodeWorker dispatch.DecodeWorker
 	NewFront     func(desk acaciatally.JobDesk, ready func() bool) Front
 	LongestLease time.Duration // that a worker grants
 	Retention    time.Duration // of the state of an ended job
 	EarliestBy   time.Duration // how much before its time an occurrence may start
-	Journal      Journal
-	Spread       float64              // of this entry's turn to take over, 0 to 1
-	Now          func() time.Duration // nil is Uptime
+
+	MoveTime        time.Duration // until a moved instance serves again
+	MaintenanceTime time.Duration // until a maintained instance serves again
+
+	Journal Journal
+	Spread  float64              // of this entry's turn to take over, 0 to 1
+	Now     func() time.Duration // nil is Uptime
 	// Listen replaces the network in tests.
 	Listen func(ctx context.Context, network, address string) (listener net.Listener, err error)
 }
@@ -121,7 +129,14 @@
 
 // lead dispatches jobs for one tenure.
 func (p *Process) lead(ctx context.Context, epoch uint64) {
-	runner := dispatch.NewRunner(dispatch.RunnerConfig{
+	var runner *dispatch.Runner
+	var round func(m *dispatch.Machine, now time.Duration)
+	if p.config.Fleet != nil {
+		fleet := newFleetRunner(p, epoch, func(f func()) { runner.Post(ctx, f) })
+		round = func(m *dispatch.Machine, now time.Duration) { fleet.round(ctx, m, now) }
+	}
+	runner = dispatch.NewRunner(dispatch.RunnerConfig{
+		Round: round,
 		Store: p.config.Store, Orders: p.config.Orders, WorkerTable: p.config.WorkerTable, DecodeWorker: p.config.DecodeWorker,
 		Configuration: p.follower.configuration.Load, Now: p.config.Now,
 		Leads:   func() bool { return p.keeper.Leads(epoch) },
