Take an instance on standby as back from maintenance

Cause: an instance on standby has no worker, so its life before and after looked the same, it stayed down for the planner, and a wave stopped at its bound of instances down at once. Change: without a worker the list's state alone tells that the instance is back.

--- a/roster/roster.go
+++ b/roster/roster.go
@@ -99,13 +99,18 @@
 	}
 	for id, todo := range r.intents {
 		instance, exists := r.instances[id]
-		back := todo.done && todo.doneAt < sent && instance.State == acaciatally.InstanceUp && instance.Worker != todo.doneLife
-		if !exists || back {
+		if !exists || todo.over(instance, sent) {
 			delete(r.intents, id)
 		}
 	}
 }
 
+// over reports whether the ordered instance serves again; one on standby has no worker to tell its lives apart.
+func (i *intent) over(instance acaciatally.FleetInstance, listed time.Duration) bool {
+	newLife := i.doneLife == "" || instance.Worker != i.doneLife
+	return i.done && i.doneAt < listed && instance.State == acaciatally.InstanceUp && newLife
+}
+
 // AddWave takes in a wave that was first seen at a time, and what earlier leaders have recorded of it.
 func (r *Roster) AddWave(request acaciatally.MaintenanceWave, seen time.Duration, finished []acaciatally.InstanceID, told bool) {
 	if r.waves[request.Number] != nil {
