--- a/capacity/plan.go
+++ b/capacity/plan.go
@@ -28,6 +28,7 @@
 	Used     int // by runs
 	Waiting  int // by tasks that could run now
 	Expected int // in about the time that a move takes
+	Spread   int // instances over which tasks have to be spread
 	Incoming int // instances on their way to the pool
 	PerUnit  int // capacity of one instance
 }
@@ -100,7 +101,7 @@
 		return 0
 	}
 	demand := float64(max(p.Used+p.Waiting, p.Expected)) * (1 + c.Headroom)
-	return max(c.Least, int(math.Ceil(demand/float64(p.PerUnit))))
+	return max(c.Least, p.Spread, int(math.Ceil(demand/float64(p.PerUnit))))
 }
 
 // shortages returns the pools with too few instances, the one that lacks the largest share first.
--- a/console/attend.go
+++ b/console/attend.go
@@ -66,7 +66,7 @@
 	return site.Config{
 		Fleet: fleet, WaveStatus: platform.WaveStatus, MoveTime: settings.Bounds.MoveTime,
 		MaintenanceTime: settings.Bounds.MaintenanceTime,
-		Name: settings.Name, CallerListen: settings.Front, ReadyListen: settings.Ready, Grace: settings.Bounds.Grace,
+		Name:            settings.Name, CallerListen: settings.Front, ReadyListen: settings.Ready, Grace: settings.Bounds.Grace,
 		Store:  platform.NewStore(settings.Store, nil),
 		Orders: platform.NewOrders(nil),
 		Operators: site.OperatorRecords{
--- a/dispatch/view.go
+++ b/dispatch/view.go
@@ -14,6 +14,7 @@
 	Runs     int
 	Lasting  int
 	Idle     time.Duration // since its last run ended, or since it was first seen
+	Known    bool          // it has told this leader what runs on it
 	Usable   bool          // it may get new runs, or would if it were not withheld
 	Capacity acaciatally.Room
 }
@@ -23,6 +24,7 @@
 	Used     int // by runs
 	Waiting  int // by tasks that could run now
 	Expected int // in the near future, from the arrivals of the last seconds
+	Spread   int // workers over which the bounds on tasks of a step on one worker force to spread
 }
 
 // View returns the state of all workers and the demand on all pools.
@@ -51,7 +53,7 @@
 func (m *Machine) viewOf(w *worker, now time.Duration) WorkerView {
 	view := WorkerView{
 		ID: w.entry.ID, Pool: w.entry.Pool, Runs: len(w.runs) + len(w.orphans), Capacity: w.entry.Capacity,
-		Usable: w.known && !w.entry.Draining && w.failures == 0, Idle: now - w.idleSince,
+		Known: w.known, Usable: w.known && !w.entry.Draining && w.failures == 0, Idle: now - w.idleSince,
 	}
 	if len(w.runs) > 0 {
 		w.idleSince = now
@@ -70,6 +72,9 @@
 	for _, o := range j.open {
 		for number, tasks := range o.steps {
 			ready := j.live() && o.ready(&j.accepted.Spec, number)
+			if step := &j.accepted.Spec.Steps[number]; ready && step.PerWorker > 0 {
+				pool.Spread = max(pool.Spread, (step.Count+step.PerWorker-1)/step.PerWorker)
+			}
 			for _, t := range tasks {
 				switch {
 				case t.assigned():
--- a/dispatch/worker.go
+++ b/dispatch/worker.go
@@ -189,10 +189,11 @@
 	w.fenceBump = m.bumps
 }
 
-// extend returns the end of the lease that an order sent now carries, and remembers it.
+// extend returns the end of the lease that an order sent now carries, and remembers it. A worker that does not answer gets no longer
+// lease, so that there is an end to the time for which its runs may go on.
 func (m *Machine) extend(w *worker, now time.Duration) time.Duration {
-	if w.clockAt == 0 {
-		return 0
+	if w.clockAt == 0 || w.failures > 0 {
+		return w.until
 	}
 	w.until = max(w.until, w.clockNow(now)+m.config.WorkerLease)
 	return w.until
--- a/logbook/logbook.go
+++ b/logbook/logbook.go
@@ -14,9 +14,9 @@
 )
 
 const (
-	// linesPerSecond bounds the volume of one process; at about 250 bytes a line that is 150 KB a second.
-	linesPerSecond = 600
-	lineBurst      = 3000
+	// linesPerSecond bounds the volume of one process; at about 250 bytes a line that is 750 KB a second.
+	linesPerSecond = 3000
+	lineBurst      = 6000
 	// pendingLines bounds the lines that a slow reader has not taken yet.
 	pendingLines = 4096
 )
--- a/roster/roster.go
+++ b/roster/roster.go
@@ -203,7 +203,7 @@
 		}
 		pools = append(pools, capacity.Pool{
 			Name: name, Standby: options.Standby, Used: demand[name].Used, Waiting: demand[name].Waiting,
-			Expected: demand[name].Expected, Incoming: incoming[name], PerUnit: unit,
+			Expected: demand[name].Expected, Spread: demand[name].Spread, Incoming: incoming[name], PerUnit: unit,
 		})
 	}
 	return pools
@@ -302,7 +302,9 @@
 		if todo.done || todo.sending || now < todo.retryAt {
 			continue
 		}
-		if w, serves := workers[instance.Worker]; serves && w.Runs > 0 && !todo.unsure {
+		w := workers[instance.Worker]
+		empty := instance.Worker == "" || (w.Known && w.Runs == 0)
+		if !empty && !todo.unsure {
 			continue
 		}
 		if instance.State != acaciatally.InstanceUp && !todo.unsure {
