Let entries with more processor time and a faster link take the lease first

Ruled out: the store's rates; the leader's own processor was at its limit. Change: the wait before taking over grows with weakness.

--- a/console/attend.go
+++ b/console/attend.go
@@ -79,6 +79,7 @@
 		},
 		LongestLease: settings.Bounds.LongestLease, Retention: 2 * settings.Bounds.StateRetention,
 		EarliestBy: settings.Bounds.EarliestStart, Journal: book, Spread: spread(settings.Name),
+		Processors: settings.Processors, Link: settings.Link,
 	}
 }
 
--- a/site/site.go
+++ b/site/site.go
@@ -24,7 +24,11 @@
 	// renewEvery lets three renewals fail within a term.
 	renewEvery = 600 * time.Millisecond
 	// takeOverSpread keeps entries from taking the lease over all at once.
-	takeOverSpread = 250 * time.Millisecond
+	takeOverSpread = 100 * time.Millisecond
+	// weaknessLag lets entries with more processor time and a faster link take the lease over first.
+	weaknessLag = 500 * time.Millisecond
+	// strongLink is the speed beyond which a faster link makes no better leader, in bits a second.
+	strongLink = 100e6
 	// workerLease outlasts the death of a leader, the term of its lease and the start of the next one.
 	workerLease = 6 * time.Second
 	// contactLimit is how long an entry without an answer of the record store takes new connections.
@@ -82,9 +86,11 @@
 	MoveTime        time.Duration // until a moved instance serves again
 	MaintenanceTime time.Duration // until a maintained instance serves again
 
-	Journal Journal
-	Spread  float64              // of this entry's turn to take over, 0 to 1
-	Now     func() time.Duration // nil is Uptime
+	Journal    Journal
+	Spread     float64              // of this entry's turn to take over, 0 to 1
+	Processors float64              // share of a core that this entry may use
+	Link       float64              // bits a second; 0 is fast
+	Now        func() time.Duration // nil is Uptime
 	// Listen replaces the network in tests.
 	Listen func(ctx context.Context, network, address string) (listener net.Listener, err error)
 }
@@ -114,13 +120,23 @@
 	p.keeper = leadership.NewKeeper(leadership.KeeperConfig{
 		Lease: leadership.Config{
 			Self: config.Name, Term: leaderTerm, RenewEvery: renewEvery,
-			TakeOverLag: time.Duration(config.Spread * float64(takeOverSpread)),
+			TakeOverLag: takeOverLag(config),
 		},
 		Store: config.Store, Now: config.Now, Journal: config.Journal, Lead: p.lead,
 	})
 	return p
 }
 
+// takeOverLag is how much longer than a term this entry waits before it takes the lease over.
+func takeOverLag(config Config) time.Duration {
+	weak := 1 - min(1, config.Processors)
+	slow := 0.0
+	if config.Link > 0 {
+		slow = 1 - min(1, config.Link/strongLink)
+	}
+	return time.Duration(config.Spread*float64(takeOverSpread) + (weak+slow)*float64(weaknessLag))
+}
+
 // ready reports whether this entry takes new connections.
 func (p *Process) ready() bool {
 	age := p.config.Now() - time.Duration(p.follower.contact.Load())
