Give up only the runs of the worker that an order on its instance ended

An order on an instance without an answer had been carried out; its repetition, answered with 200, gave up the runs of the worker that had come since. Ruled out: a lapsed lease (the first run ended as done), a second load of the job (one tenure, one load). Change: the roster remembers the worker at the first order.

--- a/roster/roster.go
+++ b/roster/roster.go
@@ -59,7 +59,8 @@
 	retryAt  time.Duration
 	done     bool // the order was carried out
 	doneAt   time.Duration
-	doneLife acaciatally.WorkerID // the worker whose life the order ended
+	sent     bool
+	lastLife acaciatally.WorkerID // the worker whose life the order ends, as it was when the first order was sent
 }
 
 // wave is the progress of one wave.
@@ -107,7 +108,7 @@
 
 // over reports whether the ordered instance serves again; one on standby has no worker to tell its lives apart.
 func (i *intent) over(instance acaciatally.FleetInstance, listed time.Duration) bool {
-	newLife := i.doneLife == "" || instance.Worker != i.doneLife
+	newLife := i.lastLife == "" || instance.Worker != i.lastLife
 	return i.done && i.doneAt < listed && instance.State == acaciatally.InstanceUp && newLife
 }
 
@@ -290,7 +291,6 @@
 	Maintain bool
 	Wave     int
 	To       acaciatally.PoolName
-	worker   acaciatally.WorkerID
 	todo     *intent
 }
 
@@ -311,8 +311,11 @@
 			continue
 		}
 		todo.sending = true
+		if !todo.sent {
+			todo.sent, todo.lastLife = true, instance.Worker
+		}
 		orders = append(orders, Order{
-			Instance: id, Maintain: todo.purpose == toMaintain, Wave: todo.wave, To: todo.to, worker: instance.Worker, todo: todo,
+			Instance: id, Maintain: todo.purpose == toMaintain, Wave: todo.wave, To: todo.to, todo: todo,
 			Lease: acaciatally.FleetLease{Holder: r.config.Holder, Fence: todo.fence},
 		})
 	}
@@ -328,8 +331,8 @@
 	var busy *acaciatally.InstanceBusyError
 	switch {
 	case err == nil:
-		todo.done, todo.doneAt, todo.doneLife = true, now, order.worker
-		m.Removed(order.worker, now)
+		todo.done, todo.doneAt = true, now
+		m.Removed(todo.lastLife, now) // not the present worker, which an earlier order without an answer may have brought
 		if w := r.waves[order.Wave]; order.Maintain && w != nil {
 			w.finished[order.Instance] = true
 			w.saved = false
