Place by job, and stop where no worker has room

Cause: with a backlog of thousands of tasks each round sorted all of them and tried all workers for each; the leader's processor bound it. Change: jobs are sorted in place of tasks, a step is passed over when no worker has room for it, and siblings of a task without a place are not tried; stuck and leaving runs are looked for ten times a second.

--- a/dispatch/machine.go
+++ b/dispatch/machine.go
@@ -26,7 +26,8 @@
 	workers       map[acaciatally.WorkerID]*worker
 	partitions    map[acaciatally.QueueName]*partition
 	finished      map[acaciatally.JobID]bool // recorded as ended, and retained
-	bumps         uint64                     // rises whenever late orders of before are to be refused
+	checkAt       time.Duration
+	bumps         uint64 // rises whenever late orders of before are to be refused
 	arrivals      map[acaciatally.PoolName]*arrivals
 	runTimes      map[acaciatally.QueueName]*runTime
 	withheld      map[acaciatally.WorkerID]string // workers that are to be emptied, and why
@@ -71,6 +72,7 @@
 	open       []*occurrence
 	arrived    time.Duration // when this leader learned of it
 	dirty      bool
+	late       bool // it can no longer be done in time
 	cancelKey  bool // a request to cancel it is recorded
 	unacked    []endRef
 	endedAt    time.Duration // when its final state was recorded; 0 before
--- a/dispatch/plan.go
+++ b/dispatch/plan.go
@@ -9,6 +9,9 @@
 	"github.com/acaciatally/acaciatally/job"
 )
 
+// checkEvery is the time between two looks at runs that do not progress or have to leave.
+const checkEvery = 100 * time.Millisecond
+
 // Plan opens occurrences, gives up lost runs and places what may run; wall is the time of day.
 func (m *Machine) Plan(now time.Duration, wall time.Time) {
 	for _, j := range m.jobs {
@@ -17,58 +20,39 @@
 		}
 	}
 	m.expire(now)
-	m.moveStuck(now)
-	m.evacuate()
+	if now >= m.checkAt {
+		m.checkAt = now + checkEvery
+		m.moveStuck(now)
+		m.evacuate()
+	}
 	m.place(now)
 }
 
-// unit is what is placed together: a task, or all tasks of a gang.
-type unit struct {
-	job   *activeJob
-	step  *acaciatally.Step
-	tasks []*task
-	late  bool // its job can no longer be done in time
-}
-
-// waiting returns the units of a pool that may start, in the order in which they are to be placed.
-func (m *Machine) waiting(now time.Duration) map[acaciatally.PoolName][]unit {
-	pools := map[acaciatally.PoolName][]unit{}
+// waiting returns the jobs of each pool that have tasks to place, in the order in which they are to be placed.
+func (m *Machine) waiting(now time.Duration) map[acaciatally.PoolName][]*activeJob {
+	pools := map[acaciatally.PoolName][]*activeJob{}
 	for _, j := range m.jobs {
-		if !j.live() {
-			continue
-		}
-		pool := j.accepted.Queue.Pool
-		for _, o := range j.open {
-			pools[pool] = j.appendReady(pools[pool], o, now)
+		if j.live() && j.hasWaiting() {
+			j.late = now > j.arrived+j.allowance()
+			pools[j.accepted.Queue.Pool] = append(pools[j.accepted.Queue.Pool], j)
 		}
 	}
-	for _, units := range pools {
-		slices.SortFunc(units, compareUnits)
+	for _, jobs := range pools {
+		slices.SortFunc(jobs, compareJobs)
 	}
 	return pools
 }
 
-func (j *activeJob) appendReady(units []unit, o *occurrence, now time.Duration) []unit {
-	spec := &j.accepted.Spec
-	late := now > j.arrived+j.allowance()
-	for number, tasks := range o.steps {
-		if !o.ready(spec, number) {
-			continue
-		}
-		step := &spec.Steps[number]
-		if step.Gang {
-			if all(tasks, waitingTask) {
-				units = append(units, unit{job: j, step: step, tasks: tasks, late: late})
-			}
-			continue
-		}
-		for _, t := range tasks {
-			if waitingTask(t) {
-				units = append(units, unit{job: j, step: step, tasks: []*task{t}, late: late})
+// hasWaiting reports whether a task may start that has no run.
+func (j *activeJob) hasWaiting() bool {
+	for _, o := range j.open {
+		for number, tasks := range o.steps {
+			if slices.ContainsFunc(tasks, waitingTask) && o.ready(&j.accepted.Spec, number) {
+				return true
 			}
 		}
 	}
-	return units
+	return false
 }
 
 func waitingTask(t *task) bool { return t.phase == job.Waiting }
@@ -91,16 +75,19 @@
 	return j.accepted.Queue.Objective + time.Duration(max(1, j.accepted.Queue.Stretch)*float64(chain))
 }
 
-// compareUnits puts lasting work first, then by priority, what can still be done in time, and age.
-func compareUnits(a, b unit) int {
+// lasting reports whether the job has tasks that run until it is cancelled.
+func (j *activeJob) lasting() bool {
+	return slices.ContainsFunc(j.accepted.Spec.Steps, func(step acaciatally.Step) bool { return step.Lasting })
+}
+
+// compareJobs puts lasting work first, then by priority, what can still be done in time, and age.
+func compareJobs(a, b *activeJob) int {
 	return cmp.Or(
-		compareBool(b.step.Lasting && !b.step.Backfill, a.step.Lasting && !a.step.Backfill),
-		cmp.Compare(a.job.accepted.Queue.Priority, b.job.accepted.Queue.Priority),
+		compareBool(b.lasting(), a.lasting()),
+		cmp.Compare(a.accepted.Queue.Priority, b.accepted.Queue.Priority),
 		compareBool(a.late, b.late),
-		cmp.Compare(a.job.arrived, b.job.arrived),
-		cmp.Compare(a.job.id, b.job.id),
-		cmp.Compare(a.tasks[0].ref.Step, b.tasks[0].ref.Step),
-		cmp.Compare(a.tasks[0].ref.Index, b.tasks[0].ref.Index),
+		cmp.Compare(a.arrived, b.arrived),
+		cmp.Compare(a.id, b.id),
 	)
 }
 
@@ -115,16 +102,65 @@
 	return 1
 }
 
-// place assigns waiting units to workers.
+// place assigns waiting tasks to workers.
 func (m *Machine) place(now time.Duration) {
-	for pool, units := range m.waiting(now) {
-		candidates := m.candidates(pool, now)
-		for _, u := range units {
-			m.placeUnit(u, candidates, now)
+	for pool, jobs := range m.waiting(now) {
+		g := &group{candidates: m.candidates(pool, now)}
+		g.measure()
+		for _, j := range jobs {
+			m.placeJob(j, g, now)
 		}
 	}
 }
 
+// placeJob places the ready tasks of a job; once one task of a step finds no worker, its siblings find none either.
+func (m *Machine) placeJob(j *activeJob, g *group, now time.Duration) {
+	for _, o := range j.open {
+		for number, tasks := range o.steps {
+			step := &j.accepted.Spec.Steps[number]
+			if !g.roomiest.Holds(step.Takes()) || !o.ready(&j.accepted.Spec, number) {
+				continue
+			}
+			if step.Gang {
+				if all(tasks, waitingTask) {
+					m.placeGang(tasks, g, now)
+				}
+				continue
+			}
+			for _, t := range tasks {
+				if waitingTask(t) && !m.placeTask(t, g, now) {
+					break
+				}
+			}
+		}
+	}
+}
+
+func (m *Machine) placeTask(t *task, g *group, now time.Duration) bool {
+	c := best(t, g.candidates, now)
+	if c == nil {
+		return false
+	}
+	m.assign(t, c, t.attempt+1)
+	g.measure()
+	return true
+}
+
+// group is the candidates of a pool.
+type group struct {
+	candidates []*candidate
+	roomiest   acaciatally.Room // the most that any of them has left, of each kind
+}
+
+func (g *group) measure() {
+	g.roomiest = acaciatally.Room{}
+	for _, c := range g.candidates {
+		g.roomiest.Processors = max(g.roomiest.Processors, c.free.Processors)
+		g.roomiest.Memory = max(g.roomiest.Memory, c.free.Memory)
+		g.roomiest.Accelerators = max(g.roomiest.Accelerators, c.free.Accelerators)
+	}
+}
+
 // candidate is a worker that may get new runs, and what it has left.
 type candidate struct {
 	w       *worker
@@ -187,22 +223,11 @@
 		(step.PerWorker == 0 || c.perStep[t.stepKey()] < step.PerWorker) && c.w.health.admits(c.runs, now)
 }
 
-// placeUnit assigns all tasks of a unit or none.
-func (m *Machine) placeUnit(u unit, candidates []*candidate, now time.Duration) {
-	if len(u.tasks) == 1 {
-		if c := best(u.tasks[0], candidates, now); c != nil {
-			m.assign(u.tasks[0], c, u.tasks[0].attempt+1)
-		}
-		return
-	}
-	m.placeGang(u, candidates, now)
-}
-
 // placeGang places the members one by one on copies of the candidates, and keeps the result only if all fit.
-func (m *Machine) placeGang(u unit, candidates []*candidate, now time.Duration) {
-	trial := make([]*candidate, 0, len(candidates))
+func (m *Machine) placeGang(tasks []*task, g *group, now time.Duration) {
+	trial := make([]*candidate, 0, len(g.candidates))
 	original := map[*candidate]*candidate{}
-	for _, c := range candidates {
+	for _, c := range g.candidates {
 		copied := newCandidate(c.w)
 		copied.free, copied.runs = c.free, c.runs
 		trial = append(trial, copied)
@@ -210,8 +235,8 @@
 	}
 	attempt := 0
 	checkpoint := ""
-	chosen := make([]*candidate, 0, len(u.tasks))
-	for _, t := range u.tasks {
+	chosen := make([]*candidate, 0, len(tasks))
+	for _, t := range tasks {
 		c := best(t, trial, now)
 		if c == nil {
 			return
@@ -223,10 +248,11 @@
 			checkpoint = t.checkpoint
 		}
 	}
-	for i, t := range u.tasks {
+	for i, t := range tasks {
 		t.checkpoint = checkpoint
 		m.assign(t, chosen[i], attempt)
 	}
+	g.measure()
 }
 
 func (m *Machine) assign(t *task, c *candidate, attempt int) {
