Place only after changes, and remember sizes that found no place

Change: within one placement, what is at least as large as a task without a place is passed over; a placement is made after a change or every 100 ms.

--- a/dispatch/arrive.go
+++ b/dispatch/arrive.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"slices"
 	"time"
 
 	"github.com/acaciatally/acaciatally"
@@ -14,7 +15,8 @@
 	}
 	j := &activeJob{
 		id: id, accepted: accepted, state: progress.State, digest: progress.Digest, next: progress.Next, arrived: now,
-		waitingRow: progress.State == acaciatally.JobQueued && accepted.Spec.Repeat == 0,
+		waitingRow: progress.State == acaciatally.JobQueued && accepted.Spec.Repeat == 0, changed: true,
+		lasting: slices.ContainsFunc(accepted.Spec.Steps, func(step acaciatally.Step) bool { return step.Lasting }),
 	}
 	if m.configuration != nil {
 		for _, queue := range m.configuration.Queues {
@@ -70,6 +72,7 @@
 		}
 		j.open = append(j.open, o)
 		j.next++
+		j.changed = true
 	}
 }
 
--- a/dispatch/machine.go
+++ b/dispatch/machine.go
@@ -26,8 +26,9 @@
 	workers       map[acaciatally.WorkerID]*worker
 	partitions    map[acaciatally.QueueName]*partition
 	finished      map[acaciatally.JobID]bool // recorded as ended, and retained
-	checkAt       time.Duration
-	bumps         uint64 // rises whenever late orders of before are to be refused
+	checkAt       time.Duration              // when to look next for runs that are stuck or have to leave
+	placeAt       time.Duration              // when to place next, even if nothing has changed
+	bumps         uint64                     // rises whenever late orders of before are to be refused
 	arrivals      map[acaciatally.PoolName]*arrivals
 	runTimes      map[acaciatally.QueueName]*runTime
 	withheld      map[acaciatally.WorkerID]string // workers that are to be emptied, and why
@@ -73,6 +74,8 @@
 	arrived    time.Duration // when this leader learned of it
 	dirty      bool
 	late       bool // it can no longer be done in time
+	lasting    bool // it has tasks that run until it is cancelled
+	changed    bool // a task has begun or ceased to wait since the last placement
 	cancelKey  bool // a request to cancel it is recorded
 	unacked    []endRef
 	endedAt    time.Duration // when its final state was recorded; 0 before
@@ -172,7 +175,7 @@
 	t.stop, t.stopSent, t.stopped, t.ambiguous, t.tries = "", false, 0, false, 0
 	t.orderedAt, t.confirmed, t.percent, t.percentAt, t.tail = 0, 0, 0, 0, 0
 	t.pace, t.paceWanted, t.permission = fullPace, fullPace, ""
-	t.job.dirty = true
+	t.job.dirty, t.job.changed = true, true
 }
 
 // fullPace is the share in percent of a run that is not slowed down.
--- a/dispatch/plan.go
+++ b/dispatch/plan.go
@@ -25,7 +25,19 @@
 		m.moveStuck(now)
 		m.evacuate()
 	}
-	m.place(now)
+	if m.changed() || now >= m.placeAt {
+		m.placeAt = now + checkEvery
+		m.place(now)
+	}
+}
+
+// changed reports whether a task has begun or ceased to wait since the last placement.
+func (m *Machine) changed() (changed bool) {
+	for _, j := range m.jobs {
+		changed = changed || j.changed
+		j.changed = false
+	}
+	return changed
 }
 
 // waiting returns the jobs of each pool that have tasks to place, in the order in which they are to be placed.
@@ -75,15 +87,10 @@
 	return j.accepted.Queue.Objective + time.Duration(max(1, j.accepted.Queue.Stretch)*float64(chain))
 }
 
-// lasting reports whether the job has tasks that run until it is cancelled.
-func (j *activeJob) lasting() bool {
-	return slices.ContainsFunc(j.accepted.Spec.Steps, func(step acaciatally.Step) bool { return step.Lasting })
-}
-
 // compareJobs puts lasting work first, then by priority, what can still be done in time, and age.
 func compareJobs(a, b *activeJob) int {
 	return cmp.Or(
-		compareBool(b.lasting(), a.lasting()),
+		compareBool(b.lasting, a.lasting),
 		cmp.Compare(a.accepted.Queue.Priority, b.accepted.Queue.Priority),
 		compareBool(a.late, b.late),
 		cmp.Compare(a.arrived, b.arrived),
@@ -118,7 +125,7 @@
 	for _, o := range j.open {
 		for number, tasks := range o.steps {
 			step := &j.accepted.Spec.Steps[number]
-			if !g.roomiest.Holds(step.Takes()) || !o.ready(&j.accepted.Spec, number) {
+			if g.full(step) || !o.ready(&j.accepted.Spec, number) {
 				continue
 			}
 			if step.Gang {
@@ -139,17 +146,34 @@
 func (m *Machine) placeTask(t *task, g *group, now time.Duration) bool {
 	c := best(t, g.candidates, now)
 	if c == nil {
+		g.refused(t.step)
 		return false
 	}
 	m.assign(t, c, t.attempt+1)
-	g.measure()
 	return true
 }
 
 // group is the candidates of a pool.
 type group struct {
 	candidates []*candidate
-	roomiest   acaciatally.Room // the most that any of them has left, of each kind
+	roomiest   acaciatally.Room   // the most that any of them had left at first, of each kind
+	tooLarge   []acaciatally.Room // that no candidate has left; room only shrinks while tasks are placed
+}
+
+// full reports whether a task of the step surely finds no place.
+func (g *group) full(step *acaciatally.Step) bool {
+	takes := step.Takes()
+	return !g.roomiest.Holds(takes) || slices.ContainsFunc(g.tooLarge, takes.Holds)
+}
+
+// refused remembers a task without a place, if only its size can have been the reason.
+func (g *group) refused(step *acaciatally.Step) {
+	if step.Label != "" || step.PerWorker > 0 {
+		return
+	}
+	takes := step.Takes()
+	g.tooLarge = slices.DeleteFunc(g.tooLarge, func(larger acaciatally.Room) bool { return larger.Holds(takes) })
+	g.tooLarge = append(g.tooLarge, takes)
 }
 
 func (g *group) measure() {
@@ -252,7 +276,6 @@
 		t.checkpoint = checkpoint
 		m.assign(t, chosen[i], attempt)
 	}
-	g.measure()
 }
 
 func (m *Machine) assign(t *task, c *candidate, attempt int) {
--- a/dispatch/worker.go
+++ b/dispatch/worker.go
@@ -246,6 +246,9 @@
 	if !report.Born.IsZero() && !report.Born.Equal(w.born) {
 		m.reborn(w, report.Born, now)
 	}
+	if !w.known || w.failures > 0 {
+		m.placeAt = now // it may get new runs from now on
+	}
 	if w.failures > 0 {
 		m.config.Journal.WorkerChanged(id, w.entry.Pool, "answers again", now-w.clockAt)
 	}
