--- a/capacity/plan.go
+++ b/capacity/plan.go
@@ -57,7 +57,16 @@
 type balance struct {
 	pool *Pool
 	have int
-	need int
+	must int // for the work that is there
+	need int // with what the pool keeps for work to come
+}
+
+// lacks reports whether work that is there waits for instances.
+func (b *balance) lacks() bool { return !b.pool.Standby && b.have < b.must }
+
+// gives reports whether the pool may give an instance, to one that lacks some or only for work to come.
+func (b *balance) gives(lacking bool) bool {
+	return b.pool.Standby || b.have > b.need || (lacking && b.have > b.must)
 }
 
 // Plan returns the moves to begin now.
@@ -65,7 +74,7 @@
 	balances := map[acaciatally.PoolName]*balance{}
 	for i := range pools {
 		p := &pools[i]
-		balances[p.Name] = &balance{pool: p, have: p.Incoming, need: config.need(p)}
+		balances[p.Name] = &balance{pool: p, have: p.Incoming, must: config.must(p), need: config.need(p)}
 	}
 	for _, instance := range instances {
 		if b := balances[instance.Pool]; b != nil && instance.Up && !instance.Reserved && !instance.Unhealthy {
@@ -73,15 +82,14 @@
 		}
 	}
 	short := shortages(balances)
-	donors := config.donors(balances, instances, len(short) > 0)
+	donors := config.donors(balances, instances, short)
 	for len(donors) > 0 && len(short) > 0 && len(moves) < config.LargestStep {
 		donor := donors[0]
 		donors = donors[1:]
-		from := balances[donor.Pool]
-		if !from.pool.Standby && from.have <= from.need {
+		from, to := balances[donor.Pool], short[0]
+		if from == to || !from.gives(to.lacks()) {
 			continue
 		}
-		to := short[0]
 		moves = append(moves, Move{donor.ID, donor.Pool, to.pool.Name})
 		from.have--
 		to.have++
@@ -95,13 +103,21 @@
 	return append(moves, config.giveBack(balances, donors)...)
 }
 
-// need returns the instances that a pool needs.
+// need returns the instances that a pool needs, with those that it keeps.
 func (c Config) need(p *Pool) int {
+	if p.Standby || p.PerUnit == 0 {
+		return 0
+	}
+	return max(c.Least, c.must(p))
+}
+
+// must returns the instances that the pool's present and expected work needs; the last one is not taken from a pool.
+func (c Config) must(p *Pool) int {
 	if p.Standby || p.PerUnit == 0 {
 		return 0
 	}
 	demand := float64(max(p.Used+p.Waiting, p.Expected)) * (1 + c.Headroom)
-	return max(c.Least, p.Spread, int(math.Ceil(demand/float64(p.PerUnit))))
+	return max(1, p.Spread, int(math.Ceil(demand/float64(p.PerUnit))))
 }
 
 // shortages returns the pools with too few instances, the one that lacks the largest share first.
@@ -112,43 +128,44 @@
 		}
 	}
 	slices.SortFunc(short, func(a, b *balance) int {
-		return cmp.Or(cmp.Compare(a.have*b.need, b.have*a.need), cmp.Compare(a.pool.Name, b.pool.Name))
+		return cmp.Or(compareBool(b.lacks(), a.lacks()), cmp.Compare(a.have*b.need, b.have*a.need), cmp.Compare(a.pool.Name, b.pool.Name))
 	})
 	return short
 }
 
+// compareBool orders false before true.
+func compareBool(a, b bool) int {
+	switch {
+	case a == b:
+		return 0
+	case b:
+		return -1
+	}
+	return 1
+}
+
 // donors returns the instances that may leave their pools: on standby first, then idle ones, then the least busy.
-func (c Config) donors(balances map[acaciatally.PoolName]*balance, instances []Instance, needed bool) (donors []Instance) {
+func (c Config) donors(balances map[acaciatally.PoolName]*balance, instances []Instance, short []*balance) (donors []Instance) {
+	needed := len(short) > 0
+	lacking := needed && short[0].lacks()
 	for _, instance := range instances {
 		b := balances[instance.Pool]
 		if b == nil || !instance.Up || instance.Reserved || instance.Lasting > 0 || instance.Unhealthy {
 			continue
 		}
-		if b.pool.Standby || b.have > b.need {
-			if instance.Runs == 0 || needed {
-				donors = append(donors, instance)
-			}
+		if b.gives(lacking) && (instance.Runs == 0 || needed) {
+			donors = append(donors, instance)
 		}
 	}
 	slices.SortFunc(donors, func(a, b Instance) int {
 		return cmp.Or(
-			standbyFirst(balances[a.Pool].pool, balances[b.Pool].pool),
+			compareBool(balances[b.Pool].pool.Standby, balances[a.Pool].pool.Standby),
 			cmp.Compare(a.Runs, b.Runs), cmp.Compare(b.Idle, a.Idle), cmp.Compare(a.ID, b.ID),
 		)
 	})
 	return donors
 }
 
-func standbyFirst(a, b *Pool) int {
-	switch {
-	case a.Standby == b.Standby:
-		return 0
-	case a.Standby:
-		return -1
-	}
-	return 1
-}
-
 // giveBack moves idle instances that no pool needs to standby.
 func (c Config) giveBack(balances map[acaciatally.PoolName]*balance, donors []Instance) (moves []Move) {
 	standby := standbyPool(balances)
--- a/leadership/keeper.go
+++ b/leadership/keeper.go
@@ -42,6 +42,7 @@
 	config KeeperConfig
 	mutex  sync.Mutex
 	lease  *Lease
+	from   uint64 // newest version of the store that was read, from which the feed goes on
 	tenure *tenure
 }
 
@@ -100,7 +101,7 @@
 func (k *Keeper) wait(ctx context.Context, again time.Duration) {
 	again = min(again, longestWait)
 	k.mutex.Lock()
-	leads, version, seen := k.lease.Leads(k.config.Now()), k.lease.version, k.lease.seen
+	leads, seen := k.lease.Leads(k.config.Now()), k.lease.seen
 	k.mutex.Unlock()
 	if leads {
 		pause(ctx, again)
@@ -110,13 +111,15 @@
 		k.read(ctx)
 		return
 	}
-	page, err := k.config.Store.Follow(ctx, Table, version, again)
+	page, err := k.config.Store.Follow(ctx, Table, k.from, again)
 	switch {
 	case errors.Is(err, acaciatally.ErrHistoryGone):
 		k.read(ctx)
+		pause(ctx, retryPause)
 	case err != nil:
 		pause(ctx, min(again, retryPause))
 	default:
+		k.from = page.Version
 		k.observe(page.Records)
 	}
 }
@@ -127,6 +130,7 @@
 		pause(ctx, retryPause)
 		return
 	}
+	k.from = page.Version
 	if len(page.Records) == 0 {
 		k.mutex.Lock()
 		k.lease.Observe(Row{}, 0, k.config.Now())
