--- /dev/null
+++ b/capacity/plan_test.go
@@ -0,0 +1,100 @@
+package capacity_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/acaciatally/acaciatally"
+	"github.com/acaciatally/acaciatally/capacity"
+)
+
+const unit = 64000
+
+// idle returns instances of a pool without runs.
+func idle(pool acaciatally.PoolName, count int) (instances []capacity.Instance) {
+	for i := range count {
+		instances = append(instances, capacity.Instance{
+			ID: acaciatally.InstanceID(fmt.Sprintf("%s-%d", pool, i)), Pool: pool, Up: true, Idle: time.Minute,
+		})
+	}
+	return instances
+}
+
+func busy(pool acaciatally.PoolName, count, lasting int) []capacity.Instance {
+	instances := idle(pool, count)
+	for i := range instances {
+		instances[i].Runs, instances[i].Lasting, instances[i].Idle = 4, lasting, 0
+	}
+	return instances
+}
+
+// TestPlan guards against work that waits while instances are free elsewhere, and against instances that are kept without need.
+func TestPlan(t *testing.T) {
+	standby := capacity.Pool{Name: "standby", Standby: true, PerUnit: unit}
+	tests := map[string]struct {
+		pools     []capacity.Pool
+		instances []capacity.Instance
+		moves     map[acaciatally.PoolName]int // by where to
+	}{
+		"calm": {
+			pools:     []capacity.Pool{{Name: "a", Used: unit, PerUnit: unit}, standby},
+			instances: append(busy("a", 3, 0), idle("standby", 2)...),
+			moves:     map[acaciatally.PoolName]int{},
+		},
+		"burst is served from standby": {
+			pools:     []capacity.Pool{{Name: "a", Used: 3 * unit, Waiting: 3 * unit, PerUnit: unit}, standby},
+			instances: append(busy("a", 3, 0), idle("standby", 8)...),
+			moves:     map[acaciatally.PoolName]int{"a": 4},
+		},
+		"burst is served from an idle pool": {
+			pools:     []capacity.Pool{{Name: "a", Waiting: 4 * unit, PerUnit: unit}, {Name: "b", PerUnit: unit}},
+			instances: append(busy("a", 3, 0), idle("b", 6)...),
+			moves:     map[acaciatally.PoolName]int{"a": 2},
+		},
+		"the last instance stays": {
+			pools:     []capacity.Pool{{Name: "a", Waiting: 9 * unit, PerUnit: unit}, {Name: "b", PerUnit: unit}},
+			instances: append(busy("a", 3, 0), idle("b", 2)...),
+			moves:     map[acaciatally.PoolName]int{"a": 1},
+		},
+		"lasting work is not moved": {
+			pools:     []capacity.Pool{{Name: "a", Waiting: 9 * unit, PerUnit: unit}, {Name: "b", PerUnit: unit}},
+			instances: append(busy("a", 3, 0), busy("b", 6, 1)...),
+			moves:     map[acaciatally.PoolName]int{},
+		},
+		"instances on their way count": {
+			pools:     []capacity.Pool{{Name: "a", Waiting: 4 * unit, Incoming: 2, PerUnit: unit}, standby},
+			instances: append(busy("a", 3, 0), idle("standby", 8)...),
+			moves:     map[acaciatally.PoolName]int{},
+		},
+		"bounds on a worker's tasks need instances": {
+			pools:     []capacity.Pool{{Name: "a", Used: 1000, Spread: 5, PerUnit: unit}, standby},
+			instances: append(busy("a", 3, 1), idle("standby", 8)...),
+			moves:     map[acaciatally.PoolName]int{"a": 2},
+		},
+		"idle instances are given back": {
+			pools:     []capacity.Pool{{Name: "a", Used: 1000, PerUnit: unit}, standby},
+			instances: idle("a", 9),
+			moves:     map[acaciatally.PoolName]int{"standby": 6},
+		},
+		"unhealthy instances neither count nor move": {
+			pools: []capacity.Pool{{Name: "a", Waiting: 2 * unit, PerUnit: unit}, standby},
+			instances: append(idle("standby", 4),
+				capacity.Instance{ID: "a-0", Pool: "a", Up: true, Unhealthy: true},
+				capacity.Instance{ID: "a-1", Pool: "a", Up: true}),
+			moves: map[acaciatally.PoolName]int{"a": 2},
+		},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			moves := map[acaciatally.PoolName]int{}
+			for _, move := range capacity.Plan(capacity.Defaults(), test.pools, test.instances) {
+				moves[move.To]++
+				require.NotEqual(t, move.From, move.To)
+			}
+			require.Equal(t, test.moves, moves)
+		})
+	}
+}
--- /dev/null
+++ b/leadership/lease_test.go
@@ -0,0 +1,100 @@
+package leadership_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"github.com/acaciatally/acaciatally/leadership"
+)
+
+const (
+	term  = 2500 * time.Millisecond
+	renew = 600 * time.Millisecond
+)
+
+func newLease(self string) *leadership.Lease {
+	return leadership.New(leadership.Config{Self: self, Term: term, RenewEvery: renew})
+}
+
+// TestTakeOver guards against two leaders: a lease is taken over only after its version stood still for a whole term.
+func TestTakeOver(t *testing.T) {
+	lease := newLease("b")
+	step, _ := lease.Next(0)
+	require.Equal(t, leadership.Wait, step, "nothing is known yet")
+	lease.Observe(leadership.Row{Holder: "a", Epoch: 3}, 10, 0)
+	step, again := lease.Next(term - 1)
+	require.Equal(t, leadership.Wait, step)
+	require.Equal(t, time.Duration(1), again)
+	lease.Observe(leadership.Row{Holder: "a", Epoch: 3}, 11, term-1)
+	step, _ = lease.Next(term)
+	require.Equal(t, leadership.Wait, step, "it was renewed")
+	step, _ = lease.Next(2*term - 1)
+	require.Equal(t, leadership.Take, step)
+	row, version := lease.Proposal()
+	require.Equal(t, leadership.Row{Holder: "b", Epoch: 4}, row)
+	require.EqualValues(t, 11, version)
+}
+
+// TestReleased guards against a term of silence after a graceful stop or before the first leader.
+func TestReleased(t *testing.T) {
+	for name, row := range map[string]leadership.Row{"never held": {}, "given up": {Epoch: 7}} {
+		t.Run(name, func(t *testing.T) {
+			lease := newLease("b")
+			lease.Observe(row, 1, 0)
+			step, _ := lease.Next(0)
+			require.Equal(t, leadership.Take, step)
+		})
+	}
+}
+
+// TestExpires guards against a leader that acts after others may have taken over; its right counts from when it sent the renewal.
+func TestExpires(t *testing.T) {
+	lease := newLease("a")
+	lease.Observe(leadership.Row{}, 0, 0)
+	row, _ := lease.Proposal()
+	lease.Committed(row, 1, 100, 900)
+	require.True(t, lease.Leads(100+term-1))
+	require.False(t, lease.Leads(100+term))
+	lease.Observe(leadership.Row{Holder: "b", Epoch: 2}, 2, 1000)
+	require.False(t, lease.Leads(1001))
+}
+
+// TestSingleLeader guards against two entries that lead at once under drawn delays, losses and clocks that are apart.
+func TestSingleLeader(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		store, version := leadership.Row{}, uint64(0)
+		leases := []*leadership.Lease{newLease("a"), newLease("b"), newLease("c")}
+		offsets := []time.Duration{0, time.Hour, 3 * time.Second}
+		now := time.Duration(0)
+		for range 200 {
+			now += time.Duration(rapid.IntRange(1, 900).Draw(t, "pause")) * time.Millisecond
+			i := rapid.IntRange(0, len(leases)-1).Draw(t, "entry")
+			lease, local := leases[i], now+offsets[i]
+			if rapid.Bool().Draw(t, "reads") {
+				lease.Observe(store, version, local)
+			}
+			step, _ := lease.Next(local)
+			if step != leadership.Wait {
+				row, on := lease.Proposal()
+				if on == version {
+					store, version = row, version+1
+					if rapid.Bool().Draw(t, "answered") {
+						lease.Committed(row, version, local, local)
+					}
+				}
+			}
+			leaders := 0
+			for j, other := range leases {
+				if other.Leads(now + offsets[j]) {
+					leaders++
+				}
+			}
+			if leaders > 1 {
+				t.Fatalf("%d leaders", leaders)
+			}
+		}
+	})
+}
