--- a/dispatch/demand.go
+++ b/dispatch/demand.go
@@ -2,8 +2,6 @@
 
 import (
 	"time"
-
-	"github.com/acaciatally/acaciatally"
 )
 
 const (
@@ -95,11 +93,3 @@
 	}
 	m.runTimes[queue].learn(now - t.confirmed)
 }
-
-// meanRun returns the mean run time of a queue's tasks.
-func (m *Machine) meanRun(queue acaciatally.QueueName) time.Duration {
-	if known := m.runTimes[queue]; known != nil {
-		return known.mean
-	}
-	return 0
-}
--- a/roster/roster.go
+++ b/roster/roster.go
@@ -370,7 +370,7 @@
 }
 
 // Records returns the waves whose record is out of date.
-func (r *Roster) Records(now time.Duration) (records []WaveRecord) {
+func (r *Roster) Records() (records []WaveRecord) {
 	for number, w := range r.waves {
 		completed := r.listed && r.complete(w)
 		if w.saved && (w.told || !completed) {
--- a/site/failure_test.go
+++ b/site/failure_test.go
@@ -22,7 +22,9 @@
 }
 
 // path returns the path of a job, whose id differs between queues too.
-func path(queue string, number int) string { return fmt.Sprintf("/%s/%08x%08x", queue, len(queue), number) }
+func path(queue string, number int) string {
+	return fmt.Sprintf("/%s/%08x%08x", queue, len(queue), number)
+}
 
 // submitMany hands in jobs of one step at entries that are reachable.
 func (w *world) submitMany(e *entry, queue string, count int, body any) (paths []string) {
--- a/site/fleet.go
+++ b/site/fleet.go
@@ -51,7 +51,7 @@
 	for _, order := range f.roster.Orders(m, now) {
 		go f.order(ctx, m, order)
 	}
-	f.save(ctx, now)
+	f.save(ctx)
 }
 
 func (f *fleetRunner) list(ctx context.Context, now time.Duration) {
@@ -118,8 +118,8 @@
 }
 
 // save records the progress of waves, for operators and for the next leader.
-func (f *fleetRunner) save(ctx context.Context, now time.Duration) {
-	records := f.roster.Records(now)
+func (f *fleetRunner) save(ctx context.Context) {
+	records := f.roster.Records()
 	if f.saving || len(records) == 0 {
 		return
 	}
--- a/site/world_test.go
+++ b/site/world_test.go
@@ -66,7 +66,7 @@
 	w.behave = emulator.Behaviour{Took: func(string) time.Duration { return 800 * time.Millisecond }}
 	w.control.Boot = w.boot
 	w.control.Gone = func(worker *emulator.Worker) { w.store.Drop("servers", worker.ID()) }
-	w.serve(w.address("10.8.0.1", 80), w.control)
+	w.serve(webAddress("10.8.0.1"), w.control)
 	w.caller = &http.Client{Transport: &http.Transport{DialContext: w.dial(netip.MustParseAddr("10.7.0.1")), MaxIdleConnsPerHost: 8}}
 	w.configure(1, 0)
 	for range entries {
@@ -96,9 +96,8 @@
 	time.Sleep(2 * dialTimeout) // until connections that were being opened have failed
 }
 
-func (w *world) address(ip string, port uint16) netip.AddrPort {
-	return netip.AddrPortFrom(netip.MustParseAddr(ip), port)
-}
+// webAddress returns the address of a simulated host's only server.
+func webAddress(ip string) netip.AddrPort { return netip.AddrPortFrom(netip.MustParseAddr(ip), 80) }
 
 func (w *world) serve(address netip.AddrPort, handler http.Handler) {
 	server := &http.Server{Handler: handler}
@@ -135,7 +134,8 @@
 		})
 	}
 	w.store.Put("op", "config", map[string]any{"version": version, "routes": routes, "services": []map[string]any{
-		{"name": "intake", "healthPath": "/health"}, {"name": "coating", "healthPath": "/health"},
+		{"name": "intake", "healthPath": "/health"},
+		{"name": "coating", "healthPath": "/health"},
 		{"name": "reserve", "healthPath": "/health", "standby": true},
 	}})
 }
@@ -176,7 +176,7 @@
 	e := &entry{
 		name: fmt.Sprintf("entry-%d", number), ip: netip.AddrFrom4([4]byte{10, 2, 0, byte(number)}), faults: emulator.NewFaults(),
 	}
-	w.serve(w.address(fmt.Sprintf("10.9.0.%d", number), 80), w.store.Handler(e.faults))
+	w.serve(webAddress(fmt.Sprintf("10.9.0.%d", number)), w.store.Handler(e.faults))
 	w.entries = append(w.entries, e)
 	w.run(e, number)
 	return e
@@ -190,9 +190,9 @@
 	book := logbook.New(w.log, e.name)
 	process := site.New(site.Config{
 		Name: e.name, CallerListen: netip.AddrPortFrom(e.ip, 80), ReadyListen: netip.AddrPortFrom(e.ip, 81), Grace: 6 * time.Second,
-		Store:  platform.NewStore(w.address(fmt.Sprintf("10.9.0.%d", number), 80), dial),
+		Store:  platform.NewStore(webAddress(fmt.Sprintf("10.9.0.%d", number)), dial),
 		Orders: platform.NewOrders(dial),
-		Fleet:  platform.NewFleet(w.address("10.8.0.1", 80), dial), WaveStatus: platform.WaveStatus,
+		Fleet:  platform.NewFleet(webAddress("10.8.0.1"), dial), WaveStatus: platform.WaveStatus,
 		Operators: site.OperatorRecords{
 			Table: platform.OperatorTable, ConfigurationKey: platform.ConfigurationKey,
 			DecodeConfiguration: platform.DecodeConfiguration, DecodeWave: platform.DecodeWave,
