Order by what can be in time, pace waves, and move checkpointing runs on

Ruled out: reaction of the planner (moves are planned within 100 ms of the rise), standby (empty at that time). Change: run times seen in the queue tell whether a job can be in time; a wave takes busy instances at the pace that its time needs; checkpointing runs are stopped on workers that are to be emptied.

--- a/dispatch/arrive.go
+++ b/dispatch/arrive.go
@@ -16,8 +16,10 @@
 	j := &activeJob{
 		id: id, accepted: accepted, state: progress.State, digest: progress.Digest, next: progress.Next, arrived: now,
 		waitingRow: progress.State == acaciatally.JobQueued && accepted.Spec.Repeat == 0, changed: true,
+		depths:  levels(accepted.Spec.Steps),
 		lasting: slices.ContainsFunc(accepted.Spec.Steps, func(step acaciatally.Step) bool { return step.Lasting }),
 	}
+	j.chain = slices.Max(j.depths)
 	if m.configuration != nil {
 		for _, queue := range m.configuration.Queues {
 			if queue.Name == accepted.Queue.Name {
--- a/dispatch/machine.go
+++ b/dispatch/machine.go
@@ -73,10 +73,12 @@
 	open       []*occurrence
 	arrived    time.Duration // when this leader learned of it
 	dirty      bool
-	late       bool // it can no longer be done in time
-	lasting    bool // it has tasks that run until it is cancelled
-	changed    bool // a task has begun or ceased to wait since the last placement
-	cancelKey  bool // a request to cancel it is recorded
+	late       bool  // it can no longer be done in time
+	lasting    bool  // it has tasks that run until it is cancelled
+	depths     []int // for each step, how many steps of the longest chain end with it
+	chain      int   // steps of the longest chain
+	changed    bool  // a task has begun or ceased to wait since the last placement
+	cancelKey  bool  // a request to cancel it is recorded
 	unacked    []endRef
 	endedAt    time.Duration // when its final state was recorded; 0 before
 	waitingRow bool          // it is recorded as waiting
--- a/dispatch/plan.go
+++ b/dispatch/plan.go
@@ -45,7 +45,7 @@
 	pools := map[acaciatally.PoolName][]*activeJob{}
 	for _, j := range m.jobs {
 		if j.live() && j.hasWaiting() {
-			j.late = now > j.arrived+j.allowance()
+			j.late = m.hopeless(j, now)
 			pools[j.accepted.Queue.Pool] = append(pools[j.accepted.Queue.Pool], j)
 		}
 	}
@@ -78,13 +78,53 @@
 	return true
 }
 
-// allowance estimates the time from a job's arrival after which its answer is late.
-func (j *activeJob) allowance() time.Duration {
-	var chain time.Duration
+// optimism shortens the time that a job is expected to need, so that one that may still be in time is not put off.
+const optimism = 0.8
+
+// hopeless reports whether the job can no longer be done in time, by the run times seen in its queue.
+func (m *Machine) hopeless(j *activeJob, now time.Duration) bool {
+	run := m.expectedRun(j)
+	queue := &j.accepted.Queue
+	allowed := queue.Objective + time.Duration(max(1, queue.Stretch)*float64(j.chain)*float64(run))
+	needed := time.Duration(optimism * float64(j.levelsLeft()) * float64(run))
+	return now+needed > j.arrived+allowed
+}
+
+// expectedRun returns the mean run time of the queue's tasks, or before any was seen what the caller estimates.
+func (m *Machine) expectedRun(j *activeJob) time.Duration {
+	if known := m.runTimes[j.accepted.Queue.Name]; known != nil {
+		return known.mean
+	}
+	longest := time.Duration(0)
 	for _, step := range j.accepted.Spec.Steps {
-		chain += step.Estimate
+		longest = max(longest, step.Estimate)
+	}
+	return longest
+}
+
+// levels returns for each step how many steps of the longest chain end with it.
+func levels(steps []acaciatally.Step) []int {
+	depth := make([]int, len(steps))
+	for number, step := range steps {
+		depth[number] = 1
+		for _, earlier := range step.After {
+			depth[number] = max(depth[number], depth[earlier]+1)
+		}
+	}
+	return depth
+}
+
+// levelsLeft returns how many steps of the longest chain are not done.
+func (j *activeJob) levelsLeft() (left int) {
+	for _, o := range j.open {
+		for number, depth := range j.depths {
+			if !o.stepDone(number) {
+				left = max(left, j.chain-depth+1)
+				break
+			}
+		}
 	}
-	return j.accepted.Queue.Objective + time.Duration(max(1, j.accepted.Queue.Stretch)*float64(chain))
+	return left
 }
 
 // compareJobs puts lasting work first, then by priority, what can still be done in time, and age.
--- a/dispatch/view.go
+++ b/dispatch/view.go
@@ -121,22 +121,34 @@
 	}
 }
 
-// evacuate stops the lasting tasks on workers that are to be emptied or leave, within their steps' disruption budgets.
+// nearlyDone is the percentage from which a run is let finish on a worker that is to be emptied.
+const nearlyDone = 75
+
+// evacuate stops runs on workers that are to be emptied or leave: the lasting ones within their steps' disruption budgets, and those that
+// go on elsewhere from a checkpoint.
 func (m *Machine) evacuate() {
 	for _, w := range m.workers {
 		if w.gone || (m.withheld[w.entry.ID] == "" && !w.entry.Draining) {
 			continue
 		}
 		for t := range w.runs {
-			if t.step.Lasting && t.stop == "" && t.stage == running && mayInterrupt(t) {
+			if t.stop == "" && t.stage == running && (mayInterrupt(t) || t.resumes()) {
 				m.stopTask(t, stopMoved)
 			}
 		}
 	}
 }
 
-// mayInterrupt reports whether the disruption budget of a lasting task's step allows to stop it now.
+// resumes reports whether the run is better stopped with a checkpoint than waited for.
+func (t *task) resumes() bool {
+	return t.step.Checkpoints && !t.step.Lasting && !t.step.Gang && t.percent < nearlyDone
+}
+
+// mayInterrupt reports whether the task is a lasting one and its step's disruption budget allows to stop it now.
 func mayInterrupt(t *task) bool {
+	if !t.step.Lasting {
+		return false
+	}
 	budget := 1
 	if t.step.HasMayMiss {
 		budget = t.step.MayMiss
--- a/maintenance/plan.go
+++ b/maintenance/plan.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 	"time"
 
@@ -46,8 +47,8 @@
 	Each time.Duration // from the decision until the instance is back
 }
 
-// pressure is how much of the wave's time is kept in reserve, as a factor on the time that the rest takes.
-const pressure = 1.6
+// pressure is a factor on the time that the rest of a wave takes, so that it is done before its end.
+const pressure = 1.3
 
 // Done reports whether nothing of the wave is left to be begun.
 func (w Wave) Done() bool {
@@ -73,12 +74,13 @@
 		}
 	}
 	slices.SortFunc(pending, compare)
-	urgent := c.urgent(wave, len(pending))
+	pace := c.pace(wave, len(pending))
 	for _, instance := range pending {
 		if busy >= wave.AtOnce {
 			return chosen
 		}
-		if !urgent && !instance.Standby && (!instance.Spare || instance.Runs > 0) {
+		needed := !instance.Standby && (!instance.Spare || instance.Runs > 0)
+		if needed && busy >= pace {
 			continue
 		}
 		busy++
@@ -87,10 +89,13 @@
 	return chosen
 }
 
-// urgent reports whether the rest of the wave takes most of the time that is left.
-func (c Config) urgent(wave Wave, pending int) bool {
-	rounds := (pending + wave.AtOnce - 1) / wave.AtOnce
-	return wave.Left < time.Duration(pressure*float64(rounds+1)*float64(c.Each))
+// pace returns how many instances have to be away at once for the wave to be in time.
+func (c Config) pace(wave Wave, pending int) int {
+	if wave.Left <= c.Each {
+		return wave.AtOnce
+	}
+	load := pressure * float64(pending) * float64(c.Each) / float64(wave.Left-c.Each)
+	return int(math.Round(load))
 }
 
 // compare puts first what costs the least to take down.
--- a/roster/roster.go
+++ b/roster/roster.go
@@ -13,6 +13,10 @@
 const (
 	// emptyLimit is how long a worker may take to become empty before its move is given up; maintenance has no such limit.
 	emptyLimit = 5 * time.Second
+	// emptyTime is how long a worker usually takes to become empty, lasting tasks included.
+	emptyTime = 2 * time.Second
+	// listLag is how long it takes until the list of instances shows what has happened.
+	listLag = 500 * time.Millisecond
 	// orderRetry is the pause after an order without a definite result.
 	orderRetry = 250 * time.Millisecond
 	// fenceShift leaves room for a fencing token of its own for each decision of a tenure.
@@ -226,7 +230,7 @@
 // planWaves chooses the next instances of each wave.
 func (r *Roster) planWaves(pools []capacity.Pool, workers map[acaciatally.WorkerID]dispatch.WorkerView, now time.Duration) {
 	spare := r.spare(pools)
-	planner := maintenance.Config{Each: r.config.MaintenanceTime + r.config.MoveTime}
+	planner := maintenance.Config{Each: emptyTime + r.config.MaintenanceTime + listLag}
 	for number, w := range r.waves {
 		if w.told {
 			continue
