Begin each tenure under an epoch of its own

Ruled out: another holder; the lease's record had not changed. Change: a lapsed tenure is proposed anew under the next epoch. TestNewEpoch failed first.

--- a/leadership/keeper.go
+++ b/leadership/keeper.go
@@ -163,7 +163,7 @@
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	k.mutex.Lock()
-	row, version := k.lease.Proposal()
+	row, version := k.lease.Proposal(k.config.Now())
 	k.mutex.Unlock()
 	sent := k.config.Now()
 	committed, err := k.commit(ctx, row, version)
--- a/leadership/lease.go
+++ b/leadership/lease.go
@@ -83,10 +83,11 @@
 	return Wait, due - now
 }
 
-// Proposal returns the row to commit on the condition that the record is at the version.
-func (l *Lease) Proposal() (row Row, version uint64) {
+// Proposal returns the row to commit on the condition that the record is at the version. A tenure that has lapsed is not continued, but
+// begun anew under the next epoch, since fencing tokens count from the beginning of a tenure.
+func (l *Lease) Proposal(now time.Duration) (row Row, version uint64) {
 	row = l.row
-	if l.row.Holder != l.config.Self || l.until == 0 {
+	if l.row.Holder != l.config.Self || !l.Leads(now) {
 		row = Row{Holder: l.config.Self, Epoch: l.row.Epoch + 1}
 	}
 	return row, l.version
--- a/leadership/lease_test.go
+++ b/leadership/lease_test.go
@@ -33,7 +33,7 @@
 	require.Equal(t, leadership.Wait, step, "it was renewed")
 	step, _ = lease.Next(2*term - 1)
 	require.Equal(t, leadership.Take, step)
-	row, version := lease.Proposal()
+	row, version := lease.Proposal(2*term - 1)
 	require.Equal(t, leadership.Row{Holder: "b", Epoch: 4}, row)
 	require.EqualValues(t, 11, version)
 }
@@ -54,7 +54,7 @@
 func TestExpires(t *testing.T) {
 	lease := newLease("a")
 	lease.Observe(leadership.Row{}, 0, 0)
-	row, _ := lease.Proposal()
+	row, _ := lease.Proposal(0)
 	lease.Committed(row, 1, 100, 900)
 	require.True(t, lease.Leads(100+term-1))
 	require.False(t, lease.Leads(100+term))
@@ -62,6 +62,19 @@
 	require.False(t, lease.Leads(1001))
 }
 
+// TestNewEpoch guards against two tenures of one epoch: fencing tokens of the second would begin below those of the first, and workers
+// would refuse all of its orders.
+func TestNewEpoch(t *testing.T) {
+	lease := newLease("a")
+	lease.Observe(leadership.Row{}, 0, 0)
+	first, _ := lease.Proposal(0)
+	lease.Committed(first, 1, 0, 0)
+	renewal, _ := lease.Proposal(renew)
+	require.Equal(t, first, renewal)
+	again, _ := lease.Proposal(term)
+	require.Equal(t, first.Epoch+1, again.Epoch)
+}
+
 // TestSingleLeader guards against two entries that lead at once under drawn delays, losses and clocks that are apart.
 func TestSingleLeader(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
@@ -78,7 +91,7 @@
 			}
 			step, _ := lease.Next(local)
 			if step != leadership.Wait {
-				row, on := lease.Proposal()
+				row, on := lease.Proposal(local)
 				if on == version {
 					store, version = row, version+1
 					if rapid.Bool().Draw(t, "answered") {
