--- a/dispatch/worker.go
+++ b/dispatch/worker.go
@@ -112,7 +112,10 @@
 	if !entry.Born.IsZero() && !w.entry.Born.IsZero() && entry.Born.After(w.entry.Born) {
 		m.reborn(w, entry.Born, now)
 	}
-	w.listed, w.gone, w.entry = true, false, entry
+	if !w.listed {
+		w.gone = false // it was taken for lost while it was not listed
+	}
+	w.listed, w.entry = true, entry
 }
 
 // supersede ends the life of workers whose instance has a younger one.
