Serve metrics, and print the history of one job, worker or instance

Cause: on-call engineers have only logs and metrics to explain a failed request. Change: every event is counted, also when its line is left out, and the time of submissions is a histogram; both are served at /metrics (attend -metrics PORT); acaciatally history ID reads the logs of several processes and prints what names the id, in order of time.

--- a/console/attend.go
+++ b/console/attend.go
@@ -4,9 +4,14 @@
 	"context"
 	"fmt"
 	"hash/fnv"
+	"net/http"
+	"net/netip"
 	"os"
 	"runtime/debug"
 
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/labstack/echo/v5"
+
 	"github.com/acaciatally/acaciatally"
 	"github.com/acaciatally/acaciatally/logbook"
 	"github.com/acaciatally/acaciatally/platform"
@@ -24,6 +29,7 @@
 func attend(config Config, arguments []string) (err error) {
 	set := flags(config, "attend [flags]", "  acaciatally attend\n  acaciatally attend -check -settings local.json\n")
 	path := set.String("settings", config.Getenv(platform.SettingsVariable), "settings file that the platform writes")
+	port := set.Uint("metrics", 0, "port on which /metrics is served; 0 serves none")
 	checkOnly := set.Bool("check", false, "check the settings and exit")
 	if err = parse(set, arguments); err != nil {
 		return err
@@ -35,10 +41,10 @@
 	if err != nil || *checkOnly {
 		return err
 	}
-	return attendSite(config, *path, settings)
+	return attendSite(config, *path, uint16(*port), settings)
 }
 
-func attendSite(config Config, path string, settings platform.Settings) error {
+func attendSite(config Config, path string, port uint16, settings platform.Settings) error {
 	debug.SetGCPercent(collectPercent)
 	if settings.Memory > 0 {
 		debug.SetMemoryLimit(int64(memoryShare * float64(settings.Memory)))
@@ -50,7 +56,11 @@
 	go stopOnSignal(cancel)
 	context.AfterFunc(ctx, func() { book.Stopping("signal") })
 	go reloadOnSignal(ctx, path, book)
-	err := site.New(siteConfig(settings, book)).Run(ctx)
+	entry := siteConfig(settings, book)
+	if port != 0 {
+		entry.Metrics, entry.MetricsAt = metricsHandler(book), netip.AddrPortFrom(settings.IP, port)
+	}
+	err := site.New(entry).Run(ctx)
 	book.Stopped(err)
 	if closing := book.Close(); closing != nil {
 		_, _ = fmt.Fprintln(os.Stderr, closing)
@@ -58,6 +68,17 @@
 	return err
 }
 
+// metricsHandler serves the counters of the process.
+func metricsHandler(book *logbook.Book) http.Handler {
+	server := echo.New()
+	server.GET("/metrics", func(c *echo.Context) error {
+		book.Metrics().WritePrometheus(c.Response())
+		metrics.WriteProcessMetrics(c.Response())
+		return nil
+	})
+	return server
+}
+
 func siteConfig(settings platform.Settings, book *logbook.Book) site.Config {
 	var fleet acaciatally.FleetControl
 	if settings.Control.IsValid() {
--- a/console/console.go
+++ b/console/console.go
@@ -40,6 +40,7 @@
 	return []subcommand{
 		{"serve", "run an entry", serve},
 		{"attend", "run an entry on the users' platform", attend},
+		{"history", "print the log lines about one job, worker or instance", history},
 		{"check", "check settings files", check},
 		{"do", "carry out operators' statements", do},
 		{"complete", "list the words that may follow an unfinished statement", complete},
--- a/logbook/dispatch.go
+++ b/logbook/dispatch.go
@@ -31,6 +31,7 @@
 // RunOrdered notes the result of an order; a confirmed start is told by its end.
 func (b *Book) RunOrdered(order string, task acaciatally.TaskRef, attempt int, worker acaciatally.WorkerID, err error) {
 	if err == nil && order == "Start" {
+		b.count("RunStarted")
 		return
 	}
 	b.line("RunOrdered").Str("Order", order).Str("Job", string(task.Job)).Str("Task", task.String()).Int("Attempt", attempt).
@@ -39,6 +40,7 @@
 
 // RunEnded notes an end that a worker has listed.
 func (b *Book) RunEnded(ended acaciatally.EndedTask, worker acaciatally.WorkerID, counts bool) {
+	b.count("RunEnded" + string(ended.End))
 	b.line("RunEnded").Str("Job", string(ended.Task.Job)).Str("Task", ended.Task.String()).Int("Attempt", ended.Attempt).
 		Str("Worker", string(worker)).Str("End", string(ended.End)).Uint64("Number", ended.Number).Bool("Counts", counts).Msg("")
 }
--- a/logbook/logbook.go
+++ b/logbook/logbook.go
@@ -1,11 +1,13 @@
 package logbook
 
 import (
+	"fmt"
 	"io"
 	"sync"
 	"sync/atomic"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	"github.com/phuslu/log"
 	"golang.org/x/time/rate"
 
@@ -26,6 +28,8 @@
 	logger  *log.Logger
 	writer  *log.AsyncWriter
 	limit   *rate.Limiter
+	set     *metrics.Set
+	submit  *metrics.Histogram // seconds from the arrival of a submission to its answer
 	dropped atomic.Int64
 	mutex   sync.Mutex
 	summed  time.Time // when dropped lines were last reported
@@ -33,6 +37,7 @@
 
 // New returns a book that writes to output, with the process's name on each line.
 func New(output io.Writer, name string) *Book {
+	set := metrics.NewSet()
 	writer := &log.AsyncWriter{ChannelSize: pendingLines, DiscardOnFull: true, Writer: &log.IOWriter{Writer: output}}
 	return &Book{
 		writer: writer,
@@ -40,10 +45,20 @@
 			Level: log.InfoLevel, TimeField: "Time", TimeFormat: "2006-01-02T15:04:05.000Z07:00", Writer: writer,
 			Context: log.NewContext(nil).Str("Process", name).Value(),
 		},
-		limit: rate.NewLimiter(linesPerSecond, lineBurst),
+		limit:  rate.NewLimiter(linesPerSecond, lineBurst),
+		set:    set,
+		submit: set.NewHistogram("acaciatally_submission_seconds"),
 	}
 }
 
+// Metrics returns the counters of all events, also of those whose lines were left out, and the histogram of submissions.
+func (b *Book) Metrics() *metrics.Set { return b.set }
+
+// count counts an event.
+func (b *Book) count(event string) {
+	b.set.GetOrCreateCounter(fmt.Sprintf("acaciatally_events_total{event=%q}", event)).Inc()
+}
+
 // Close writes what is pending.
 func (b *Book) Close() error { return b.writer.Close() }
 
@@ -52,6 +67,7 @@
 
 // line returns a line for the event, or nil beyond the bound.
 func (b *Book) line(event string) *log.Entry {
+	b.count(event)
 	if !b.limit.Allow() {
 		b.dropped.Add(1)
 		return nil
@@ -62,6 +78,7 @@
 
 // warning returns a line for an event that an operator should look at.
 func (b *Book) warning(event string, err error) *log.Entry {
+	b.count(event)
 	if !b.limit.Allow() {
 		b.dropped.Add(1)
 		return nil
@@ -115,6 +132,7 @@
 
 // Submitted notes what became of a submission.
 func (b *Book) Submitted(queue acaciatally.Queue, id acaciatally.JobID, took time.Duration, err error) {
+	b.submit.Update(took.Seconds())
 	b.line("JobSubmitted").Str("Job", string(id)).Str("Queue", string(queue.Name)).Dur("Took", took).
 		Bool("Accepted", err == nil).Err(err).Msg("")
 }
--- a/site/site.go
+++ b/site/site.go
@@ -70,7 +70,9 @@
 	Name         string
 	CallerListen netip.AddrPort
 	ReadyListen  netip.AddrPort
-	Grace        time.Duration // between the signal to stop and the kill
+	Metrics      http.Handler   // nil serves none
+	MetricsAt    netip.AddrPort // where Metrics is served
+	Grace        time.Duration  // between the signal to stop and the kill
 	Store        acaciatally.RecordStore
 	Orders       acaciatally.WorkerOrders
 	Operators    OperatorRecords
@@ -182,6 +184,14 @@
 		return p.serve(stop, p.config.CallerListen, p.front.Callers(), p.linger())
 	})
 	group.Go(func() error { return p.serve(serving, p.config.ReadyListen, p.front.Readiness(), 0) })
+	if p.config.Metrics != nil {
+		group.Go(func() error {
+			if err := p.serve(serving, p.config.MetricsAt, p.config.Metrics, 0); err != nil {
+				p.config.Journal.Dependency("metrics address", false, 0, err) // callers are served without it
+			}
+			return nil
+		})
+	}
 	group.Go(func() error {
 		p.follower.run(serving)
 		return nil
