--- a/dispatch/machine_test.go
+++ b/dispatch/machine_test.go
@@ -60,11 +60,11 @@
 	}
 }
 
-// ready lists the workers and has each report that nothing runs.
-func ready(m *Machine, now time.Duration, workers ...acaciatally.Worker) {
-	m.SetDirectory(workers, now)
+// ready lists the workers at the beginning and has each report that nothing runs.
+func ready(m *Machine, workers ...acaciatally.Worker) {
+	m.SetDirectory(workers, 0)
 	for _, w := range workers {
-		m.Report(w.ID, acaciatally.WorkerReport{Clock: now, Born: w.Born}, now, now)
+		m.Report(w.ID, acaciatally.WorkerReport{Born: w.Born}, 0, 0)
 	}
 }
 
@@ -117,7 +117,7 @@
 // TestRunIsRecordedFirst guards against a start that a later leader can't know of.
 func TestRunIsRecordedFirst(t *testing.T) {
 	m, _ := newMachine()
-	ready(m, 0, workerOf(1))
+	ready(m, workerOf(1))
 	submit(m, "aa", 0, oneStep(2, 1000))
 	m.Plan(0, time.UnixMilli(0))
 	require.Empty(t, m.Orders(0), "nothing is recorded yet")
@@ -134,7 +134,7 @@
 // TestEndIsRecordedFirst guards against a worker that forgets an end which no record holds.
 func TestEndIsRecordedFirst(t *testing.T) {
 	m, _ := newMachine()
-	ready(m, 0, workerOf(1))
+	ready(m, workerOf(1))
 	submit(m, "aa", 0, oneStep(1, 1000))
 	orders := started(m, 0)
 	require.Len(t, orders, 1)
@@ -171,7 +171,7 @@
 			for i := range test.workers {
 				workers = append(workers, workerOf(i+1))
 			}
-			ready(m, 0, workers...)
+			ready(m, workers...)
 			submit(m, "aa", 0, test.step)
 			require.Len(t, started(m, 0), test.started)
 		})
@@ -181,7 +181,7 @@
 // TestOrderUnderOverload guards against a backlog in which all jobs become late together: what can still be in time goes first.
 func TestOrderUnderOverload(t *testing.T) {
 	m, _ := newMachine()
-	ready(m, 0, workerOf(1))
+	ready(m, workerOf(1))
 	submit(m, "old", 0, oneStep(1, 8000))
 	submit(m, "new", 9*time.Second, oneStep(1, 8000))
 	m.Report("i-1", acaciatally.WorkerReport{Clock: 10 * time.Second, Born: time.UnixMilli(1000)}, 10*time.Second, 10*time.Second)
@@ -194,7 +194,7 @@
 func TestDrainingWorker(t *testing.T) {
 	m, journal := newMachine()
 	w := workerOf(1)
-	ready(m, 0, w)
+	ready(m, w)
 	submit(m, "aa", 0, oneStep(1, 1000))
 	m.Plan(0, time.UnixMilli(0))
 	record(m, 0)
@@ -208,7 +208,7 @@
 // TestDisruptionBudget guards against a second lasting task of a step that is stopped while one is away.
 func TestDisruptionBudget(t *testing.T) {
 	m, _ := newMachine()
-	ready(m, 0, workerOf(1), workerOf(2))
+	ready(m, workerOf(1), workerOf(2))
 	step := oneStep(2, 1000)
 	step.Lasting, step.PerWorker, step.MayMiss, step.HasMayMiss = true, 1, 1, true
 	submit(m, "aa", 0, step)
@@ -234,7 +234,7 @@
 // TestUnconfirmedStart guards against a task that is placed elsewhere while its start may still be carried out.
 func TestUnconfirmedStart(t *testing.T) {
 	m, _ := newMachine()
-	ready(m, 0, workerOf(1), workerOf(2))
+	ready(m, workerOf(1), workerOf(2))
 	submit(m, "aa", 0, oneStep(1, 1000))
 	now := time.Duration(0)
 	m.Plan(now, time.UnixMilli(0))
@@ -260,7 +260,7 @@
 // TestScheduledJob guards against an occurrence that starts before its time.
 func TestScheduledJob(t *testing.T) {
 	m, _ := newMachine()
-	ready(m, 0, workerOf(1))
+	ready(m, workerOf(1))
 	first := time.UnixMilli(100_000)
 	m.Load("aa", job.Accepted{
 		Spec:  acaciatally.JobSpec{Steps: []acaciatally.Step{oneStep(1, 1000)}, Repeat: 2, FirstAt: first, Interval: time.Second},
--- a/intake/desk.go
+++ b/intake/desk.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"sync"
 	"time"
 
 	"github.com/samber/oops"
@@ -26,10 +27,25 @@
 }
 
 // Desk records what callers ask for; it is safe for concurrent use.
-type Desk struct{ config Config }
+type Desk struct {
+	config   Config
+	mutex    sync.Mutex
+	batchers map[acaciatally.QueueName]*batcher
+}
 
 // New returns a desk.
-func New(config Config) *Desk { return &Desk{config: config} }
+func New(config Config) *Desk {
+	return &Desk{config: config, batchers: map[acaciatally.QueueName]*batcher{}}
+}
+
+func (d *Desk) batcher(queue acaciatally.QueueName) *batcher {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	if d.batchers[queue] == nil {
+		d.batchers[queue] = &batcher{store: d.config.Store, queue: queue}
+	}
+	return d.batchers[queue]
+}
 
 // Limits returns the configured bounds of callers' requests.
 func (d *Desk) Limits() acaciatally.FrontLimits {
@@ -63,23 +79,7 @@
 	if err != nil {
 		return err
 	}
-	err = d.commit(ctx, transaction)
-	var conflict *acaciatally.RecordConflictError
-	if !errors.As(err, &conflict) {
-		return err
-	}
-	current, found := conflict.Find(job.ProgressKey(queue.Name, id))
-	if !found {
-		return acaciatally.ErrNoAnswer
-	}
-	progress, err := job.DecodeProgress(current.Value)
-	if err != nil {
-		return err
-	}
-	if progress.Digest != digest {
-		return acaciatally.ErrOtherJob
-	}
-	return nil
+	return d.batcher(queue.Name).add(ctx, &item{id: id, transaction: transaction, digest: digest})
 }
 
 func submission(
