Keep a failed task away from the worker on which it failed

Ruled out: a task that fails everywhere; its siblings on other workers were done. Change: while there are other workers in the pool, a task waits rather than returns to the one on which it failed in the last 10 s. TestFailedRunMoves failed first.

--- a/dispatch/machine_test.go
+++ b/dispatch/machine_test.go
@@ -275,3 +275,18 @@
 	record(m, 2*time.Second)
 	require.Len(t, m.Orders(2*time.Second), 1)
 }
+
+// TestFailedRunMoves guards against a second and last attempt on the worker on which the first one failed, while others are only busy.
+func TestFailedRunMoves(t *testing.T) {
+	m, _ := newMachine()
+	ready(m, workerOf(1), workerOf(2))
+	submit(m, "aa", 0, oneStep(1, 8000))
+	first := started(m, 0)
+	require.Len(t, first, 1)
+	submit(m, "bb", 0, oneStep(1, 8000))
+	require.Len(t, started(m, time.Millisecond), 1)
+	m.Report(first[0].Worker.ID, acaciatally.WorkerReport{Clock: time.Second, Born: time.UnixMilli(1000), Ended: []acaciatally.EndedTask{
+		{Number: 1, Task: first[0].Start.Task, Attempt: 1, End: acaciatally.EndFailed},
+	}}, time.Second, time.Second)
+	require.Empty(t, started(m, time.Second), "the other worker is busy")
+}
--- a/dispatch/plan.go
+++ b/dispatch/plan.go
@@ -186,7 +186,9 @@
 func (m *Machine) placeTask(t *task, g *group, now time.Duration) bool {
 	c := best(t, g.candidates, now)
 	if c == nil {
-		g.refused(t.step)
+		if len(t.avoid) == 0 {
+			g.refused(t.step)
+		}
 		return false
 	}
 	m.assign(t, c, t.attempt+1)
@@ -325,10 +327,14 @@
 	c.take(t, true)
 }
 
-// best returns the most suitable candidate for the task, or nil.
+// best returns the most suitable candidate for the task, or nil. A worker on which the task failed is left out if there are others,
+// since a further failure may use up the last attempt.
 func best(t *task, candidates []*candidate, now time.Duration) (chosen *candidate) {
 	for _, c := range candidates {
-		if c.fits(t, now) && (chosen == nil || better(t, c, chosen, now)) {
+		if len(candidates) > len(t.avoid) && now < t.avoid[c.w.entry.ID] {
+			continue
+		}
+		if c.fits(t, now) && (chosen == nil || better(t, c, chosen)) {
 			chosen = c
 		}
 	}
@@ -336,11 +342,7 @@
 }
 
 // better reports whether a suits the task more than b.
-func better(t *task, a, b *candidate, now time.Duration) bool {
-	avoidA, avoidB := now < t.avoid[a.w.entry.ID], now < t.avoid[b.w.entry.ID]
-	if avoidA != avoidB {
-		return avoidB
-	}
+func better(t *task, a, b *candidate) bool {
 	if near := acaciatally.Rack(t.step.NearRack); near != "" && (a.w.entry.Rack == near) != (b.w.entry.Rack == near) {
 		return a.w.entry.Rack == near
 	}
--- a/dispatch/worker.go
+++ b/dispatch/worker.go
@@ -385,7 +385,7 @@
 }
 
 // avoidFor is how long a task stays away from a worker on which it failed, if there are others.
-const avoidFor = 30 * time.Second
+const avoidFor = 10 * time.Second
 
 // complete marks the task done, with its whole gang, and the job if it was the last one.
 func (m *Machine) complete(t *task) {
