--- a/dispatch/arrive.go
+++ b/dispatch/arrive.go
@@ -10,7 +10,13 @@
 
 // Load takes in a job as the records describe it; runs that they name may exist.
 func (m *Machine) Load(id acaciatally.JobID, accepted job.Accepted, progress job.Progress, now time.Duration) {
-	if m.jobs[id] != nil || m.finished[id] {
+	if m.finished[jobKey{accepted.Queue.Name, id}] {
+		return
+	}
+	if other := m.jobs[id]; other != nil {
+		if other.accepted.Queue.Name != accepted.Queue.Name {
+			m.deferred = append(m.deferred, deferredJob{id, accepted, progress})
+		}
 		return
 	}
 	j := &activeJob{
@@ -90,7 +96,7 @@
 // Cancel takes in a recorded request to cancel a job.
 func (m *Machine) Cancel(queue acaciatally.QueueName, id acaciatally.JobID) {
 	j := m.jobs[id]
-	if j == nil {
+	if j == nil || j.accepted.Queue.Name != queue {
 		m.partition(queue).stray = append(m.partition(queue).stray, job.CancelKey(queue, id))
 		return
 	}
--- a/dispatch/commit.go
+++ b/dispatch/commit.go
@@ -70,10 +70,11 @@
 
 // Retain takes in an ended job whose state is to be deleted after the retention.
 func (m *Machine) Retain(queue acaciatally.QueueName, id acaciatally.JobID, now time.Duration) {
-	if m.finished[id] {
+	key := jobKey{queue, id}
+	if m.finished[key] {
 		return
 	}
-	m.finished[id] = true
+	m.finished[key] = true
 	p := m.partition(queue)
 	p.ended = append(p.ended, id)
 	p.endedAt = append(p.endedAt, now)
@@ -215,7 +216,7 @@
 	p.inFlight, p.version, p.sequence = nil, version, commit.Owner.Sequence
 	p.stray = p.stray[commit.stray:]
 	for _, id := range p.ended[:commit.expired] {
-		delete(m.finished, id)
+		delete(m.finished, jobKey{commit.Queue, id})
 	}
 	p.ended, p.endedAt = p.ended[commit.expired:], p.endedAt[commit.expired:]
 	for _, saved := range commit.jobs {
@@ -232,7 +233,7 @@
 			m.Retain(commit.Queue, saved.job.id, now)
 		}
 	}
-	m.forget()
+	m.forget(now)
 }
 
 func (m *Machine) settleEnd(end endRef) {
@@ -249,7 +250,7 @@
 }
 
 // forget drops ended jobs that are recorded and of which nothing runs.
-func (m *Machine) forget() {
+func (m *Machine) forget(now time.Duration) {
 	for id, j := range m.jobs {
 		if j.live() || j.dirty || j.endedAt == 0 {
 			continue
@@ -258,10 +259,24 @@
 		j.tasks(func(t *task) { assigned = assigned || t.assigned() })
 		if !assigned {
 			delete(m.jobs, id)
+			m.takeDeferred(id, now)
 		}
 	}
 }
 
+// takeDeferred takes in the jobs that waited for the id.
+func (m *Machine) takeDeferred(id acaciatally.JobID, now time.Duration) {
+	waiting := m.deferred
+	m.deferred = nil
+	for _, d := range waiting {
+		if d.id != id {
+			m.deferred = append(m.deferred, d)
+			continue
+		}
+		m.Load(d.id, d.accepted, d.progress, now)
+	}
+}
+
 // CommitFailed takes in that a commit had no effect.
 func (m *Machine) CommitFailed(commit *Commit, retryAt time.Duration) {
 	p := m.partitions[commit.Queue]
--- a/dispatch/machine.go
+++ b/dispatch/machine.go
@@ -25,10 +25,11 @@
 	jobs          map[acaciatally.JobID]*activeJob
 	workers       map[acaciatally.WorkerID]*worker
 	partitions    map[acaciatally.QueueName]*partition
-	finished      map[acaciatally.JobID]bool // recorded as ended, and retained
-	checkAt       time.Duration              // when to look next for runs that are stuck or have to leave
-	placeAt       time.Duration              // when to place next, even if nothing has changed
-	bumps         uint64                     // rises whenever late orders of before are to be refused
+	finished      map[jobKey]bool // recorded as ended, and retained
+	deferred      []deferredJob   // whose id another queue's job has
+	checkAt       time.Duration   // when to look next for runs that are stuck or have to leave
+	placeAt       time.Duration   // when to place next, even if nothing has changed
+	bumps         uint64          // rises whenever late orders of before are to be refused
 	arrivals      map[acaciatally.PoolName]*arrivals
 	runTimes      map[acaciatally.QueueName]*runTime
 	withheld      map[acaciatally.WorkerID]string // workers that are to be emptied, and why
@@ -41,13 +42,26 @@
 		jobs:       map[acaciatally.JobID]*activeJob{},
 		workers:    map[acaciatally.WorkerID]*worker{},
 		partitions: map[acaciatally.QueueName]*partition{},
-		finished:   map[acaciatally.JobID]bool{},
+		finished:   map[jobKey]bool{},
 		arrivals:   map[acaciatally.PoolName]*arrivals{},
 		runTimes:   map[acaciatally.QueueName]*runTime{},
 		withheld:   map[acaciatally.WorkerID]string{},
 	}
 }
 
+// jobKey tells jobs of different queues apart; tasks are named by the job's id alone.
+type jobKey struct {
+	queue acaciatally.QueueName
+	id    acaciatally.JobID
+}
+
+// deferredJob is a job that waits until another queue's job of its id has ended.
+type deferredJob struct {
+	id       acaciatally.JobID
+	accepted job.Accepted
+	progress job.Progress
+}
+
 // Configure puts a configuration in force; an older one changes nothing.
 func (m *Machine) Configure(configuration *acaciatally.Configuration) {
 	if m.configuration != nil && configuration.Version <= m.configuration.Version {
--- a/dispatch/machine_test.go
+++ b/dispatch/machine_test.go
@@ -290,3 +290,21 @@
 	}}, time.Second, time.Second)
 	require.Empty(t, started(m, time.Second), "the other worker is busy")
 }
+
+// TestSameIDInTwoQueues guards against an accepted job that never runs because another queue's job has its id.
+func TestSameIDInTwoQueues(t *testing.T) {
+	m, _ := newMachine()
+	m.Claimed("plans", 1)
+	ready(m, workerOf(1))
+	submit(m, "aa", 0, oneStep(1, 1000))
+	m.Load("aa", job.Accepted{
+		Spec: acaciatally.JobSpec{Steps: []acaciatally.Step{oneStep(1, 1000)}}, Queue: acaciatally.Queue{Name: "plans", Pool: pool},
+	}, job.Progress{State: acaciatally.JobQueued}, 0)
+	orders := started(m, 0)
+	require.Len(t, orders, 1)
+	m.Report("i-1", acaciatally.WorkerReport{Clock: time.Second, Born: time.UnixMilli(1000), Ended: []acaciatally.EndedTask{
+		{Number: 1, Task: orders[0].Start.Task, Attempt: 1, End: acaciatally.EndDone},
+	}}, time.Second, time.Second)
+	record(m, time.Second)
+	require.Len(t, started(m, time.Second), 1)
+}
