Ask for advice, pace backfill, and find room for lasting tasks

Cause: deployments that have not been seen may use queues with advice, lasting tasks with response-time objectives and full pools; none was handled: starts without a ticket are refused for ever, and a lasting task waited behind a full pool.

--- a/console/attend.go
+++ b/console/attend.go
@@ -84,8 +84,12 @@
 	if settings.Control.IsValid() {
 		fleet = platform.NewFleet(settings.Control, nil)
 	}
+	var adviser acaciatally.Adviser
+	if settings.Advice.IsValid() {
+		adviser = platform.NewAdvice(settings.Advice, nil)
+	}
 	return site.Config{
-		Fleet: fleet, WaveStatus: platform.WaveStatus, MoveTime: settings.Bounds.MoveTime,
+		Adviser: adviser, Fleet: fleet, WaveStatus: platform.WaveStatus, MoveTime: settings.Bounds.MoveTime,
 		MaintenanceTime: settings.Bounds.MaintenanceTime,
 		Name:            settings.Name, CallerListen: settings.Front, ReadyListen: settings.Ready, Grace: settings.Bounds.Grace,
 		Store:  platform.NewStore(settings.Store, nil),
--- a/dispatch/commit.go
+++ b/dispatch/commit.go
@@ -259,6 +259,7 @@
 		j.tasks(func(t *task) { assigned = assigned || t.assigned() })
 		if !assigned {
 			delete(m.jobs, id)
+			m.forgetAdvice(id)
 			m.takeDeferred(id, now)
 		}
 	}
--- a/dispatch/machine.go
+++ b/dispatch/machine.go
@@ -32,6 +32,7 @@
 	bumps         uint64          // rises whenever late orders of before are to be refused
 	arrivals      map[acaciatally.PoolName]*arrivals
 	runTimes      map[acaciatally.QueueName]*runTime
+	advice        map[stepKey]*permissions
 	withheld      map[acaciatally.WorkerID]string // workers that are to be emptied, and why
 }
 
@@ -45,6 +46,7 @@
 		finished:   map[jobKey]bool{},
 		arrivals:   map[acaciatally.PoolName]*arrivals{},
 		runTimes:   map[acaciatally.QueueName]*runTime{},
+		advice:     map[stepKey]*permissions{},
 		withheld:   map[acaciatally.WorkerID]string{},
 	}
 }
@@ -137,31 +139,31 @@
 
 // task is one task of an occurrence.
 type task struct {
-	job        *activeJob
-	ref        acaciatally.TaskRef
-	step       *acaciatally.Step
-	phase      job.Phase
-	stage      stage
-	attempt    int
-	at         *worker // where its run is; nil without one
-	failures   int
-	checkpoint string
-	stop       stopReason
-	stopSent   bool          // a stop is on its way
-	stopped    time.Duration // when a stop was confirmed; 0 before
-	ambiguous  bool          // a start of this run may still be carried out
-	tries      int           // starts sent for this run
-	retryAt    time.Duration
-	orderedAt  time.Duration // when the start was first sent
-	confirmed  time.Duration // when the start was confirmed
-	percent    int
-	percentAt  time.Duration
-	moved      time.Duration // when the percentage last rose
-	tail       time.Duration
-	pace       int // percent in force; 100 is unpaced
-	paceWanted int
-	avoid      map[acaciatally.WorkerID]time.Duration // workers on which it failed, until when
-	permission string
+	job          *activeJob
+	ref          acaciatally.TaskRef
+	step         *acaciatally.Step
+	phase        job.Phase
+	stage        stage
+	attempt      int
+	at           *worker // where its run is; nil without one
+	failures     int
+	checkpoint   string
+	stop         stopReason
+	stopSent     bool          // a stop is on its way
+	stopped      time.Duration // when a stop was confirmed; 0 before
+	ambiguous    bool          // a start of this run may still be carried out
+	tries        int           // starts sent for this run
+	retryAt      time.Duration
+	orderedAt    time.Duration // when the start was first sent
+	confirmed    time.Duration // when the start was confirmed
+	percent      int
+	percentAt    time.Duration
+	moved        time.Duration // when the percentage last rose
+	tail         time.Duration
+	pace         int // percent in force; 100 is unpaced
+	paceWanted   int
+	avoid        map[acaciatally.WorkerID]time.Duration // workers on which it failed, until when
+	waitingSince time.Duration                          // when a lasting task first found no room
 }
 
 // assigned reports whether a run exists, or may exist, on a worker.
@@ -190,7 +192,8 @@
 	t.phase, t.stage, t.at = job.Waiting, planned, nil
 	t.stop, t.stopSent, t.stopped, t.ambiguous, t.tries = "", false, 0, false, 0
 	t.orderedAt, t.confirmed, t.percent, t.percentAt, t.tail = 0, 0, 0, 0, 0
-	t.pace, t.paceWanted, t.permission = fullPace, fullPace, ""
+	t.pace, t.paceWanted = fullPace, fullPace
+	t.waitingSince = 0
 	t.job.dirty, t.job.changed = true, true
 }
 
--- a/dispatch/order.go
+++ b/dispatch/order.go
@@ -85,7 +85,7 @@
 
 // start returns the start order, unless the worker may no longer get new runs.
 func (m *Machine) start(w *worker, t *task, now time.Duration) (order Order, found bool) {
-	if t.tries == 0 && !m.mayStart(w, now) {
+	if t.tries == 0 && (!m.mayStart(w, now) || !m.permitted(t, w.entry.ID, now)) {
 		m.config.Journal.RunDropped(t.ref, t.attempt, w.entry.ID, "the worker may get no new runs")
 		t.release()
 		return order, false
@@ -99,7 +99,7 @@
 	order.task = t
 	order.Start.Payload = t.job.accepted.Spec.Payload
 	order.Start.Checkpoint = t.checkpoint
-	order.Start.Permission = t.permission
+	order.Start.Permission = m.ticket(t, w.entry.ID)
 	order.Start.LeaseUntil = m.extend(w, now)
 	return order, true
 }
@@ -173,6 +173,11 @@
 // startRejected handles a worker's refusal: a run that was never sent before is surely not there.
 func (m *Machine) startRejected(t *task, reason acaciatally.RejectReason, now time.Duration) {
 	switch {
+	case reason == acaciatally.RejectPermission && !t.ambiguous:
+		if p := m.advice[t.stepKey()]; p != nil {
+			clear(p.tickets) // the worker may have a new life, or the tickets are older than assumed
+		}
+		t.release()
 	case reason == acaciatally.RejectOld || t.ambiguous:
 		t.stop = stopUnsure // it was there, or may still come: its end is listed, or the stop keeps it away
 	default:
--- a/dispatch/plan.go
+++ b/dispatch/plan.go
@@ -165,7 +165,7 @@
 	for _, o := range j.open {
 		for number, tasks := range o.steps {
 			step := &j.accepted.Spec.Steps[number]
-			if g.full(step) || !o.ready(&j.accepted.Spec, number) {
+			if (g.full(step) && !step.Lasting) || !o.ready(&j.accepted.Spec, number) {
 				continue
 			}
 			if step.Gang {
@@ -184,11 +184,14 @@
 }
 
 func (m *Machine) placeTask(t *task, g *group, now time.Duration) bool {
-	c := best(t, g.candidates, now)
+	c := m.best(t, g.candidates, now)
 	if c == nil {
-		if len(t.avoid) == 0 {
+		if len(t.avoid) == 0 && t.job.accepted.Queue.Advice == nil {
 			g.refused(t.step)
 		}
+		if t.step.Lasting && !t.step.Backfill {
+			m.preempt(t, g.candidates, now)
+		}
 		return false
 	}
 	m.assign(t, c, t.attempt+1)
@@ -303,7 +306,7 @@
 	checkpoint := ""
 	chosen := make([]*candidate, 0, len(tasks))
 	for _, t := range tasks {
-		c := best(t, trial, now)
+		c := m.best(t, trial, now)
 		if c == nil {
 			return
 		}
@@ -329,12 +332,12 @@
 
 // best returns the most suitable candidate for the task, or nil. A worker on which the task failed is left out if there are others,
 // since a further failure may use up the last attempt.
-func best(t *task, candidates []*candidate, now time.Duration) (chosen *candidate) {
+func (m *Machine) best(t *task, candidates []*candidate, now time.Duration) (chosen *candidate) {
 	for _, c := range candidates {
 		if len(candidates) > len(t.avoid) && now < t.avoid[c.w.entry.ID] {
 			continue
 		}
-		if c.fits(t, now) && (chosen == nil || better(t, c, chosen)) {
+		if c.fits(t, now) && m.permitted(t, c.w.entry.ID, now) && (chosen == nil || better(t, c, chosen)) {
 			chosen = c
 		}
 	}
--- a/dispatch/runner.go
+++ b/dispatch/runner.go
@@ -38,6 +38,7 @@
 type RunnerConfig struct {
 	Store         acaciatally.RecordStore
 	Orders        acaciatally.WorkerOrders
+	Adviser       acaciatally.Adviser // nil leaves queues that need advice waiting
 	WorkerTable   string
 	DecodeWorker  DecodeWorker
 	Configuration func() *acaciatally.Configuration // newest configuration; nil before the first one
@@ -142,6 +143,11 @@
 	for _, order := range r.machine.Orders(now) {
 		r.send(func() { r.order(ctx, order) })
 	}
+	if r.config.Adviser != nil {
+		for _, question := range r.machine.Questions(now) {
+			r.send(func() { r.ask(ctx, question) })
+		}
+	}
 	for _, renewal := range r.machine.Renewals(now) {
 		r.send(func() { r.renew(ctx, renewal) })
 	}
@@ -179,6 +185,11 @@
 	r.Post(ctx, func() { r.machine.Ordered(order, err, r.config.Now()) })
 }
 
+func (r *Runner) ask(ctx context.Context, question Question) {
+	advice, err := r.config.Adviser.Advise(ctx, question.Job, question.Occurrence, question.Step, question.Workers)
+	r.Post(ctx, func() { r.machine.Advised(question, advice, err, r.config.Now()) })
+}
+
 // commit sends a transaction; one whose answer was lost is repeated as it is, since its condition lets it take effect only once.
 func (r *Runner) commit(ctx context.Context, commit *Commit) {
 	unsure := false
--- a/dispatch/worker.go
+++ b/dispatch/worker.go
@@ -37,6 +37,7 @@
 	stopping  map[runKey]bool // stops of orphans on their way
 	runs      map[*task]bool  // assigned tasks
 	health    health
+	pacedAt   time.Duration // when the pace of its runs was last changed
 	idleSince time.Duration // when a run was last seen on it
 	renewing  bool          // a renewal is on its way
 	renewAt   time.Duration // when the next one may be sent
@@ -271,6 +272,7 @@
 		}
 	}
 	w.orphans = orphans
+	m.pace(w, now)
 	m.reconcile(w, listed, sent)
 	w.settle()
 }
--- a/site/site.go
+++ b/site/site.go
@@ -76,6 +76,7 @@
 	Store        acaciatally.RecordStore
 	Orders       acaciatally.WorkerOrders
 	Operators    OperatorRecords
+	Adviser      acaciatally.Adviser      // nil where no service decides on workers
 	Fleet        acaciatally.FleetControl // nil leaves all instances where they are
 	WaveStatus   func(number int, completed bool) (write acaciatally.RecordWrite)
 	WorkerTable  string
@@ -155,7 +156,7 @@
 	}
 	runner = dispatch.NewRunner(dispatch.RunnerConfig{
 		Round: round,
-		Store: p.config.Store, Orders: p.config.Orders, WorkerTable: p.config.WorkerTable, DecodeWorker: p.config.DecodeWorker,
+		Store: p.config.Store, Orders: p.config.Orders, Adviser: p.config.Adviser, WorkerTable: p.config.WorkerTable, DecodeWorker: p.config.DecodeWorker,
 		Configuration: p.follower.configuration.Load, Now: p.config.Now,
 		Leads:   func() bool { return p.keeper.Leads(epoch) },
 		Deposed: p.keeper.Resign,
