Keep workers' loads, place only pools that changed, thin out renewals with busy workers

Ruled out: the store's commits (0.1 s). Change: a worker's load is kept up when tasks are assigned and released; a placement covers the pools in which something changed; the gap between renewals of a worker grows with the busy workers.

--- a/dispatch/machine.go
+++ b/dispatch/machine.go
@@ -29,6 +29,7 @@
 	deferred      []deferredJob   // whose id another queue's job has
 	checkAt       time.Duration   // when to look next for runs that are stuck or have to leave
 	placeAt       time.Duration   // when to place next, even if nothing has changed
+	busy          int             // workers with runs
 	bumps         uint64          // rises whenever late orders of before are to be refused
 	arrivals      map[acaciatally.PoolName]*arrivals
 	runTimes      map[acaciatally.QueueName]*runTime
@@ -173,6 +174,7 @@
 func (t *task) assign(w *worker, s stage) {
 	t.phase, t.stage, t.at = job.Assigned, s, w
 	w.runs[t] = true
+	w.load.add(t.step, 1)
 	t.job.dirty = true
 }
 
@@ -188,6 +190,7 @@
 func (t *task) release() {
 	if t.at != nil {
 		delete(t.at.runs, t)
+		t.at.load.add(t.step, -1)
 	}
 	t.phase, t.stage, t.at = job.Waiting, planned, nil
 	t.stop, t.stopSent, t.stopped, t.ambiguous, t.tries = "", false, 0, false, 0
--- a/dispatch/plan.go
+++ b/dispatch/plan.go
@@ -25,26 +25,33 @@
 		m.moveStuck(now)
 		m.evacuate()
 	}
-	if m.changed() || now >= m.placeAt {
+	pools := m.changed()
+	if now >= m.placeAt {
 		m.placeAt = now + checkEvery
-		m.place(now)
+		pools = nil
+	} else if len(pools) == 0 {
+		return
 	}
+	m.place(pools, now)
 }
 
-// changed reports whether a task has begun or ceased to wait since the last placement.
-func (m *Machine) changed() (changed bool) {
+// changed returns the pools in which a task has begun or ceased to wait since the last placement.
+func (m *Machine) changed() (pools map[acaciatally.PoolName]bool) {
+	pools = map[acaciatally.PoolName]bool{}
 	for _, j := range m.jobs {
-		changed = changed || j.changed
-		j.changed = false
+		if j.changed {
+			pools[j.accepted.Queue.Pool] = true
+			j.changed = false
+		}
 	}
-	return changed
+	return pools
 }
 
-// waiting returns the jobs of each pool that have tasks to place, in the order in which they are to be placed.
-func (m *Machine) waiting(now time.Duration) map[acaciatally.PoolName][]*activeJob {
+// waiting returns the jobs of all pools, or only some, that have tasks to place, in the order in which they are to be placed.
+func (m *Machine) waiting(only map[acaciatally.PoolName]bool, now time.Duration) map[acaciatally.PoolName][]*activeJob {
 	pools := map[acaciatally.PoolName][]*activeJob{}
 	for _, j := range m.jobs {
-		if j.live() && j.hasWaiting() {
+		if (only == nil || only[j.accepted.Queue.Pool]) && j.live() && j.hasWaiting() {
 			j.late = m.hopeless(j, now)
 			pools[j.accepted.Queue.Pool] = append(pools[j.accepted.Queue.Pool], j)
 		}
@@ -127,15 +134,22 @@
 	return left
 }
 
-// compareJobs puts lasting work first, then by priority, what can still be done in time, and age.
+// compareJobs puts lasting work first, then by priority, what can still be done in time, and age. It returns early, since it sorts
+// thousands of jobs under overload.
 func compareJobs(a, b *activeJob) int {
-	return cmp.Or(
-		compareBool(b.lasting, a.lasting),
-		cmp.Compare(a.accepted.Queue.Priority, b.accepted.Queue.Priority),
-		compareBool(a.late, b.late),
-		cmp.Compare(a.arrived, b.arrived),
-		cmp.Compare(a.id, b.id),
-	)
+	if a.lasting != b.lasting {
+		return compareBool(b.lasting, a.lasting)
+	}
+	if a.accepted.Queue.Priority != b.accepted.Queue.Priority {
+		return cmp.Compare(a.accepted.Queue.Priority, b.accepted.Queue.Priority)
+	}
+	if a.late != b.late {
+		return compareBool(a.late, b.late)
+	}
+	if a.arrived != b.arrived {
+		return cmp.Compare(a.arrived, b.arrived)
+	}
+	return cmp.Compare(a.id, b.id)
 }
 
 // compareBool orders false before true.
@@ -149,9 +163,9 @@
 	return 1
 }
 
-// place assigns waiting tasks to workers.
-func (m *Machine) place(now time.Duration) {
-	for pool, jobs := range m.waiting(now) {
+// place assigns waiting tasks to workers, in all pools or only some.
+func (m *Machine) place(only map[acaciatally.PoolName]bool, now time.Duration) {
+	for pool, jobs := range m.waiting(only, now) {
 		g := &group{candidates: m.candidates(pool, now)}
 		g.measure()
 		for _, j := range jobs {
@@ -232,13 +246,9 @@
 
 // candidate is a worker that may get new runs, and what it has left.
 type candidate struct {
-	w       *worker
-	free    acaciatally.Room
-	serving int // assigned tasks with an objective on their response time
-	filling int // assigned tasks that use what others leave
-	lasting int // assigned tasks that last
-	perStep map[stepKey]int
-	runs    int
+	w    *worker
+	load load
+	free acaciatally.Room
 }
 
 // candidates returns the workers of a pool that may get new runs.
@@ -254,29 +264,23 @@
 }
 
 func newCandidate(w *worker) *candidate {
-	c := &candidate{w: w, free: w.entry.Capacity, perStep: map[stepKey]int{}, runs: len(w.runs)}
-	for t := range w.runs {
-		c.take(t, false)
-	}
-	return c
+	return &candidate{w: w, load: w.load, free: w.entry.Capacity.Minus(w.load.used)}
 }
 
 // take counts a task against the candidate.
-func (c *candidate) take(t *task, fresh bool) {
-	c.free = c.free.Minus(t.step.Takes())
-	c.perStep[t.stepKey()]++
-	if t.step.TailObjective > 0 {
-		c.serving++
-	}
-	if t.step.Backfill {
-		c.filling++
-	}
-	if t.step.Lasting {
-		c.lasting++
-	}
-	if fresh {
-		c.runs++
+func (c *candidate) take(t *task) {
+	c.load.add(t.step, 1)
+	c.free = c.w.entry.Capacity.Minus(c.load.used)
+}
+
+// siblings returns how many tasks of the task's step are assigned to the worker.
+func (c *candidate) siblings(t *task) (count int) {
+	for run := range c.w.runs {
+		if run.stepKey() == t.stepKey() {
+			count++
+		}
 	}
+	return count
 }
 
 // mayStart reports whether the worker may get new runs at all.
@@ -289,7 +293,7 @@
 func (c *candidate) fits(t *task, now time.Duration) bool {
 	step := t.step
 	return c.w.entry.HasLabel(step.Label) && c.free.Holds(step.Takes()) &&
-		(step.PerWorker == 0 || c.perStep[t.stepKey()] < step.PerWorker) && c.w.health.admits(c.runs, now)
+		(step.PerWorker == 0 || c.siblings(t) < step.PerWorker) && c.w.health.admits(c.load.runs, now)
 }
 
 // placeGang places the members one by one on copies of the candidates, and keeps the result only if all fit.
@@ -297,10 +301,9 @@
 	trial := make([]*candidate, 0, len(g.candidates))
 	original := map[*candidate]*candidate{}
 	for _, c := range g.candidates {
-		copied := newCandidate(c.w)
-		copied.free, copied.runs = c.free, c.runs
-		trial = append(trial, copied)
-		original[copied] = c
+		copied := *c
+		trial = append(trial, &copied)
+		original[&copied] = c
 	}
 	attempt := 0
 	checkpoint := ""
@@ -310,7 +313,7 @@
 		if c == nil {
 			return
 		}
-		c.take(t, true)
+		c.take(t)
 		chosen = append(chosen, original[c])
 		attempt = max(attempt, t.attempt+1)
 		if t.checkpoint != "" {
@@ -327,7 +330,7 @@
 	t.attempt = attempt
 	t.assign(c.w, planned)
 	m.config.Journal.RunPlanned(t.ref, attempt, c.w.entry.ID, c.free.Processors)
-	c.take(t, true)
+	c.take(t)
 }
 
 // best returns the most suitable candidate for the task, or nil. A worker on which the task failed is left out if there are others,
@@ -354,14 +357,14 @@
 			return siblingsA > siblingsB
 		}
 	}
-	if t.step.TailObjective > 0 && a.filling != b.filling {
-		return a.filling < b.filling
+	if t.step.TailObjective > 0 && a.load.filling != b.load.filling {
+		return a.load.filling < b.load.filling
 	}
-	if t.step.Backfill && a.serving != b.serving {
-		return a.serving < b.serving
+	if t.step.Backfill && a.load.serving != b.load.serving {
+		return a.load.serving < b.load.serving
 	}
-	if t.step.Lasting && (a.lasting > 0) != (b.lasting > 0) {
-		return a.lasting > 0 // lasting work keeps its instance in the pool
+	if t.step.Lasting && (a.load.lasting > 0) != (b.load.lasting > 0) {
+		return a.load.lasting > 0 // lasting work keeps its instance in the pool
 	}
 	return a.free.Processors < b.free.Processors // so that other instances become idle and can move
 }
--- a/dispatch/preempt.go
+++ b/dispatch/preempt.go
@@ -34,7 +34,7 @@
 
 // victims returns the runs to stop on the candidate for the task, those that save their work and have done the least first.
 func (c *candidate) victims(t *task) (victims []*task, enough bool) {
-	within := t.step.PerWorker == 0 || c.perStep[t.stepKey()] < t.step.PerWorker
+	within := t.step.PerWorker == 0 || c.siblings(t) < t.step.PerWorker
 	if !within || !c.w.entry.HasLabel(t.step.Label) {
 		return nil, false
 	}
--- a/dispatch/renew.go
+++ b/dispatch/renew.go
@@ -7,8 +7,10 @@
 )
 
 const (
-	// renewGap bounds the renewals of one worker, each of which may return at once with an end.
-	renewGap = 40 * time.Millisecond
+	// leastRenewGap bounds the renewals of one worker, each of which may return at once with an end.
+	leastRenewGap = 40 * time.Millisecond
+	// renewShare is added to the gap for each busy worker, so that all together stay below some thousand renewals a second.
+	renewShare = 300 * time.Microsecond
 	// renewRetry is the pause after a renewal without effect.
 	renewRetry = 200 * time.Millisecond
 	// settleWait is how long a renewal waits for the ends of the last report to be recorded.
@@ -27,7 +29,11 @@
 
 // Renewals returns the renewals that are to be sent now, at most one for each worker at a time.
 func (m *Machine) Renewals(now time.Duration) (renewals []Renewal) {
+	m.busy = 0
 	for _, w := range m.workers {
+		if len(w.runs) > 0 {
+			m.busy++
+		}
 		if w.gone || w.renewing || now < w.renewAt || !w.entry.Address.IsValid() {
 			continue
 		}
@@ -42,6 +48,11 @@
 	return renewals
 }
 
+// renewGap returns the least time between two renewals of one worker.
+func (m *Machine) renewGap() time.Duration {
+	return leastRenewGap + time.Duration(m.busy)*renewShare
+}
+
 // patience is how long the answer to a renewal may wait; the first one is wanted at once.
 func (w *worker) patience() time.Duration {
 	switch {
--- a/dispatch/view.go
+++ b/dispatch/view.go
@@ -59,11 +59,7 @@
 		w.idleSince = now
 		view.Idle = 0
 	}
-	for t := range w.runs {
-		if t.step.Lasting {
-			view.Lasting++
-		}
-	}
+	view.Lasting = w.load.lasting
 	return view
 }
 
--- a/dispatch/worker.go
+++ b/dispatch/worker.go
@@ -36,6 +36,7 @@
 	orphans   map[runKey]bool // listed runs of no known task
 	stopping  map[runKey]bool // stops of orphans on their way
 	runs      map[*task]bool  // assigned tasks
+	load      load            // of the assigned tasks
 	health    health
 	pacedAt   time.Duration // when the pace of its runs was last changed
 	idleSince time.Duration // when a run was last seen on it
@@ -43,6 +44,33 @@
 	renewAt   time.Duration // when the next one may be sent
 }
 
+// load is what assigned tasks take of a worker.
+type load struct {
+	used    acaciatally.Room
+	runs    int
+	lasting int
+	serving int // with an objective on their response time
+	filling int // that use what others leave
+}
+
+// add counts tasks of a step in, or out with a negative count.
+func (l *load) add(step *acaciatally.Step, count int) {
+	takes := step.Takes()
+	l.used = l.used.Plus(acaciatally.Room{
+		Processors: count * takes.Processors, Memory: count * takes.Memory, Accelerators: count * takes.Accelerators,
+	})
+	l.runs += count
+	if step.Lasting {
+		l.lasting += count
+	}
+	if step.TailObjective > 0 {
+		l.serving += count
+	}
+	if step.Backfill {
+		l.filling += count
+	}
+}
+
 type endState struct {
 	number  uint64
 	settled bool // its effect is recorded
@@ -243,7 +271,7 @@
 	if w == nil {
 		return
 	}
-	w.renewing, w.renewAt = false, sent+renewGap
+	w.renewing, w.renewAt = false, sent+m.renewGap()
 	if w.gone {
 		return
 	}
