--- a/capacity/plan.go
+++ b/capacity/plan.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/acaciatally/acaciatally"
+	"github.com/acaciatally/acaciatally/ordering"
 )
 
 // Instance is an instance as the planner sees it.
@@ -128,22 +129,11 @@
 		}
 	}
 	slices.SortFunc(short, func(a, b *balance) int {
-		return cmp.Or(compareBool(b.lacks(), a.lacks()), cmp.Compare(a.have*b.need, b.have*a.need), cmp.Compare(a.pool.Name, b.pool.Name))
+		return cmp.Or(ordering.Bools(b.lacks(), a.lacks()), cmp.Compare(a.have*b.need, b.have*a.need), cmp.Compare(a.pool.Name, b.pool.Name))
 	})
 	return short
 }
 
-// compareBool orders false before true.
-func compareBool(a, b bool) int {
-	switch {
-	case a == b:
-		return 0
-	case b:
-		return -1
-	}
-	return 1
-}
-
 // donors returns the instances that may leave their pools: on standby first, then idle ones, then the least busy.
 func (c Config) donors(balances map[acaciatally.PoolName]*balance, instances []Instance, short []*balance) (donors []Instance) {
 	needed := len(short) > 0
@@ -159,7 +149,7 @@
 	}
 	slices.SortFunc(donors, func(a, b Instance) int {
 		return cmp.Or(
-			compareBool(balances[b.Pool].pool.Standby, balances[a.Pool].pool.Standby),
+			ordering.Bools(balances[b.Pool].pool.Standby, balances[a.Pool].pool.Standby),
 			cmp.Compare(a.Runs, b.Runs), cmp.Compare(b.Idle, a.Idle), cmp.Compare(a.ID, b.ID),
 		)
 	})
--- /dev/null
+++ b/dispatch/follow.go
@@ -0,0 +1,67 @@
+package dispatch
+
+import (
+	"context"
+	"errors"
+
+	"github.com/acaciatally/acaciatally"
+)
+
+// followWorkers keeps the directory up to date.
+func (r *Runner) followWorkers(ctx context.Context) error {
+	for ctx.Err() == nil {
+		page, err := r.config.Store.Read(ctx, acaciatally.RecordRange{Table: r.config.WorkerTable})
+		if err != nil {
+			acaciatally.Pause(ctx, commitRetry)
+			continue
+		}
+		r.Post(ctx, func() {
+			clear(r.directory)
+			r.list(page.Records)
+		})
+		r.follow(ctx, r.config.WorkerTable, page.Version, r.list)
+	}
+	return nil
+}
+
+// follow passes on the changes of a table until its history is gone.
+func (r *Runner) follow(ctx context.Context, table string, version uint64, take func(records []acaciatally.Record)) {
+	for ctx.Err() == nil {
+		page, err := r.config.Store.Follow(ctx, table, version, followWait)
+		if errors.Is(err, acaciatally.ErrHistoryGone) {
+			return
+		}
+		if err != nil {
+			acaciatally.Pause(ctx, commitRetry)
+			continue
+		}
+		version = page.Version
+		if len(page.Records) > 0 {
+			r.Post(ctx, func() { take(page.Records) })
+			acaciatally.Pause(ctx, followGap)
+		}
+	}
+}
+
+// list takes in entries of the directory; one that can't be decoded names no usable worker.
+func (r *Runner) list(records []acaciatally.Record) {
+	for _, record := range records {
+		id := acaciatally.WorkerID(record.Key)
+		if record.Deleted {
+			delete(r.directory, id)
+			continue
+		}
+		worker, err := r.config.DecodeWorker(record)
+		if err != nil {
+			r.config.Machine.Journal.EntryIgnored(record.RecordKey, record.Version, err)
+			delete(r.directory, id)
+			continue
+		}
+		r.directory[id] = worker
+	}
+	workers := make([]acaciatally.Worker, 0, len(r.directory))
+	for _, worker := range r.directory {
+		workers = append(workers, worker)
+	}
+	r.machine.SetDirectory(workers, r.config.Now())
+}
--- a/dispatch/plan.go
+++ b/dispatch/plan.go
@@ -7,6 +7,7 @@
 
 	"github.com/acaciatally/acaciatally"
 	"github.com/acaciatally/acaciatally/job"
+	"github.com/acaciatally/acaciatally/ordering"
 )
 
 // checkEvery is the time between two looks at runs that do not progress or have to leave.
@@ -138,13 +139,13 @@
 // thousands of jobs under overload.
 func compareJobs(a, b *activeJob) int {
 	if a.lasting != b.lasting {
-		return compareBool(b.lasting, a.lasting)
+		return ordering.Bools(b.lasting, a.lasting)
 	}
 	if a.accepted.Queue.Priority != b.accepted.Queue.Priority {
 		return cmp.Compare(a.accepted.Queue.Priority, b.accepted.Queue.Priority)
 	}
 	if a.late != b.late {
-		return compareBool(a.late, b.late)
+		return ordering.Bools(a.late, b.late)
 	}
 	if a.arrived != b.arrived {
 		return cmp.Compare(a.arrived, b.arrived)
@@ -152,17 +153,6 @@
 	return cmp.Compare(a.id, b.id)
 }
 
-// compareBool orders false before true.
-func compareBool(a, b bool) int {
-	switch {
-	case a == b:
-		return 0
-	case b:
-		return -1
-	}
-	return 1
-}
-
 // place assigns waiting tasks to workers, in all pools or only some.
 func (m *Machine) place(only map[acaciatally.PoolName]bool, now time.Duration) {
 	for pool, jobs := range m.waiting(only, now) {
--- a/dispatch/preempt.go
+++ b/dispatch/preempt.go
@@ -4,6 +4,8 @@
 	"cmp"
 	"slices"
 	"time"
+
+	"github.com/acaciatally/acaciatally/ordering"
 )
 
 // preemptAfter is how long a lasting task waits for room before others are stopped for it; runs usually end sooner.
@@ -45,7 +47,7 @@
 		}
 	}
 	slices.SortFunc(others, func(a, b *task) int {
-		return cmp.Or(compareBool(b.step.Checkpoints, a.step.Checkpoints), cmp.Compare(a.percent, b.percent))
+		return cmp.Or(ordering.Bools(b.step.Checkpoints, a.step.Checkpoints), cmp.Compare(a.percent, b.percent))
 	})
 	free := c.free
 	for _, run := range others {
--- a/leadership/keeper.go
+++ b/leadership/keeper.go
@@ -104,7 +104,7 @@
 	leads, seen := k.lease.Leads(k.config.Now()), k.lease.seen
 	k.mutex.Unlock()
 	if leads {
-		pause(ctx, again)
+		acaciatally.Pause(ctx, again)
 		return
 	}
 	if !seen {
@@ -115,9 +115,9 @@
 	switch {
 	case errors.Is(err, acaciatally.ErrHistoryGone):
 		k.read(ctx)
-		pause(ctx, retryPause)
+		acaciatally.Pause(ctx, retryPause)
 	case err != nil:
-		pause(ctx, min(again, retryPause))
+		acaciatally.Pause(ctx, min(again, retryPause))
 	default:
 		k.from = page.Version
 		k.observe(page.Records)
@@ -127,7 +127,7 @@
 func (k *Keeper) read(ctx context.Context) {
 	page, err := k.config.Store.Read(ctx, acaciatally.RecordRange{Table: Key.Table, Partition: Key.Partition})
 	if err != nil {
-		pause(ctx, retryPause)
+		acaciatally.Pause(ctx, retryPause)
 		return
 	}
 	k.from = page.Version
@@ -179,7 +179,7 @@
 		k.mutex.Lock()
 		k.lease.Tried(sent + retryPause - k.config.Lease.RenewEvery)
 		k.mutex.Unlock()
-		pause(ctx, retryPause)
+		acaciatally.Pause(ctx, retryPause)
 	}
 }
 
@@ -249,12 +249,3 @@
 		k.config.Journal.Tenure(row.Epoch, false, "lease not given up: "+err.Error())
 	}
 }
-
-func pause(ctx context.Context, wait time.Duration) {
-	timer := time.NewTimer(wait)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
--- a/maintenance/plan.go
+++ b/maintenance/plan.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/acaciatally/acaciatally"
+	"github.com/acaciatally/acaciatally/ordering"
 )
 
 // Phase is how far the maintenance of an instance is.
@@ -101,18 +102,7 @@
 // compare puts first what costs the least to take down.
 func compare(a, b Instance) int {
 	return cmp.Or(
-		compareBool(b.Standby, a.Standby), cmp.Compare(a.Lasting, b.Lasting), compareBool(b.Spare, a.Spare),
+		ordering.Bools(b.Standby, a.Standby), cmp.Compare(a.Lasting, b.Lasting), ordering.Bools(b.Spare, a.Spare),
 		cmp.Compare(a.Runs, b.Runs), cmp.Compare(a.ID, b.ID),
 	)
 }
-
-// compareBool orders false before true.
-func compareBool(a, b bool) int {
-	switch {
-	case a == b:
-		return 0
-	case b:
-		return -1
-	}
-	return 1
-}
--- /dev/null
+++ b/ordering/bools_test.go
@@ -0,0 +1,16 @@
+package ordering_test
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/acaciatally/acaciatally/ordering"
+)
+
+// TestBools guards against an order that is turned round.
+func TestBools(t *testing.T) {
+	require.Negative(t, ordering.Bools(false, true))
+	require.Positive(t, ordering.Bools(true, false))
+	require.Zero(t, ordering.Bools(true, true))
+}
--- /dev/null
+++ b/roster/roster_test.go
@@ -0,0 +1,94 @@
+package roster
+
+import (
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/acaciatally/acaciatally"
+	"github.com/acaciatally/acaciatally/capacity"
+	"github.com/acaciatally/acaciatally/dispatch"
+)
+
+// silent takes no notes.
+type silent struct{ dispatch.Journal }
+
+func (silent) WorkerChanged(acaciatally.WorkerID, acaciatally.PoolName, string, time.Duration) {}
+
+func (silent) InstancePlanned(acaciatally.InstanceID, acaciatally.PoolName, string) {}
+
+func (silent) InstanceOrdered(acaciatally.InstanceID, string, error) {}
+
+func (silent) WaveChanged(int, int, bool) {}
+
+var configuration = &acaciatally.Configuration{Pools: map[acaciatally.PoolName]acaciatally.PoolOptions{
+	"intake": {Name: "intake"}, "reserve": {Name: "reserve", Standby: true},
+}}
+
+func instance(id string, worker acaciatally.WorkerID, state acaciatally.InstanceState) acaciatally.FleetInstance {
+	return acaciatally.FleetInstance{
+		ID: acaciatally.InstanceID(id), Pool: "intake", State: state, Worker: worker, Capacity: acaciatally.Room{Processors: 8000},
+	}
+}
+
+// newRoster returns a roster with one instance and a wave over it, and a machine that has heard its worker if wanted.
+func newRoster(t *testing.T, heard bool) (*Roster, *dispatch.Machine) {
+	t.Helper()
+	r := New(Config{Epoch: 3, Holder: "entry-1", MaintenanceTime: time.Second, Capacity: capacity.Defaults(), Journal: silent{}})
+	m := dispatch.New(dispatch.Config{Journal: silent{}, WorkerLease: 6 * time.Second})
+	w := acaciatally.Worker{
+		ID: "i-1", Instance: "m-1", Pool: "intake", Address: netip.MustParseAddrPort("10.1.0.1:80"), Born: time.UnixMilli(1000),
+		Capacity: acaciatally.Room{Processors: 8000},
+	}
+	m.SetDirectory([]acaciatally.Worker{w}, time.Second)
+	if heard {
+		m.Report("i-1", acaciatally.WorkerReport{Born: w.Born}, time.Second, time.Second)
+	}
+	r.SetFleet([]acaciatally.FleetInstance{instance("m-1", "i-1", acaciatally.InstanceUp)}, time.Second)
+	r.AddWave(acaciatally.MaintenanceWave{Number: 1, Instances: []acaciatally.InstanceID{"m-1"}, Within: 4 * time.Second, AtOnce: 1}, 0, nil, false)
+	require.NotEmpty(t, r.Plan(m, configuration, 2*time.Second))
+	return r, m
+}
+
+// TestUnheardWorker guards against an instance that is taken for empty because its worker has not told a new leader what runs on it.
+func TestUnheardWorker(t *testing.T) {
+	r, m := newRoster(t, false)
+	require.Empty(t, r.Orders(m, 2*time.Second))
+}
+
+// TestUnsureOrder guards against giving up the worker that came after an order without answer, when its repetition is answered.
+func TestUnsureOrder(t *testing.T) {
+	r, m := newRoster(t, true)
+	orders := r.Orders(m, 2*time.Second)
+	require.Len(t, orders, 1)
+	require.False(t, r.Ordered(m, orders[0], acaciatally.ErrNoAnswer, 2*time.Second))
+	r.SetFleet([]acaciatally.FleetInstance{instance("m-1", "i-2", acaciatally.InstanceUp)}, 4*time.Second)
+	again := r.Orders(m, 5*time.Second)
+	require.Len(t, again, 1)
+	require.Equal(t, orders[0].Lease, again[0].Lease, "a repetition has the token of the first order")
+	r.Ordered(m, again[0], nil, 5*time.Second)
+	require.Equal(t, acaciatally.WorkerID("i-1"), again[0].todo.lastLife)
+}
+
+// TestFencedOrder guards against a holder that goes on after another one has ordered an instance.
+func TestFencedOrder(t *testing.T) {
+	r, m := newRoster(t, true)
+	order := r.Orders(m, 2*time.Second)[0]
+	require.True(t, r.Ordered(m, order, &acaciatally.OrderRejectedError{Reason: acaciatally.RejectFence}, 2*time.Second))
+}
+
+// TestWaveRecord guards against a wave that is said to be completed before its last instance was taken down, or that the next leader
+// does over again.
+func TestWaveRecord(t *testing.T) {
+	r, m := newRoster(t, true)
+	for _, record := range r.Records() {
+		require.False(t, record.Completed)
+	}
+	r.Ordered(m, r.Orders(m, 2*time.Second)[0], nil, 2*time.Second)
+	records := r.Records()
+	require.Equal(t, []WaveRecord{{Number: 1, Finished: []acaciatally.InstanceID{"m-1"}, Completed: true}}, records)
+	r.Recorded(records[0])
+	require.Empty(t, r.Records())
+}
--- a/site/configuration.go
+++ b/site/configuration.go
@@ -50,7 +50,7 @@
 		page, err := f.store.Read(ctx, acaciatally.RecordRange{Table: f.records.Table})
 		f.answered(err)
 		if err != nil {
-			pause(ctx, retryPause)
+			acaciatally.Pause(ctx, retryPause)
 			continue
 		}
 		f.take(page.Records)
@@ -66,7 +66,7 @@
 		}
 		f.answered(err)
 		if err != nil {
-			pause(ctx, retryPause)
+			acaciatally.Pause(ctx, retryPause)
 			continue
 		}
 		version = page.Version
@@ -144,12 +144,3 @@
 	f.routes.Store(intake.NewRoutes(configuration))
 	f.journal.ConfigurationTaken(configuration.Version, record.Version, len(configuration.Queues))
 }
-
-func pause(ctx context.Context, wait time.Duration) {
-	timer := time.NewTimer(wait)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
--- a/site/failure_test.go
+++ b/site/failure_test.go
@@ -35,12 +35,6 @@
 	return paths
 }
 
-func lasting(count int) map[string]any {
-	one := step(count, 1000)
-	one["longRunning"], one["mayMiss"], one["antiAffinity"] = true, 1, 1
-	return one
-}
-
 // ends counts the runs by how they ended.
 func (w *world) ends() map[string]int {
 	counts := map[string]int{}
@@ -61,7 +55,7 @@
 				w.addMachines("coating", 2)
 				time.Sleep(3 * time.Second)
 				old, entry := w.leader(), w.other()
-				paths := w.submitMany(entry, "quotes", 6, jobOf(step(4, 1000)))
+				paths := w.submitMany(entry, "quotes", 6, emulator.Job(emulator.Step(4, 1000)))
 				time.Sleep(moment)
 				heal := w.cutOff(old)
 				for _, p := range paths {
@@ -86,8 +80,8 @@
 		w.addMachines("coating", 4)
 		time.Sleep(3 * time.Second)
 		old, entry := w.leader(), w.other()
-		quotes := w.submitMany(entry, "quotes", 3, jobOf(step(4, 1000)))
-		plans := w.submitMany(entry, "plans", 3, jobOf(step(4, 1000)))
+		quotes := w.submitMany(entry, "quotes", 3, emulator.Job(emulator.Step(4, 1000)))
+		plans := w.submitMany(entry, "plans", 3, emulator.Job(emulator.Step(4, 1000)))
 		time.Sleep(500 * time.Millisecond)
 		entry.faults.Slow(250 * time.Millisecond)
 		w.cutOff(old)
@@ -108,7 +102,7 @@
 		w.behave.Took = func(string) time.Duration { return -1 }
 		w.addMachines("intake", 6)
 		time.Sleep(3 * time.Second)
-		w.submit(w.entries[0], quoteA, jobOf(lasting(3)))
+		w.submit(w.entries[0], quoteA, emulator.Job(emulator.LastingStep(3)))
 		w.await(w.entries[0], quoteA, "running", 2*time.Second)
 		dark := w.ledger.Runs()[0].Worker
 		w.workers[dark].Crash()
@@ -128,7 +122,7 @@
 		w := newWorld(t, 1)
 		w.addMachines("intake", 2)
 		time.Sleep(3 * time.Second)
-		w.submit(w.entries[0], quoteA, jobOf(step(4, 1000)))
+		w.submit(w.entries[0], quoteA, emulator.Job(emulator.Step(4, 1000)))
 		time.Sleep(300 * time.Millisecond)
 		again := w.workers[w.ledger.Runs()[0].Worker]
 		again.Restart()
@@ -150,8 +144,8 @@
 				for round := range 4 {
 					w.leader().faults.Lose(2, delay)
 					w.other().faults.Lose(1, delay)
-					_, _ = w.call(w.other(), http.MethodPost, path("quotes", round+1), jobOf(step(3, 1000)))
-					w.submitEventually(w.other(), path("quotes", round+1), jobOf(step(3, 1000)))
+					_, _ = w.call(w.other(), http.MethodPost, path("quotes", round+1), emulator.Job(emulator.Step(3, 1000)))
+					w.submitEventually(w.other(), path("quotes", round+1), emulator.Job(emulator.Step(3, 1000)))
 					time.Sleep(500 * time.Millisecond)
 				}
 				for round := range 4 {
@@ -182,13 +176,13 @@
 		w.behave.Took = func(string) time.Duration { return 5 * time.Second }
 		w.addMachines("intake", 4)
 		time.Sleep(3 * time.Second)
-		w.submit(w.entries[0], quoteA, jobOf(step(4, 1000)))
+		w.submit(w.entries[0], quoteA, emulator.Job(emulator.Step(4, 1000)))
 		time.Sleep(time.Second)
 		for _, e := range w.entries {
 			e.faults.Refuse(http.StatusServiceUnavailable)
 		}
 		begun := time.Now()
-		status, _ := w.call(w.entries[1], http.MethodPost, quoteB, jobOf(step(1, 1000)))
+		status, _ := w.call(w.entries[1], http.MethodPost, quoteB, emulator.Job(emulator.Step(1, 1000)))
 		require.Equal(t, http.StatusServiceUnavailable, status)
 		require.Less(t, time.Since(begun), 100*time.Millisecond, "what can't be accepted is refused at once")
 		time.Sleep(5 * time.Second)
@@ -208,7 +202,7 @@
 		w.addMachines("intake", 1)
 		time.Sleep(3 * time.Second)
 		for i := range 5 {
-			w.submit(w.other(), path("quotes", i+1), jobOf(step(2, 3000)))
+			w.submit(w.other(), path("quotes", i+1), emulator.Job(emulator.Step(2, 3000)))
 			w.store.Compact()
 			w.addMachines("intake", 1)
 			w.configure(i+2, i)
@@ -234,7 +228,7 @@
 				worker.Mute(true)
 			}
 		}
-		w.submit(w.entries[0], quoteA, jobOf(step(6, 3000)))
+		w.submit(w.entries[0], quoteA, emulator.Job(emulator.Step(6, 3000)))
 		time.Sleep(3 * time.Second)
 		w.workers["i-001"].Mute(false)
 		w.await(w.entries[0], quoteA, "completed", 15*time.Second)
@@ -251,7 +245,7 @@
 		w.addMachines("reserve", 6)
 		w.control.Lose(4)
 		time.Sleep(3 * time.Second)
-		paths := w.submitMany(w.entries[0], "quotes", 24, jobOf(step(8, 2000)))
+		paths := w.submitMany(w.entries[0], "quotes", 24, emulator.Job(emulator.Step(8, 2000)))
 		for _, p := range paths {
 			w.await(w.entries[0], p, "completed", 60*time.Second)
 		}
@@ -269,7 +263,7 @@
 		w.addMachines("reserve", 8)
 		time.Sleep(3 * time.Second)
 		begun := time.Now()
-		paths := w.submitMany(w.entries[0], "quotes", 20, jobOf(step(8, 2000)))
+		paths := w.submitMany(w.entries[0], "quotes", 20, emulator.Job(emulator.Step(8, 2000)))
 		for _, p := range paths {
 			w.await(w.entries[0], p, "completed", 60*time.Second)
 		}
@@ -312,13 +306,13 @@
 				w.addMachines("reserve", 3)
 				time.Sleep(3 * time.Second)
 				entry := w.other()
-				w.submit(entry, quoteA, jobOf(lasting(3)))
+				w.submit(entry, quoteA, emulator.Job(emulator.LastingStep(3)))
 				time.Sleep(time.Second)
 				w.wave(1, 30, 2)
 				time.Sleep(2 * time.Second)
 				trouble(w)
 				for i := range 30 {
-					_, _ = w.call(entry, http.MethodPost, path("quotes", i+1), jobOf(step(2, 1000)))
+					_, _ = w.call(entry, http.MethodPost, path("quotes", i+1), emulator.Job(emulator.Step(2, 1000)))
 					time.Sleep(time.Second)
 				}
 				require.Len(t, maintained(w.control.Ordered()), 8)
@@ -400,7 +394,7 @@
 		w.store.Put("op", "wave/x", map[string]any{"wave": "no"})
 		w.store.Put("op", "wave/7", "not an object")
 		time.Sleep(3 * time.Second)
-		w.submit(w.entries[0], quoteA, jobOf(step(2, 1000)))
+		w.submit(w.entries[0], quoteA, emulator.Job(emulator.Step(2, 1000)))
 		w.await(w.entries[0], quoteA, "completed", 5*time.Second)
 	})
 }
@@ -415,7 +409,7 @@
 		old.stop()
 		stopped := time.Now()
 		for i := 0; time.Since(stopped) < 2*time.Second; i++ {
-			w.submit(old, path("quotes", i+1), jobOf(step(1, 1000)))
+			w.submit(old, path("quotes", i+1), emulator.Job(emulator.Step(1, 1000)))
 			time.Sleep(100 * time.Millisecond)
 		}
 		require.Equal(t, entry, w.leader())
--- a/site/site.go
+++ b/site/site.go
@@ -219,7 +219,7 @@
 		return err
 	case <-ctx.Done():
 	}
-	pause(context.WithoutCancel(ctx), linger)
+	acaciatally.Pause(context.WithoutCancel(ctx), linger)
 	finishing, cancel := context.WithTimeout(context.WithoutCancel(ctx), p.config.Grace/2)
 	defer cancel()
 	if err = server.Shutdown(finishing); errors.Is(err, context.DeadlineExceeded) {
--- a/site/site_test.go
+++ b/site/site_test.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"github.com/acaciatally/acaciatally/platform/emulator"
 )
 
 const (
@@ -22,10 +24,8 @@
 		w.addMachines("intake", 3)
 		w.addMachines("coating", 2)
 		time.Sleep(3 * time.Second)
-		second := step(3, 500)
-		second["dependsOn"] = []int{0}
-		w.submit(w.entries[0], quoteA, jobOf(step(4, 2000), second))
-		w.submit(w.entries[1], planA, jobOf(step(2, 1000)))
+		w.submit(w.entries[0], quoteA, emulator.Job(emulator.Step(4, 2000), emulator.StepAfter(0, 3, 500)))
+		w.submit(w.entries[1], planA, emulator.Job(emulator.Step(2, 1000)))
 		w.await(w.entries[2], quoteA, "completed", 5*time.Second)
 		w.await(w.entries[2], planA, "completed", 5*time.Second)
 		w.checkOnce()
@@ -39,11 +39,11 @@
 		w := newWorld(t, 2)
 		w.addMachines("intake", 2)
 		time.Sleep(3 * time.Second)
-		w.submit(w.entries[0], quoteA, jobOf(step(1, 1000)))
-		w.submit(w.entries[1], quoteA, jobOf(step(1, 1000)))
+		w.submit(w.entries[0], quoteA, emulator.Job(emulator.Step(1, 1000)))
+		w.submit(w.entries[1], quoteA, emulator.Job(emulator.Step(1, 1000)))
 		w.await(w.entries[0], quoteA, "completed", 5*time.Second)
-		w.submit(w.entries[1], quoteA, jobOf(step(1, 1000)))
-		status, _ := w.call(w.entries[1], http.MethodPost, quoteA, jobOf(step(2, 1000)))
+		w.submit(w.entries[1], quoteA, emulator.Job(emulator.Step(1, 1000)))
+		status, _ := w.call(w.entries[1], http.MethodPost, quoteA, emulator.Job(emulator.Step(2, 1000)))
 		require.Equal(t, http.StatusConflict, status)
 		time.Sleep(3 * time.Second)
 		require.Len(t, w.ledger.Runs(), 1)
@@ -57,10 +57,10 @@
 		body         any
 		status       int
 	}{
-		"no queue":         {http.MethodPost, "/nothing/00000000000000aa", jobOf(step(1, 1)), http.StatusNotFound},
-		"bad id":           {http.MethodPost, "/quotes/xyz", jobOf(step(1, 1)), http.StatusNotFound},
-		"no steps":         {http.MethodPost, quoteA, jobOf(), http.StatusBadRequest},
-		"later step first": {http.MethodPost, quoteA, jobOf(map[string]any{"count": 1, "dependsOn": []int{0}}), http.StatusBadRequest},
+		"no queue":         {http.MethodPost, "/nothing/00000000000000aa", emulator.Job(emulator.Step(1, 1)), http.StatusNotFound},
+		"bad id":           {http.MethodPost, "/quotes/xyz", emulator.Job(emulator.Step(1, 1)), http.StatusNotFound},
+		"no steps":         {http.MethodPost, quoteA, emulator.Job(), http.StatusBadRequest},
+		"later step first": {http.MethodPost, quoteA, emulator.Job(emulator.StepAfter(0, 1, 1)), http.StatusBadRequest},
 		"unknown job":      {http.MethodGet, quoteB, nil, http.StatusGone},
 		"cancel unknown":   {http.MethodDelete, quoteB, nil, http.StatusGone},
 		"waiting":          {http.MethodGet, "/quotes/", nil, http.StatusOK},
@@ -83,7 +83,7 @@
 		w.behave.Took = func(string) time.Duration { return time.Minute }
 		w.addMachines("intake", 2)
 		time.Sleep(3 * time.Second)
-		w.submit(w.entries[0], quoteA, jobOf(step(4, 1000)))
+		w.submit(w.entries[0], quoteA, emulator.Job(emulator.Step(4, 1000)))
 		w.await(w.entries[0], quoteA, "running", 3*time.Second)
 		status, _ := w.call(w.entries[1], http.MethodDelete, quoteA, nil)
 		require.Equal(t, http.StatusOK, status)
@@ -103,7 +103,7 @@
 		w.addMachines("intake", 1)
 		time.Sleep(3 * time.Second)
 		for _, path := range []string{quoteA, quoteB, "/quotes/00000000000000dd"} {
-			w.submit(w.entries[0], path, jobOf(step(1, 8000)))
+			w.submit(w.entries[0], path, emulator.Job(emulator.Step(1, 8000)))
 		}
 		time.Sleep(time.Second)
 		_, answer := w.call(w.entries[1], http.MethodGet, "/quotes/", nil)
@@ -118,7 +118,7 @@
 		w.behave.Fails = func(string, string) bool { return true }
 		w.addMachines("intake", 4)
 		time.Sleep(3 * time.Second)
-		w.submit(w.entries[0], quoteA, jobOf(step(1, 1000)))
+		w.submit(w.entries[0], quoteA, emulator.Job(emulator.Step(1, 1000)))
 		w.await(w.entries[0], quoteA, "failed", 20*time.Second)
 		time.Sleep(5 * time.Second)
 		require.Len(t, w.ledger.Runs(), 2)
@@ -134,7 +134,7 @@
 		time.Sleep(3 * time.Second)
 		paths := []string{quoteA, quoteB, "/quotes/00000000000000dd", "/quotes/00000000000000ee", "/quotes/00000000000000ff"}
 		for _, path := range paths {
-			w.submit(w.entries[0], path, jobOf(step(4, 1000)))
+			w.submit(w.entries[0], path, emulator.Job(emulator.Step(4, 1000)))
 		}
 		completed := 0
 		time.Sleep(10 * time.Second)
--- a/site/world_test.go
+++ b/site/world_test.go
@@ -232,15 +232,6 @@
 	return response.StatusCode, answer
 }
 
-// step is the usual step of a submitted job.
-func step(count, cpu int) map[string]any {
-	return map[string]any{"count": count, "cpu": cpu, "memMb": 100, "estimateMs": 800}
-}
-
-func jobOf(steps ...map[string]any) map[string]any {
-	return map[string]any{"spec": "work", "steps": steps}
-}
-
 // submit hands a job in and requires that it is accepted.
 func (w *world) submit(e *entry, path string, body any) {
 	w.t.Helper()
