Let a lasting task return to the worker on which it failed

Ruled out: room; the worker had it. Change: only tasks with a number of attempts stay away. TestFailedLastingTask failed first.

--- a/dispatch/machine_test.go
+++ b/dispatch/machine_test.go
@@ -308,3 +308,21 @@
 	record(m, time.Second)
 	require.Len(t, started(m, time.Second), 1)
 }
+
+// TestFailedLastingTask guards against a lasting task that fails, which it may at any time, and waits for another worker although only
+// the one on which it ran may take it.
+func TestFailedLastingTask(t *testing.T) {
+	m, _ := newMachine()
+	ready(m, workerOf(1), workerOf(2))
+	step := oneStep(2, 1000)
+	step.Lasting, step.PerWorker = true, 1
+	submit(m, "aa", 0, step)
+	first := started(m, 0)
+	require.Len(t, first, 2)
+	m.Report(first[0].Worker.ID, acaciatally.WorkerReport{Clock: time.Second, Born: time.UnixMilli(1000), Ended: []acaciatally.EndedTask{
+		{Number: 1, Task: first[0].Start.Task, Attempt: 1, End: acaciatally.EndFailed},
+	}}, time.Second, time.Second)
+	again := started(m, time.Second)
+	require.Len(t, again, 1)
+	require.Equal(t, first[0].Worker.ID, again[0].Worker.ID)
+}
--- a/dispatch/report.go
+++ b/dispatch/report.go
@@ -145,10 +145,7 @@
 		return
 	case ended.End == acaciatally.EndFailed:
 		t.failures++
-		if t.avoid == nil {
-			t.avoid = map[acaciatally.WorkerID]time.Duration{}
-		}
-		t.avoid[t.at.entry.ID] = now + avoidFor
+		t.shun(now)
 	}
 	t.release()
 	if t.job.live() && !t.step.Lasting && t.failures >= max(1, t.job.accepted.Queue.Attempts) {
@@ -156,6 +153,17 @@
 	}
 }
 
+// shun keeps a task away from the worker on which it failed; a lasting one may fail at any time anywhere, and has to run again soon.
+func (t *task) shun(now time.Duration) {
+	if t.step.Lasting {
+		return
+	}
+	if t.avoid == nil {
+		t.avoid = map[acaciatally.WorkerID]time.Duration{}
+	}
+	t.avoid[t.at.entry.ID] = now + avoidFor
+}
+
 // avoidFor is how long a task stays away from a worker on which it failed, if there are others.
 const avoidFor = 10 * time.Second
 
