--- a/roster/order.go
+++ b/roster/order.go
@@ -1,7 +1,9 @@
 package roster
 
 import (
+	"cmp"
 	"errors"
+	"slices"
 	"time"
 
 	"github.com/acaciatally/acaciatally"
@@ -18,34 +20,56 @@
 	todo     *intent
 }
 
-// Orders returns the orders to send now: those on instances whose workers are empty.
+// Orders returns the orders to send now: those on instances whose workers are empty, the longest planned first, few at once. More at
+// once would wait for each other until their time is over, and their outcomes would be unknown.
 func (r *Roster) Orders(m *dispatch.Machine, now time.Duration) (orders []Order) {
 	workers, _ := m.View(now)
+	sending := 0
+	var due []acaciatally.InstanceID
 	for id, todo := range r.intents {
-		instance := r.instances[id]
-		if todo.done || todo.sending || now < todo.retryAt {
-			continue
-		}
-		w := workers[instance.Worker]
-		empty := instance.Worker == "" || (w.Known && w.Runs == 0)
-		if !empty && !todo.unsure {
-			continue
-		}
-		if instance.State != acaciatally.InstanceUp && !todo.unsure {
-			continue
-		}
-		todo.sending = true
-		if !todo.sent {
-			todo.sent, todo.lastLife = true, instance.Worker
+		if todo.sending {
+			sending++
+		} else if r.due(id, todo, workers, now) {
+			due = append(due, id)
 		}
-		orders = append(orders, Order{
-			Instance: id, Maintain: todo.purpose == toMaintain, Wave: todo.wave, To: todo.to, todo: todo,
-			Lease: acaciatally.FleetLease{Holder: r.config.Holder, Fence: todo.fence},
-		})
+	}
+	slices.SortFunc(due, func(a, b acaciatally.InstanceID) int {
+		return cmp.Or(cmp.Compare(r.intents[a].fence, r.intents[b].fence), cmp.Compare(a, b))
+	})
+	for _, id := range due[:max(0, min(len(due), ordersAtOnce-sending))] {
+		orders = append(orders, r.order(id))
 	}
 	return orders
 }
 
+// due reports whether the order on an instance may be sent now.
+func (r *Roster) due(
+	id acaciatally.InstanceID, todo *intent, workers map[acaciatally.WorkerID]dispatch.WorkerView, now time.Duration,
+) bool {
+	if todo.done || now < todo.retryAt {
+		return false
+	}
+	if todo.unsure {
+		return true
+	}
+	instance := r.instances[id]
+	w := workers[instance.Worker]
+	empty := instance.Worker == "" || (w.Known && w.Runs == 0)
+	return empty && instance.State == acaciatally.InstanceUp
+}
+
+func (r *Roster) order(id acaciatally.InstanceID) Order {
+	todo := r.intents[id]
+	todo.sending = true
+	if !todo.sent {
+		todo.sent, todo.lastLife = true, r.instances[id].Worker
+	}
+	return Order{
+		Instance: id, Maintain: todo.purpose == toMaintain, Wave: todo.wave, To: todo.to, todo: todo,
+		Lease: acaciatally.FleetLease{Holder: r.config.Holder, Fence: todo.fence},
+	}
+}
+
 // Ordered takes in the result of an order; resign means that another holder has ordered the instance.
 func (r *Roster) Ordered(m *dispatch.Machine, order Order, err error, now time.Duration) (resign bool) {
 	todo := order.todo
--- a/roster/roster.go
+++ b/roster/roster.go
@@ -18,6 +18,10 @@
 	listLag = 500 * time.Millisecond
 	// orderRetry is the pause after an order without a definite result.
 	orderRetry = 250 * time.Millisecond
+	// ordersAtOnce bounds the orders without an answer; the instance control works them off one after another.
+	ordersAtOnce = 8
+	// mostWaitingOrders bounds the planned moves whose order was not sent; their workers do nothing meanwhile.
+	mostWaitingOrders = 24
 	// fenceShift leaves room for a fencing token of its own for each decision of a tenure.
 	fenceShift = 20
 )
@@ -139,12 +143,25 @@
 	r.expire(workers, now)
 	pools := r.pools(configuration, demand)
 	r.planWaves(pools, workers, now)
+	if r.waitingOrders(workers) >= mostWaitingOrders {
+		return r.withheld()
+	}
 	for _, move := range capacity.Plan(r.config.Capacity, pools, r.capacityView(workers)) {
 		r.intend(move.Instance, &intent{purpose: toMove, to: move.To, since: now})
 	}
 	return r.withheld()
 }
 
+// waitingOrders counts the empty workers whose order was not carried out.
+func (r *Roster) waitingOrders(workers map[acaciatally.WorkerID]dispatch.WorkerView) (count int) {
+	for id, todo := range r.intents {
+		if !todo.done && workers[r.instances[id].Worker].Runs == 0 {
+			count++
+		}
+	}
+	return count
+}
+
 func (r *Roster) intend(id acaciatally.InstanceID, todo *intent) {
 	r.orders++
 	todo.fence = r.config.Epoch<<fenceShift + r.orders
--- a/roster/roster_test.go
+++ b/roster/roster_test.go
@@ -1,6 +1,7 @@
 package roster
 
 import (
+	"fmt"
 	"net/netip"
 	"testing"
 	"time"
@@ -92,3 +93,25 @@
 	r.Recorded(records[0])
 	require.Empty(t, r.Records())
 }
+
+// TestOrdersAtOnce guards against a leader whose orders wait for each other at the instance control until the time of each is over:
+// from then on no order had a known outcome, and each was repeated.
+func TestOrdersAtOnce(t *testing.T) {
+	r := New(Config{Epoch: 3, Holder: "entry-1", MaintenanceTime: time.Second, Capacity: capacity.Defaults(), Journal: silent{}})
+	m := dispatch.New(dispatch.Config{Journal: silent{}, WorkerLease: 6 * time.Second})
+	var fleet []acaciatally.FleetInstance
+	var wave []acaciatally.InstanceID
+	for i := range 100 {
+		id := fmt.Sprintf("m-%02d", i)
+		fleet = append(fleet, instance(id, "", acaciatally.InstanceUp))
+		wave = append(wave, acaciatally.InstanceID(id))
+	}
+	r.SetFleet(fleet, time.Second)
+	r.AddWave(acaciatally.MaintenanceWave{Number: 1, Instances: wave, Within: 4 * time.Second, AtOnce: 100}, 0, nil, false)
+	r.Plan(m, configuration, 2*time.Second)
+	first := r.Orders(m, 2*time.Second)
+	require.Len(t, first, ordersAtOnce)
+	require.Empty(t, r.Orders(m, 2*time.Second), "none has an answer yet")
+	r.Ordered(m, first[0], nil, 2*time.Second)
+	require.Len(t, r.Orders(m, 2*time.Second), 1)
+}
