Let the strongest entry lead

All entries had waited longer than a term, and the first to notice its return took the lease: one with 0.192 of a core.

Change: the lag before a takeover counts from the store's return. The lease tells how weak its holder is; a stronger entry records a claim, which the holder's next renewal meets, and the lease is given up to the claimant. A claim is dropped with each takeover.

Tests, seen to fail before (they do not compile without it): leadership TestWeakHolder, TestSuccessor, TestLagAfterOutage; site TestStrongerEntryLeads.

--- a/leadership/keeper.go
+++ b/leadership/keeper.go
@@ -23,6 +23,8 @@
 type Journal interface {
 	// Leader notes who leads now; age is how old that knowledge is.
 	Leader(row Row, version uint64, self bool)
+	// EntryIgnored notes a record that can't be decoded.
+	EntryIgnored(key acaciatally.RecordKey, version uint64, err error)
 	// Tenure notes the begin or end of this entry's own right to act.
 	Tenure(epoch uint64, leads bool, reason string)
 }
@@ -83,11 +85,13 @@
 			k.wait(ctx, again)
 		case Renew, Take:
 			k.propose(ctx)
+		case Demand:
+			k.demand(ctx)
 		}
 		k.adjust(ctx)
 	}
 	k.end("stopping")
-	k.release(context.WithoutCancel(ctx))
+	k.release(context.WithoutCancel(ctx), "")
 	return nil
 }
 
@@ -112,20 +116,30 @@
 		return
 	}
 	page, err := k.config.Store.Follow(ctx, Table, k.from, again)
-	switch {
-	case errors.Is(err, acaciatally.ErrHistoryGone):
+	if errors.Is(err, acaciatally.ErrHistoryGone) {
 		k.read(ctx)
 		acaciatally.Pause(ctx, retryPause)
-	case err != nil:
-		acaciatally.Pause(ctx, min(again, retryPause))
-	default:
-		k.from = page.Version
-		k.observe(page.Records)
+		return
+	}
+	k.contact(err == nil)
+	if err != nil {
+		acaciatally.Pause(ctx, retryPause)
+		return
 	}
+	k.from = page.Version
+	k.observe(page.Records)
+}
+
+// contact takes in whether the store answers.
+func (k *Keeper) contact(answers bool) {
+	k.mutex.Lock()
+	defer k.mutex.Unlock()
+	k.lease.Contact(answers, k.config.Now())
 }
 
 func (k *Keeper) read(ctx context.Context) {
 	page, err := k.config.Store.Read(ctx, acaciatally.RecordRange{Table: Key.Table, Partition: Key.Partition})
+	k.contact(err == nil)
 	if err != nil {
 		acaciatally.Pause(ctx, retryPause)
 		return
@@ -164,9 +178,15 @@
 	defer cancel()
 	k.mutex.Lock()
 	row, version := k.lease.Proposal(k.config.Now())
+	renews := k.lease.Leads(k.config.Now())
 	k.mutex.Unlock()
+	transaction, err := proposal(row, version, renews)
+	if err != nil {
+		k.config.Journal.Tenure(row.Epoch, false, err.Error())
+		return
+	}
 	sent := k.config.Now()
-	committed, err := k.commit(ctx, row, version)
+	committed, err := k.config.Store.Commit(ctx, transaction)
 	var conflict *acaciatally.RecordConflictError
 	switch {
 	case err == nil:
@@ -174,28 +194,40 @@
 		k.lease.Committed(row, committed, sent, k.config.Now())
 		k.mutex.Unlock()
 	case errors.As(err, &conflict):
-		k.resolve(conflict)
+		k.resolve(ctx, conflict, version)
 	default:
 		k.mutex.Lock()
 		k.lease.Tried(sent + retryPause - k.config.Lease.RenewEvery)
+		k.lease.Contact(false, k.config.Now())
 		k.mutex.Unlock()
 		acaciatally.Pause(ctx, retryPause)
 	}
 }
 
-func (k *Keeper) commit(ctx context.Context, row Row, version uint64) (committed uint64, err error) {
-	value, err := json.Marshal(row)
-	if err != nil {
-		return 0, err
+// proposal returns the transaction that takes the lease, or renews it unless an entry that would lead better has claimed it.
+func proposal(row Row, version uint64, renews bool) (transaction acaciatally.RecordTransaction, err error) {
+	transaction, err = replace(row, version)
+	switch {
+	case !renews:
+		transaction.Deletes = []acaciatally.RecordKey{ClaimKey} // it was meant for an earlier holder
+	case row.Lag >= claimGain:
+		transaction.Conditions = append(transaction.Conditions, acaciatally.RecordCondition{RecordKey: ClaimKey})
 	}
-	return k.config.Store.Commit(ctx, acaciatally.RecordTransaction{
+	return transaction, err
+}
+
+// replace returns the transaction that replaces the lease under its version.
+func replace(row Row, version uint64) (transaction acaciatally.RecordTransaction, err error) {
+	value, err := json.Marshal(row)
+	return acaciatally.RecordTransaction{
 		Conditions: []acaciatally.RecordCondition{{RecordKey: Key, Version: version}},
 		Writes:     []acaciatally.RecordWrite{{RecordKey: Key, Value: value}},
-	})
+	}, err
 }
 
-// resolve takes in the record that stood in the way; a lease taken without an answer is taken once more, under the next epoch.
-func (k *Keeper) resolve(conflict *acaciatally.RecordConflictError) {
+// resolve takes in the records that stood in the way of a proposal on a version; a lease taken without an answer is taken once more, under
+// the next epoch.
+func (k *Keeper) resolve(ctx context.Context, conflict *acaciatally.RecordConflictError, version uint64) {
 	record, found := conflict.Find(Key)
 	if !found {
 		k.mutex.Lock()
@@ -203,9 +235,47 @@
 		k.mutex.Unlock()
 		return
 	}
+	if claim, claimed := conflict.Find(ClaimKey); claimed && record.Version == version {
+		k.handOver(ctx, claim)
+		return
+	}
 	k.observe([]acaciatally.Record{record})
 }
 
+// demand claims the lease from a weaker holder.
+func (k *Keeper) demand(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	value, err := json.Marshal(Claim{Candidate: k.config.Lease.Self})
+	if err != nil {
+		k.config.Journal.Tenure(0, false, "lease not claimed: "+err.Error())
+		return
+	}
+	_, err = k.config.Store.Commit(ctx, acaciatally.RecordTransaction{
+		Conditions: []acaciatally.RecordCondition{{RecordKey: ClaimKey}},
+		Writes:     []acaciatally.RecordWrite{{RecordKey: ClaimKey, Value: value}},
+	})
+	var conflict *acaciatally.RecordConflictError
+	if err != nil && !errors.As(err, &conflict) {
+		k.contact(false)
+		acaciatally.Pause(ctx, retryPause)
+		return
+	}
+	k.mutex.Lock()
+	defer k.mutex.Unlock()
+	k.lease.Claimed()
+}
+
+// handOver ends the tenure and gives the lease up to the entry that has claimed it.
+func (k *Keeper) handOver(ctx context.Context, record acaciatally.Record) {
+	var claim Claim
+	if err := json.Unmarshal(record.Value, &claim); err != nil {
+		k.config.Journal.EntryIgnored(record.RecordKey, record.Version, err) // without a name nobody is waited for
+	}
+	k.end("handed over to " + claim.Candidate)
+	k.release(ctx, claim.Candidate)
+}
+
 // adjust begins or ends the tenure by the lease.
 func (k *Keeper) adjust(ctx context.Context) {
 	k.mutex.Lock()
@@ -237,15 +307,27 @@
 }
 
 // release gives up the lease, so that another entry takes over at once.
-func (k *Keeper) release(ctx context.Context) {
-	if !k.lease.Leads(k.config.Now()) {
+func (k *Keeper) release(ctx context.Context, successor string) {
+	k.mutex.Lock()
+	leads := k.lease.Leads(k.config.Now())
+	row, version := k.lease.GivenUp(successor)
+	k.mutex.Unlock()
+	if !leads {
 		return
 	}
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	row, version := k.lease.row, k.lease.version
-	row.Holder = ""
-	if _, err := k.commit(ctx, row, version); err != nil {
+	transaction, err := replace(row, version)
+	if err == nil {
+		transaction.Deletes = []acaciatally.RecordKey{ClaimKey}
+		version, err = k.config.Store.Commit(ctx, transaction)
+	}
+	if err != nil {
+		k.Resign()
 		k.config.Journal.Tenure(row.Epoch, false, "lease not given up: "+err.Error())
+		return
 	}
+	k.mutex.Lock()
+	defer k.mutex.Unlock()
+	k.lease.Observe(row, version, k.config.Now())
 }
--- a/leadership/lease.go
+++ b/leadership/lease.go
@@ -12,12 +12,29 @@
 // Key is the key of the lease on dispatching.
 var Key = acaciatally.RecordKey{Table: Table, Key: "Dispatch"}
 
+// ClaimKey is the key of a claim on the lease by an entry that would lead better than its holder.
+var ClaimKey = acaciatally.RecordKey{Table: Table, Key: "Claim"}
+
 // Row is the recorded lease.
 type Row struct {
-	Holder string // empty after the holder has given it up
-	Epoch  uint64 // rises with each change of holder
+	Holder    string        // empty after the holder has given it up
+	Epoch     uint64        // rises with each change of holder
+	Lag       time.Duration `json:",omitempty"` // of the holder; the weaker it is, the longer
+	Successor string        `json:",omitempty"` // to whom the lease was given up
 }
 
+// Claim is a recorded claim.
+type Claim struct{ Candidate string }
+
+const (
+	// claimGain is how much longer the holder's lag has to be for a claim; a handover costs the start of a tenure.
+	claimGain = 200 * time.Millisecond
+	// claimAfter is how long an epoch is seen before it is claimed, so that a new leader has read all jobs.
+	claimAfter = time.Second
+	// successorTime is how long the others wait for the successor to take the lease.
+	successorTime = time.Second
+)
+
 // Step is what to do next.
 type Step int
 
@@ -26,6 +43,7 @@
 	Wait Step = iota
 	Renew
 	Take
+	Demand // claim the lease from a weaker holder
 )
 
 // Config is what a Lease needs.
@@ -33,18 +51,22 @@
 	Self        string
 	Term        time.Duration
 	RenewEvery  time.Duration
-	TakeOverLag time.Duration // added to the term before this entry takes a lease over, so that not all try at once
+	TakeOverLag time.Duration // added to the term before this entry takes a lease over; the weaker the entry, the longer
 }
 
 // Lease decides when this entry leads; times are those of a clock that counts suspension.
 type Lease struct {
-	config  Config
-	row     Row
-	version uint64
-	seen    bool
-	since   time.Duration // when this version was first seen
-	until   time.Duration // end of this entry's own right to act
-	renewed time.Duration // when the last renewal was sent
+	config   Config
+	row      Row
+	version  uint64
+	seen     bool
+	since    time.Duration // when this version was first seen
+	epochAt  time.Duration // when this epoch was first seen
+	lost     bool          // the store does not answer
+	regained time.Duration // when the store answered again
+	claimed  uint64        // epoch that was claimed last
+	until    time.Duration // end of this entry's own right to act
+	renewed  time.Duration // when the last renewal was sent
 }
 
 // New returns a lease of which nothing is known yet.
@@ -55,6 +77,9 @@
 	if l.seen && version <= l.version {
 		return
 	}
+	if !l.seen || row.Epoch != l.row.Epoch {
+		l.epochAt = now
+	}
 	l.row, l.version, l.seen, l.since = row, version, true, now
 	if row.Holder != l.config.Self {
 		l.until = 0
@@ -73,22 +98,63 @@
 		}
 		return Wait, due - now
 	}
-	due := l.since + l.config.TakeOverLag
-	if l.row.Holder != "" && l.row.Holder != l.config.Self {
-		due += l.config.Term
+	if l.lost {
+		return Wait, 0
 	}
+	due := l.takeOverAt()
 	if now >= due {
 		return Take, 0
 	}
+	if claim, wanted := l.claimAt(); wanted {
+		if now >= claim {
+			return Demand, 0
+		}
+		due = min(due, claim)
+	}
 	return Wait, due - now
 }
 
+// takeOverAt returns when this entry may take the lease. While the store was away nobody could, and the lag counts from its return; else
+// the first of all entries to notice it would lead, however weak.
+func (l *Lease) takeOverAt() time.Duration {
+	due := l.since
+	switch {
+	case l.row.Holder == l.config.Self:
+	case l.row.Holder != "":
+		due += l.config.Term
+	case l.row.Successor == l.config.Self:
+		return due
+	case l.row.Successor != "":
+		due += successorTime
+	}
+	return max(due, l.regained) + l.config.TakeOverLag
+}
+
+// claimAt returns when this entry claims the lease from a weaker holder.
+func (l *Lease) claimAt() (at time.Duration, wanted bool) {
+	if l.row.Holder == "" || l.claimed == l.row.Epoch || l.row.Lag-l.config.TakeOverLag < claimGain {
+		return 0, false
+	}
+	return l.epochAt + claimAfter + l.config.TakeOverLag, true
+}
+
+// Claimed takes in that the present epoch was claimed, by this entry or another one.
+func (l *Lease) Claimed() { l.claimed = l.row.Epoch }
+
+// Contact takes in whether the store answers.
+func (l *Lease) Contact(answers bool, now time.Duration) {
+	if l.lost && answers {
+		l.regained = now
+	}
+	l.lost = !answers
+}
+
 // Proposal returns the row to commit on the condition that the record is at the version. A tenure that has lapsed is not continued, but
 // begun anew under the next epoch, since fencing tokens count from the beginning of a tenure.
 func (l *Lease) Proposal(now time.Duration) (row Row, version uint64) {
 	row = l.row
 	if l.row.Holder != l.config.Self || !l.Leads(now) {
-		row = Row{Holder: l.config.Self, Epoch: l.row.Epoch + 1}
+		row = Row{Holder: l.config.Self, Epoch: l.row.Epoch + 1, Lag: l.config.TakeOverLag}
 	}
 	return row, l.version
 }
@@ -101,6 +167,11 @@
 	}
 }
 
+// GivenUp returns the row that gives the lease up; an empty successor leaves it to the first to take it.
+func (l *Lease) GivenUp(successor string) (row Row, version uint64) {
+	return Row{Epoch: l.row.Epoch, Successor: successor}, l.version
+}
+
 // Tried takes in that a renewal was sent without success.
 func (l *Lease) Tried(sent time.Duration) { l.renewed = sent }
 
--- a/leadership/lease_test.go
+++ b/leadership/lease_test.go
@@ -111,3 +111,66 @@
 		}
 	})
 }
+
+// TestWeakHolder guards against a weak entry that leads for the rest of the day, because it was the first after an outage.
+func TestWeakHolder(t *testing.T) {
+	const lag = 600 * time.Millisecond
+	tests := map[string]struct {
+		own    time.Duration
+		wanted bool
+	}{
+		"stronger": {0, true}, "little stronger": {lag - 100*time.Millisecond, false}, "weaker": {lag + time.Second, false},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			lease := leadership.New(leadership.Config{Self: "b", Term: term, RenewEvery: renew, TakeOverLag: test.own})
+			claims := 0
+			for now := time.Duration(0); now < 5*time.Second; now += renew {
+				lease.Observe(leadership.Row{Holder: "a", Epoch: 3, Lag: lag}, uint64(now/renew)+1, now)
+				if step, _ := lease.Next(now); step == leadership.Demand {
+					claims++
+					lease.Claimed()
+				}
+			}
+			require.Equal(t, test.wanted, claims == 1, "%d claims", claims)
+		})
+	}
+}
+
+// TestSuccessor guards against a third entry that takes a lease which was given up to another one, and against a wait for one that is
+// gone.
+func TestSuccessor(t *testing.T) {
+	given := leadership.Row{Epoch: 3, Successor: "b"}
+	tests := map[string]struct {
+		self string
+		at   time.Duration
+	}{"successor": {"b", 0}, "third": {"c", time.Second}}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			lease := newLease(test.self)
+			lease.Observe(given, 9, 0)
+			if test.at > 0 {
+				step, _ := lease.Next(test.at - 1)
+				require.Equal(t, leadership.Wait, step)
+			}
+			step, _ := lease.Next(test.at)
+			require.Equal(t, leadership.Take, step)
+		})
+	}
+}
+
+// TestLagAfterOutage guards against a weak entry that leads because it noticed first that the store is back: the lag counts from there.
+func TestLagAfterOutage(t *testing.T) {
+	const lag = 600 * time.Millisecond
+	lease := leadership.New(leadership.Config{Self: "b", Term: term, RenewEvery: renew, TakeOverLag: lag})
+	lease.Observe(leadership.Row{Holder: "a", Epoch: 3}, 10, 0)
+	lease.Contact(false, time.Second)
+	step, _ := lease.Next(9 * time.Second)
+	require.Equal(t, leadership.Wait, step, "nothing can be taken")
+	back := 10 * time.Second
+	lease.Contact(true, back)
+	step, _ = lease.Next(back + lag - 1)
+	require.Equal(t, leadership.Wait, step)
+	step, _ = lease.Next(back + lag)
+	require.Equal(t, leadership.Take, step)
+}
--- a/site/failure_test.go
+++ b/site/failure_test.go
@@ -71,6 +71,29 @@
 	}
 }
 
+// TestStrongerEntryLeads guards against a deployment that a weak entry leads while it has stronger ones, and against runs that a handover
+// loses or doubles.
+func TestStrongerEntryLeads(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t, 0)
+		w.cores = 0.2
+		weak := w.addEntry()
+		w.addMachines("intake", 4)
+		time.Sleep(3 * time.Second)
+		require.Equal(t, weak, w.leader())
+		w.cores = 1
+		strong := w.addEntry()
+		paths := w.submitMany(weak, "quotes", 12, emulator.Job(emulator.Step(4, 1000)))
+		time.Sleep(3 * time.Second)
+		require.Equal(t, strong, w.leader())
+		for _, p := range paths {
+			w.await(weak, p, "completed", 10*time.Second)
+		}
+		w.checkOnce()
+		require.Equal(t, map[string]int{"done": 48}, w.ends())
+	})
+}
+
 // TestTakeOverReadsAllFirst guards against a new leader that takes the runs of jobs that it has not read yet for unknown, and stops them.
 func TestTakeOverReadsAllFirst(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/site/world_test.go
+++ b/site/world_test.go
@@ -47,6 +47,7 @@
 	machines int
 	waiting  sync.WaitGroup
 	log      io.Writer
+	cores    float64 // of the entries added from now on
 }
 
 type entry struct {
@@ -61,7 +62,7 @@
 func newWorld(t *testing.T, entries int) *world {
 	w := &world{
 		t: t, network: standin.NewNetwork(), store: emulator.NewStore(), control: emulator.NewControl(awayTime),
-		ledger: &emulator.Ledger{}, epoch: time.Now(), workers: map[string]*emulator.Worker{}, log: io.Discard,
+		ledger: &emulator.Ledger{}, epoch: time.Now(), workers: map[string]*emulator.Worker{}, log: io.Discard, cores: 1,
 	}
 	w.behave = emulator.Behaviour{Took: func(string) time.Duration { return 800 * time.Millisecond }}
 	w.control.Boot = w.boot
@@ -200,7 +201,7 @@
 		WorkerTable: platform.WorkerTable, DecodeWorker: platform.DecodeWorker,
 		NewFront:     func(desk acaciatally.JobDesk, ready func() bool) site.Front { return platform.NewFront(desk, ready) },
 		LongestLease: longestLease, Retention: time.Minute, MoveTime: awayTime, MaintenanceTime: awayTime,
-		Journal: book, Spread: float64(number) / 10, Processors: 1,
+		Journal: book, Spread: float64(number) / 10, Processors: w.cores,
 		Now: func() time.Duration { return time.Since(w.epoch) },
 		Listen: func(_ context.Context, _, address string) (net.Listener, error) {
 			return w.network.Listen(netip.MustParseAddrPort(address)), nil
