Begin the maintenance of instances with lasting work early, and keep lasting work off those that are due

The last instances were those with lasting work: they came last, lasting tasks of one step leave one after another (1.7 s each, its disruption budget is one), and were placed on instances that were due next, up to five of a step together.

Ruled out: the bound on instances at once (59, 20 in use), the instance control (0.1 s from empty to ordered).

Change: one instance of each pool that runs lasting work is emptied from the start of a wave; lasting tasks are placed on workers that are not due, if there are any.

Tests: maintenance TestNext (two cases), dispatch TestLastingAvoidsDue; the changed order was seen to fail without the change.

--- a/dispatch/machine.go
+++ b/dispatch/machine.go
@@ -35,6 +35,7 @@
 	runTimes      map[acaciatally.QueueName]*runTime
 	advice        map[stepKey]*permissions
 	withheld      map[acaciatally.WorkerID]string // workers that are to be emptied, and why
+	dueSoon       map[acaciatally.WorkerID]bool   // workers that will have to be emptied soon
 }
 
 // New returns a machine that knows nothing yet.
--- a/dispatch/machine_test.go
+++ b/dispatch/machine_test.go
@@ -326,3 +326,17 @@
 	require.Len(t, again, 1)
 	require.Equal(t, first[0].Worker.ID, again[0].Worker.ID)
 }
+
+// TestLastingAvoidsDue guards against lasting work that is moved again and again, to workers that have to be emptied next.
+func TestLastingAvoidsDue(t *testing.T) {
+	m, _ := newMachine()
+	ready(m, workerOf(1), workerOf(2), workerOf(3))
+	m.SetDue(map[acaciatally.WorkerID]bool{"i-1": true, "i-2": true})
+	step := oneStep(4, 1000)
+	step.Lasting = true
+	submit(m, "a", 0, step)
+	m.Plan(time.Second, time.Time{})
+	for _, id := range []acaciatally.WorkerID{"i-1", "i-2"} {
+		require.Empty(t, m.workers[id].runs)
+	}
+}
--- a/dispatch/plan.go
+++ b/dispatch/plan.go
@@ -330,7 +330,7 @@
 		if len(candidates) > len(t.avoid) && now < t.avoid[c.w.entry.ID] {
 			continue
 		}
-		if c.fits(t, now) && m.permitted(t, c.w.entry.ID, now) && (chosen == nil || better(t, c, chosen)) {
+		if c.fits(t, now) && m.permitted(t, c.w.entry.ID, now) && (chosen == nil || m.better(t, c, chosen)) {
 			chosen = c
 		}
 	}
@@ -338,7 +338,7 @@
 }
 
 // better reports whether a suits the task more than b.
-func better(t *task, a, b *candidate) bool {
+func (m *Machine) better(t *task, a, b *candidate) bool {
 	if near := acaciatally.Rack(t.step.NearRack); near != "" && (a.w.entry.Rack == near) != (b.w.entry.Rack == near) {
 		return a.w.entry.Rack == near
 	}
@@ -353,6 +353,9 @@
 	if t.step.Backfill && a.load.serving != b.load.serving {
 		return a.load.serving < b.load.serving
 	}
+	if dueA, dueB := m.dueSoon[a.w.entry.ID], m.dueSoon[b.w.entry.ID]; t.step.Lasting && dueA != dueB {
+		return dueB
+	}
 	if t.step.Lasting && (a.load.lasting > 0) != (b.load.lasting > 0) {
 		return a.load.lasting > 0 // lasting work keeps its instance in the pool
 	}
--- a/dispatch/view.go
+++ b/dispatch/view.go
@@ -110,6 +110,9 @@
 	m.withheld = withheld
 }
 
+// SetDue sets the workers that will have to be emptied soon; lasting work avoids them, since it would have to move again.
+func (m *Machine) SetDue(due map[acaciatally.WorkerID]bool) { m.dueSoon = due }
+
 // Removed takes in that a worker's instance was ordered away, which ended all of its runs.
 func (m *Machine) Removed(id acaciatally.WorkerID, now time.Duration) {
 	if w := m.workers[id]; w != nil {
--- a/maintenance/plan.go
+++ b/maintenance/plan.go
@@ -61,13 +61,16 @@
 	return true
 }
 
-// Next returns the instances to empty now: idle ones that their pools can spare at any time, others when time gets short.
+// Next returns the instances to empty now: idle ones that their pools can spare at any time, one of each pool that runs lasting work, since
+// that leaves slowly, and others when time gets short.
 func (c Config) Next(wave Wave) (chosen []acaciatally.InstanceID) {
 	busy, pending := 0, []Instance{}
+	lasting := map[acaciatally.PoolName]bool{} // pools of which an instance is being emptied of lasting work
 	for _, instance := range wave.Instances {
 		switch instance.Phase {
 		case Emptying, Down:
 			busy++
+			lasting[instance.Pool] = lasting[instance.Pool] || instance.Lasting > 0
 		case Pending:
 			if instance.Up && !instance.Reserved {
 				pending = append(pending, instance)
@@ -80,10 +83,12 @@
 		if busy >= wave.AtOnce {
 			return chosen
 		}
+		first := instance.Lasting > 0 && !lasting[instance.Pool]
 		needed := !instance.Standby && (!instance.Spare || instance.Runs > 0)
-		if needed && busy >= pace {
+		if needed && !first && busy >= pace {
 			continue
 		}
+		lasting[instance.Pool] = lasting[instance.Pool] || first
 		busy++
 		chosen = append(chosen, instance.ID)
 	}
--- a/maintenance/plan_test.go
+++ b/maintenance/plan_test.go
@@ -15,6 +15,9 @@
 	up := func(id string, runs int, spare bool) maintenance.Instance {
 		return maintenance.Instance{ID: acaciatally.InstanceID(id), Up: true, Runs: runs, Spare: spare}
 	}
+	lasting := func(id string, phase maintenance.Phase) maintenance.Instance {
+		return maintenance.Instance{ID: acaciatally.InstanceID(id), Pool: "intake", Phase: phase, Up: true, Runs: 4, Lasting: 2}
+	}
 	down := maintenance.Instance{ID: "down", Phase: maintenance.Down}
 	standby := maintenance.Instance{ID: "standby", Up: true, Standby: true}
 	tests := map[string]struct {
@@ -38,6 +41,18 @@
 			maintenance.Wave{AtOnce: 1, Left: 3 * time.Second, Instances: []maintenance.Instance{up("a", 3, true), up("b", 1, true)}},
 			[]acaciatally.InstanceID{"b"},
 		},
+		"lasting work begins early": {
+			maintenance.Wave{AtOnce: 5, Left: time.Minute, Instances: []maintenance.Instance{
+				lasting("a", maintenance.Pending), lasting("b", maintenance.Pending), up("c", 3, false),
+			}},
+			[]acaciatally.InstanceID{"a"},
+		},
+		"lasting work leaves one instance after another": {
+			maintenance.Wave{AtOnce: 5, Left: time.Minute, Instances: []maintenance.Instance{
+				lasting("a", maintenance.Emptying), lasting("b", maintenance.Pending),
+			}},
+			nil,
+		},
 		"never more than allowed": {
 			maintenance.Wave{AtOnce: 1, Left: time.Second, Instances: []maintenance.Instance{down, up("a", 0, true)}}, nil,
 		},
--- a/roster/roster.go
+++ b/roster/roster.go
@@ -143,6 +143,7 @@
 	r.expire(workers, now)
 	pools := r.pools(configuration, demand)
 	r.planWaves(pools, workers, now)
+	m.SetDue(r.dueWorkers())
 	if r.waitingOrders(workers) >= mostWaitingOrders {
 		return r.withheld()
 	}
@@ -258,6 +259,22 @@
 	}
 }
 
+// dueWorkers returns the workers whose instances still have to be maintained in a wave.
+func (r *Roster) dueWorkers() map[acaciatally.WorkerID]bool {
+	due := map[acaciatally.WorkerID]bool{}
+	for _, w := range r.waves {
+		if w.told {
+			continue
+		}
+		for _, id := range w.request.Instances {
+			if worker := r.instances[id].Worker; worker != "" && !w.finished[id] {
+				due[worker] = true
+			}
+		}
+	}
+	return due
+}
+
 // spare returns how many instances each pool has above its need.
 func (r *Roster) spare(pools []capacity.Pool) map[acaciatally.PoolName]int {
 	up := map[acaciatally.PoolName]int{}
