Send orders on instances one after another at the platform's rate

Empty workers waited 0.3 to 0.5 s for their order, and a pool needed 4 s to follow its queue.

Ruled out: instance control (answers in some ms, takes 215 a second, no 429), the leader's processor (new jobs are taken in after 12 ms).

Change: an answer lets the next order go at once; the rate is 0.9 of what the platform's settings say, by a token bucket; moves planned at once follow the same rate. The state of workers and the demand on pools are asked for apart, since orders need only one worker.

Test: roster TestOrdersPerSecond.

--- a/console/attend.go
+++ b/console/attend.go
@@ -90,8 +90,8 @@
 	}
 	return site.Config{
 		Adviser: adviser, Fleet: fleet, WaveStatus: platform.WaveStatus, MoveTime: settings.Bounds.MoveTime,
-		MaintenanceTime: settings.Bounds.MaintenanceTime,
-		Name:            settings.Name, CallerListen: settings.Front, ReadyListen: settings.Ready, Grace: settings.Bounds.Grace,
+		MaintenanceTime: settings.Bounds.MaintenanceTime, OrdersPerSecond: settings.ControlOrders,
+		Name: settings.Name, CallerListen: settings.Front, ReadyListen: settings.Ready, Grace: settings.Bounds.Grace,
 		Store:  platform.NewStore(settings.Store, nil),
 		Orders: platform.NewOrders(nil),
 		Operators: site.OperatorRecords{
--- a/dispatch/view.go
+++ b/dispatch/view.go
@@ -27,16 +27,28 @@
 	Spread   int // workers over which the bounds on tasks of a step on one worker force to spread
 }
 
-// View returns the state of all workers and the demand on all pools.
-func (m *Machine) View(now time.Duration) (workers map[acaciatally.WorkerID]WorkerView, pools map[acaciatally.PoolName]PoolView) {
-	workers = map[acaciatally.WorkerID]WorkerView{}
-	pools = map[acaciatally.PoolName]PoolView{}
+// Workers returns the state of all workers.
+func (m *Machine) Workers(now time.Duration) map[acaciatally.WorkerID]WorkerView {
+	workers := map[acaciatally.WorkerID]WorkerView{}
 	for id, w := range m.workers {
-		if w.gone || !w.listed {
-			continue
+		if !w.gone && w.listed {
+			workers[id] = m.viewOf(w, now)
 		}
-		workers[id] = m.viewOf(w, now)
 	}
+	return workers
+}
+
+// Worker returns the state of one worker; of one that is not listed, nothing is known.
+func (m *Machine) Worker(id acaciatally.WorkerID, now time.Duration) (view WorkerView) {
+	if w := m.workers[id]; w != nil && !w.gone && w.listed {
+		return m.viewOf(w, now)
+	}
+	return view
+}
+
+// Pools returns the demand on all pools.
+func (m *Machine) Pools(now time.Duration) map[acaciatally.PoolName]PoolView {
+	pools := map[acaciatally.PoolName]PoolView{}
 	for _, j := range m.jobs {
 		pool := pools[j.accepted.Queue.Pool]
 		j.addDemand(&pool)
@@ -47,7 +59,7 @@
 		pool.Expected = pool.lastingUse(m, name) + arrivals.expected(now)
 		pools[name] = pool
 	}
-	return workers, pools
+	return pools
 }
 
 func (m *Machine) viewOf(w *worker, now time.Duration) WorkerView {
--- a/roster/order.go
+++ b/roster/order.go
@@ -6,6 +6,8 @@
 	"slices"
 	"time"
 
+	"golang.org/x/time/rate"
+
 	"github.com/acaciatally/acaciatally"
 	"github.com/acaciatally/acaciatally/dispatch"
 )
@@ -23,13 +25,12 @@
 // Orders returns the orders to send now: those on instances whose workers are empty, the longest planned first, few at once. More at
 // once would wait for each other until their time is over, and their outcomes would be unknown.
 func (r *Roster) Orders(m *dispatch.Machine, now time.Duration) (orders []Order) {
-	workers, _ := m.View(now)
 	sending := 0
 	var due []acaciatally.InstanceID
 	for id, todo := range r.intents {
 		if todo.sending {
 			sending++
-		} else if r.due(id, todo, workers, now) {
+		} else if r.due(id, todo, m, now) {
 			due = append(due, id)
 		}
 	}
@@ -37,15 +38,25 @@
 		return cmp.Or(cmp.Compare(r.intents[a].fence, r.intents[b].fence), cmp.Compare(a, b))
 	})
 	for _, id := range due[:max(0, min(len(due), ordersAtOnce-sending))] {
+		if !r.pace.AllowN(time.Unix(0, int64(now)), 1) {
+			break
+		}
 		orders = append(orders, r.order(id))
 	}
 	return orders
 }
 
+// newPace returns the limit on orders a second; what is left over are the repetitions of earlier leaders' orders. The burst keeps a pause
+// between two plans from lowering the rate.
+func newPace(perSecond float64) *rate.Limiter {
+	if perSecond <= 0 {
+		return rate.NewLimiter(rate.Inf, 0)
+	}
+	return rate.NewLimiter(rate.Limit(ownShare*perSecond), max(1, int(perSecond*burstTime.Seconds())))
+}
+
 // due reports whether the order on an instance may be sent now.
-func (r *Roster) due(
-	id acaciatally.InstanceID, todo *intent, workers map[acaciatally.WorkerID]dispatch.WorkerView, now time.Duration,
-) bool {
+func (r *Roster) due(id acaciatally.InstanceID, todo *intent, m *dispatch.Machine, now time.Duration) bool {
 	if todo.done || now < todo.retryAt {
 		return false
 	}
@@ -53,7 +64,7 @@
 		return true
 	}
 	instance := r.instances[id]
-	w := workers[instance.Worker]
+	w := m.Worker(instance.Worker, now)
 	empty := instance.Worker == "" || (w.Known && w.Runs == 0)
 	return empty && instance.State == acaciatally.InstanceUp
 }
--- a/roster/roster.go
+++ b/roster/roster.go
@@ -3,6 +3,8 @@
 import (
 	"time"
 
+	"golang.org/x/time/rate"
+
 	"github.com/acaciatally/acaciatally"
 	"github.com/acaciatally/acaciatally/capacity"
 	"github.com/acaciatally/acaciatally/dispatch"
@@ -22,6 +24,10 @@
 	ordersAtOnce = 8
 	// mostWaitingOrders bounds the planned moves whose order was not sent; their workers do nothing meanwhile.
 	mostWaitingOrders = 24
+	// ownShare is the part of the platform's rate of orders that one leader uses.
+	ownShare = 0.9
+	// burstTime is the time whose orders may be sent at once.
+	burstTime = 100 * time.Millisecond
 	// fenceShift leaves room for a fencing token of its own for each decision of a tenure.
 	fenceShift = 20
 )
@@ -33,6 +39,7 @@
 	MoveTime        time.Duration
 	MaintenanceTime time.Duration
 	Capacity        capacity.Config
+	OrdersPerSecond float64 // that the platform takes from all entries; 0 is without bound
 	Journal         Journal
 }
 
@@ -88,13 +95,14 @@
 	intents   map[acaciatally.InstanceID]*intent
 	waves     map[int]*wave
 	orders    uint64
+	pace      *rate.Limiter
 }
 
 // New returns a roster that knows no instances yet.
 func New(config Config) *Roster {
 	return &Roster{
 		config: config, instances: map[acaciatally.InstanceID]acaciatally.FleetInstance{},
-		intents: map[acaciatally.InstanceID]*intent{}, waves: map[int]*wave{},
+		intents: map[acaciatally.InstanceID]*intent{}, waves: map[int]*wave{}, pace: newPace(config.OrdersPerSecond),
 	}
 }
 
@@ -139,7 +147,7 @@
 	if !r.listed || configuration == nil {
 		return map[acaciatally.WorkerID]string{}
 	}
-	workers, demand := m.View(now)
+	workers, demand := m.Workers(now), m.Pools(now)
 	r.expire(workers, now)
 	pools := r.pools(configuration, demand)
 	r.planWaves(pools, workers, now)
--- a/roster/roster_test.go
+++ b/roster/roster_test.go
@@ -115,3 +115,30 @@
 	r.Ordered(m, first[0], nil, 2*time.Second)
 	require.Len(t, r.Orders(m, 2*time.Second), 1)
 }
+
+// TestOrdersPerSecond guards against instances that wait for the next plan while the instance control would take their orders, and against
+// more orders than it takes.
+func TestOrdersPerSecond(t *testing.T) {
+	const perSecond = 200
+	r := New(Config{Epoch: 3, Holder: "entry-1", MaintenanceTime: time.Second, Capacity: capacity.Defaults(), OrdersPerSecond: perSecond, Journal: silent{}})
+	m := dispatch.New(dispatch.Config{Journal: silent{}, WorkerLease: 6 * time.Second})
+	var fleet []acaciatally.FleetInstance
+	var wave []acaciatally.InstanceID
+	for i := range 400 {
+		id := fmt.Sprintf("m-%03d", i)
+		fleet = append(fleet, instance(id, "", acaciatally.InstanceUp))
+		wave = append(wave, acaciatally.InstanceID(id))
+	}
+	r.SetFleet(fleet, time.Second)
+	r.AddWave(acaciatally.MaintenanceWave{Number: 1, Instances: wave, Within: 4 * time.Second, AtOnce: 400}, 0, nil, false)
+	r.Plan(m, configuration, 2*time.Second)
+	sent := 0
+	for now := 2 * time.Second; now < 3*time.Second; now += 10 * time.Millisecond {
+		for _, order := range r.Orders(m, now) {
+			sent++
+			r.Ordered(m, order, nil, now)
+		}
+	}
+	require.LessOrEqual(t, sent, perSecond+1)
+	require.Greater(t, sent, perSecond*3/4)
+}
--- a/site/fleet.go
+++ b/site/fleet.go
@@ -35,10 +35,17 @@
 func newFleetRunner(p *Process, epoch uint64, post func(f func())) *fleetRunner {
 	return &fleetRunner{process: p, post: post, roster: roster.New(roster.Config{
 		Epoch: epoch, Holder: p.config.Name, MoveTime: p.config.MoveTime, MaintenanceTime: p.config.MaintenanceTime,
-		Capacity: capacity.Defaults(), Journal: p.config.Journal,
+		Capacity: fleetPlan(p.config.OrdersPerSecond), OrdersPerSecond: p.config.OrdersPerSecond, Journal: p.config.Journal,
 	})}
 }
 
+// fleetPlan begins as many moves at once as the instance control takes orders until the next plan.
+func fleetPlan(ordersPerSecond float64) (config capacity.Config) {
+	config = capacity.Defaults()
+	config.LargestStep = max(config.LargestStep, int(ordersPerSecond*fleetEvery.Seconds()))
+	return config
+}
+
 // round plans and sends what is due; it runs in the goroutine that decides.
 func (f *fleetRunner) round(ctx context.Context, m *dispatch.Machine, now time.Duration) {
 	if now < f.planAt {
@@ -48,10 +55,15 @@
 	f.list(ctx, now)
 	f.takeWaves(ctx)
 	m.Withhold(f.roster.Plan(m, f.process.follower.configuration.Load(), now))
+	f.send(ctx, m, now)
+	f.save(ctx)
+}
+
+// send sends the orders that may be sent now.
+func (f *fleetRunner) send(ctx context.Context, m *dispatch.Machine, now time.Duration) {
 	for _, order := range f.roster.Orders(m, now) {
 		go f.order(ctx, m, order)
 	}
-	f.save(ctx)
 }
 
 func (f *fleetRunner) list(ctx context.Context, now time.Duration) {
@@ -114,6 +126,7 @@
 		if f.roster.Ordered(m, order, err, f.process.config.Now()) {
 			f.process.keeper.Resign()
 		}
+		f.send(ctx, m, f.process.config.Now()) // the next one, which waited for this answer
 	})
 }
 
--- a/site/site.go
+++ b/site/site.go
@@ -86,6 +86,7 @@
 	Retention    time.Duration // of the state of an ended job
 	EarliestBy   time.Duration // how much before its time an occurrence may start
 
+	OrdersPerSecond float64       // on instances, that the platform takes from all entries; 0 is without bound
 	MoveTime        time.Duration // until a moved instance serves again
 	MaintenanceTime time.Duration // until a maintained instance serves again
 
