Order jobs by what their steps are known to take, with a margin for those not begun

One that had begun and became late by the same estimate went behind all others. Oldest late jobs came first, whose results were of no use any more. After a takeover all jobs counted as new.

Ruled out: partly placed jobs at the head (places become free within milliseconds), the leader's processor (jobs taken in after 30 ms).

Change: the time that a job is allowed and needs is worked out from its steps that are done and the mean time of its queue's steps; a job that has not begun needs a margin of a quarter; begun jobs go first; jobs later than three times the time allowed go last; age counts from the acceptance, and that of a scheduled occurrence from its begin.

--- a/dispatch/arrive.go
+++ b/dispatch/arrive.go
@@ -8,8 +8,8 @@
 	"github.com/acaciatally/acaciatally/job"
 )
 
-// Load takes in a job as the records describe it; runs that they name may exist.
-func (m *Machine) Load(id acaciatally.JobID, accepted job.Accepted, progress job.Progress, now time.Duration) {
+// Load takes in a job as the records describe it, which was accepted some time ago; runs that they name may exist.
+func (m *Machine) Load(id acaciatally.JobID, accepted job.Accepted, progress job.Progress, age, now time.Duration) {
 	if m.finished[jobKey{accepted.Queue.Name, id}] {
 		return
 	}
@@ -20,12 +20,10 @@
 		return
 	}
 	j := &activeJob{
-		id: id, accepted: accepted, state: progress.State, digest: progress.Digest, next: progress.Next, arrived: now,
+		id: id, accepted: accepted, state: progress.State, digest: progress.Digest, next: progress.Next, arrived: now - min(max(0, age), longestAge),
 		waitingRow: progress.State == acaciatally.JobQueued && accepted.Spec.Repeat == 0, changed: true,
-		depths:  levels(accepted.Spec.Steps),
 		lasting: slices.ContainsFunc(accepted.Spec.Steps, func(step acaciatally.Step) bool { return step.Lasting }),
 	}
-	j.chain = slices.Max(j.depths)
 	if m.configuration != nil {
 		for _, queue := range m.configuration.Queues {
 			if queue.Name == accepted.Queue.Name {
@@ -42,8 +40,11 @@
 	m.config.Journal.JobTaken(id, accepted.Queue.Name, progress.State)
 }
 
+// longestAge bounds the age of a job that is taken in, since the clocks of entries may be apart.
+const longestAge = time.Minute
+
 func (m *Machine) loadOccurrence(j *activeJob, open job.Occurrence, now time.Duration) *occurrence {
-	o := &occurrence{number: open.Number}
+	o := &occurrence{number: open.Number, opened: now}
 	for step := range open.Steps {
 		var tasks []*task
 		for index, recorded := range open.Steps[step] {
@@ -68,9 +69,9 @@
 }
 
 // begin opens the occurrences whose time has come; wall is the time of day.
-func (m *Machine) begin(j *activeJob, wall time.Time) {
+func (m *Machine) begin(j *activeJob, now time.Duration, wall time.Time) {
 	for j.live() && j.next < job.Occurrences(j.accepted.Spec) && m.due(j, wall) {
-		o := &occurrence{number: j.next}
+		o := &occurrence{number: j.next, opened: now}
 		for step := range j.accepted.Spec.Steps {
 			var tasks []*task
 			for index := range j.accepted.Spec.Steps[step].Count {
--- a/dispatch/commit.go
+++ b/dispatch/commit.go
@@ -274,7 +274,7 @@
 			m.deferred = append(m.deferred, d)
 			continue
 		}
-		m.Load(d.id, d.accepted, d.progress, now)
+		m.Load(d.id, d.accepted, d.progress, 0, now)
 	}
 }
 
--- a/dispatch/demand.go
+++ b/dispatch/demand.go
@@ -50,15 +50,15 @@
 	return int(max(0, recent+max(0, recent-before)))
 }
 
-// runTime is the mean run time of a queue's tasks.
-type runTime struct{ mean time.Duration }
+// runTime is the mean run time of a queue's tasks, and of its steps, which take as long as their longest task.
+type runTime struct{ mean, step time.Duration }
 
-func (r *runTime) learn(took time.Duration) {
-	if r.mean == 0 {
-		r.mean = took
+func learn(mean *time.Duration, took time.Duration) {
+	if *mean == 0 {
+		*mean = took
 		return
 	}
-	r.mean += time.Duration(learnShare * float64(took-r.mean))
+	*mean += time.Duration(learnShare * float64(took-*mean))
 }
 
 // work returns the work of a job in thousandths of a core times seconds.
@@ -91,5 +91,14 @@
 	if m.runTimes[queue] == nil {
 		m.runTimes[queue] = &runTime{}
 	}
-	m.runTimes[queue].learn(now - t.confirmed)
+	t.took = now - t.confirmed
+	learn(&m.runTimes[queue].mean, t.took)
+}
+
+// noteStep learns from a step whose last task is done.
+func (m *Machine) noteStep(j *activeJob, tasks []*task) {
+	known := m.runTimes[j.accepted.Queue.Name]
+	if longest, done := longestRun(tasks); done && longest > 0 && known != nil {
+		learn(&known.step, longest)
+	}
 }
--- a/dispatch/load.go
+++ b/dispatch/load.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"time"
 
 	"golang.org/x/sync/errgroup"
 
@@ -83,7 +84,7 @@
 	}
 	digest := job.Digest(accepted.Spec)
 	progress := job.Progress{State: acaciatally.JobQueued, Digest: digest}
-	r.machine.Load(acaciatally.JobID(record.Key), accepted, progress, r.config.Now())
+	r.machine.Load(acaciatally.JobID(record.Key), accepted, progress, time.Since(accepted.Received), r.config.Now())
 }
 
 // load claims a partition, so that no earlier leader writes there any more, and reads it.
@@ -128,7 +129,7 @@
 			known = job.Progress{State: acaciatally.JobQueued, Digest: job.Digest(accepted.Spec)}
 		}
 		if !known.State.Ended() {
-			r.machine.Load(acaciatally.JobID(record.Key), accepted, known, r.config.Now())
+			r.machine.Load(acaciatally.JobID(record.Key), accepted, known, time.Since(accepted.Received), r.config.Now())
 		}
 	}
 	for _, record := range jobs.Records {
--- a/dispatch/machine.go
+++ b/dispatch/machine.go
@@ -91,12 +91,11 @@
 	open       []*occurrence
 	arrived    time.Duration // when this leader learned of it
 	dirty      bool
-	late       bool  // it can no longer be done in time
-	lasting    bool  // it has tasks that run until it is cancelled
-	depths     []int // for each step, how many steps of the longest chain end with it
-	chain      int   // steps of the longest chain
-	changed    bool  // a task has begun or ceased to wait since the last placement
-	cancelKey  bool  // a request to cancel it is recorded
+	lateness   lateness
+	outlook    outlook
+	lasting    bool // it has tasks that run until it is cancelled
+	changed    bool // a task has begun or ceased to wait since the last placement
+	cancelKey  bool // a request to cancel it is recorded
 	unacked    []endRef
 	endedAt    time.Duration // when its final state was recorded; 0 before
 	waitingRow bool          // it is recorded as waiting
@@ -106,6 +105,7 @@
 // occurrence is one execution of a job's steps.
 type occurrence struct {
 	number int
+	opened time.Duration // when this leader opened it or learned of it
 	steps  [][]*task
 }
 
@@ -161,6 +161,7 @@
 	percent      int
 	percentAt    time.Duration
 	moved        time.Duration // when the percentage last rose
+	took         time.Duration // run time of the run that was done; 0 if it is not known
 	tail         time.Duration
 	pace         int // percent in force; 100 is unpaced
 	paceWanted   int
--- a/dispatch/machine_test.go
+++ b/dispatch/machine_test.go
@@ -72,7 +72,7 @@
 	accepted := job.Accepted{Spec: acaciatally.JobSpec{Steps: steps}, Queue: acaciatally.Queue{
 		Name: "quotes", Pool: pool, Attempts: 2, Stretch: 1.6, Objective: 600 * time.Millisecond,
 	}}
-	m.Load(id, accepted, job.Progress{State: acaciatally.JobQueued}, now)
+	m.Load(id, accepted, job.Progress{State: acaciatally.JobQueued}, 0, now)
 }
 
 func oneStep(count, processors int) acaciatally.Step {
@@ -265,7 +265,7 @@
 	m.Load("aa", job.Accepted{
 		Spec:  acaciatally.JobSpec{Steps: []acaciatally.Step{oneStep(1, 1000)}, Repeat: 2, FirstAt: first, Interval: time.Second},
 		Queue: acaciatally.Queue{Name: "quotes", Pool: pool},
-	}, job.Progress{State: acaciatally.JobQueued}, 0)
+	}, job.Progress{State: acaciatally.JobQueued}, 0, 0)
 	m.Plan(0, first.Add(-time.Millisecond))
 	require.Empty(t, m.Commits(0))
 	m.Plan(time.Second, first)
@@ -299,7 +299,7 @@
 	submit(m, "aa", 0, oneStep(1, 1000))
 	m.Load("aa", job.Accepted{
 		Spec: acaciatally.JobSpec{Steps: []acaciatally.Step{oneStep(1, 1000)}}, Queue: acaciatally.Queue{Name: "plans", Pool: pool},
-	}, job.Progress{State: acaciatally.JobQueued}, 0)
+	}, job.Progress{State: acaciatally.JobQueued}, 0, 0)
 	orders := started(m, 0)
 	require.Len(t, orders, 1)
 	m.Report("i-1", acaciatally.WorkerReport{Clock: time.Second, Born: time.UnixMilli(1000), Ended: []acaciatally.EndedTask{
--- a/dispatch/plan.go
+++ b/dispatch/plan.go
@@ -7,7 +7,6 @@
 
 	"github.com/acaciatally/acaciatally"
 	"github.com/acaciatally/acaciatally/job"
-	"github.com/acaciatally/acaciatally/ordering"
 )
 
 // checkEvery is the time between two looks at runs that do not progress or have to leave.
@@ -17,7 +16,7 @@
 func (m *Machine) Plan(now time.Duration, wall time.Time) {
 	for _, j := range m.jobs {
 		if j.live() {
-			m.begin(j, wall)
+			m.begin(j, now, wall)
 		}
 	}
 	m.expire(now)
@@ -42,7 +41,7 @@
 	for _, j := range m.jobs {
 		if j.changed {
 			pools[j.accepted.Queue.Pool] = true
-			j.changed = false
+			j.changed, j.outlook.at = false, 0
 		}
 	}
 	return pools
@@ -53,7 +52,7 @@
 	pools := map[acaciatally.PoolName][]*activeJob{}
 	for _, j := range m.jobs {
 		if (only == nil || only[j.accepted.Queue.Pool]) && j.live() && j.hasWaiting() {
-			j.late = m.hopeless(j, now)
+			j.lateness = m.latenessOf(j, now)
 			pools[j.accepted.Queue.Pool] = append(pools[j.accepted.Queue.Pool], j)
 		}
 	}
@@ -86,73 +85,6 @@
 	return true
 }
 
-// optimism shortens the time that a job is expected to need, so that one that may still be in time is not put off.
-const optimism = 0.8
-
-// hopeless reports whether the job can no longer be done in time, by the run times seen in its queue.
-func (m *Machine) hopeless(j *activeJob, now time.Duration) bool {
-	run := m.expectedRun(j)
-	queue := &j.accepted.Queue
-	allowed := queue.Objective + time.Duration(max(1, queue.Stretch)*float64(j.chain)*float64(run))
-	needed := time.Duration(optimism * float64(j.levelsLeft()) * float64(run))
-	return now+needed > j.arrived+allowed
-}
-
-// expectedRun returns the mean run time of the queue's tasks, or before any was seen what the caller estimates.
-func (m *Machine) expectedRun(j *activeJob) time.Duration {
-	if known := m.runTimes[j.accepted.Queue.Name]; known != nil {
-		return known.mean
-	}
-	longest := time.Duration(0)
-	for _, step := range j.accepted.Spec.Steps {
-		longest = max(longest, step.Estimate)
-	}
-	return longest
-}
-
-// levels returns for each step how many steps of the longest chain end with it.
-func levels(steps []acaciatally.Step) []int {
-	depth := make([]int, len(steps))
-	for number, step := range steps {
-		depth[number] = 1
-		for _, earlier := range step.After {
-			depth[number] = max(depth[number], depth[earlier]+1)
-		}
-	}
-	return depth
-}
-
-// levelsLeft returns how many steps of the longest chain are not done.
-func (j *activeJob) levelsLeft() (left int) {
-	for _, o := range j.open {
-		for number, depth := range j.depths {
-			if !o.stepDone(number) {
-				left = max(left, j.chain-depth+1)
-				break
-			}
-		}
-	}
-	return left
-}
-
-// compareJobs puts lasting work first, then by priority, what can still be done in time, and age. It returns early, since it sorts
-// thousands of jobs under overload.
-func compareJobs(a, b *activeJob) int {
-	if a.lasting != b.lasting {
-		return ordering.Bools(b.lasting, a.lasting)
-	}
-	if a.accepted.Queue.Priority != b.accepted.Queue.Priority {
-		return cmp.Compare(a.accepted.Queue.Priority, b.accepted.Queue.Priority)
-	}
-	if a.late != b.late {
-		return ordering.Bools(a.late, b.late)
-	}
-	if a.arrived != b.arrived {
-		return cmp.Compare(a.arrived, b.arrived)
-	}
-	return cmp.Compare(a.id, b.id)
-}
-
 // place assigns waiting tasks to workers, in all pools or only some.
 func (m *Machine) place(only map[acaciatally.PoolName]bool, now time.Duration) {
 	for pool, jobs := range m.waiting(only, now) {
--- a/dispatch/report.go
+++ b/dispatch/report.go
@@ -177,6 +177,9 @@
 		if o.number == t.ref.Occurrence && t.step.Gang {
 			completeGang(o.steps[t.ref.Step])
 		}
+		if o.number == t.ref.Occurrence {
+			m.noteStep(j, o.steps[t.ref.Step])
+		}
 	}
 	open := j.open[:0]
 	for _, o := range j.open {
--- a/dispatch/sharing_test.go
+++ b/dispatch/sharing_test.go
@@ -17,7 +17,7 @@
 	m.Load("aa", job.Accepted{
 		Spec:  acaciatally.JobSpec{Steps: []acaciatally.Step{oneStep(3, 1000)}},
 		Queue: acaciatally.Queue{Name: "quotes", Pool: pool, Attempts: 2, Advice: &acaciatally.AdvicePolicy{}},
-	}, job.Progress{State: acaciatally.JobQueued}, 0)
+	}, job.Progress{State: acaciatally.JobQueued}, 0, 0)
 	require.Empty(t, started(m, 0))
 	questions := m.Questions(0)
 	require.Len(t, questions, 1)
@@ -45,7 +45,7 @@
 	m.Load("aa", job.Accepted{
 		Spec:  acaciatally.JobSpec{Steps: []acaciatally.Step{oneStep(1, 1000)}},
 		Queue: acaciatally.Queue{Name: "quotes", Pool: pool, Attempts: 2, Advice: &acaciatally.AdvicePolicy{}},
-	}, job.Progress{State: acaciatally.JobQueued}, 0)
+	}, job.Progress{State: acaciatally.JobQueued}, 0, 0)
 	m.Plan(0, time.UnixMilli(0))
 	question := m.Questions(0)[0]
 	m.Advised(question, acaciatally.Advice{Valid: time.Second, Permissions: []acaciatally.Permission{{Worker: "i-1", Ticket: "x"}}}, nil, 0)
