Refuse callers at once where the store does not answer

Ruled out: cold workers (none on this site), waiting for room (0.1 s), orders without answer (73 of 8,000).

--- a/intake/desk.go
+++ b/intake/desk.go
@@ -23,6 +23,7 @@
 type Config struct {
 	Store   acaciatally.RecordStore
 	Routes  func() *Routes // the configuration in force; nil before the first one
+	Reached func() bool    // whether the record store has answered of late; callers are refused at once without it
 	Journal Journal
 }
 
@@ -75,6 +76,9 @@
 		d.config.Journal.Submitted(queue, id, time.Since(begun), err)
 		err = oops.In("intake").With("job", id).Wrapf(err, "submit job")
 	}()
+	if err = d.reached(); err != nil {
+		return err
+	}
 	transaction, digest, err := submission(queue, id, spec, begun)
 	if err != nil {
 		return err
@@ -82,6 +86,14 @@
 	return d.batcher(queue.Name).add(ctx, &item{id: id, transaction: transaction, digest: digest})
 }
 
+// reached refuses a caller whose request can't be served, so that it goes to another entry at once.
+func (d *Desk) reached() error {
+	if d.config.Reached == nil || d.config.Reached() {
+		return nil
+	}
+	return &acaciatally.NotAcceptedError{Reason: "the record store does not answer", RetryAfter: outageRetryAfter}
+}
+
 func submission(
 	queue acaciatally.Queue, id acaciatally.JobID, spec acaciatally.JobSpec, now time.Time,
 ) (transaction acaciatally.RecordTransaction, digest uint64, err error) {
@@ -149,6 +161,9 @@
 
 // read returns one record; it fails with ErrNoJob if there is none.
 func (d *Desk) read(ctx context.Context, key acaciatally.RecordKey) (record acaciatally.Record, err error) {
+	if err = d.reached(); err != nil {
+		return record, err
+	}
 	page, err := d.config.Store.Read(ctx, acaciatally.RecordRange{
 		Table: key.Table, Partition: key.Partition, From: key.Key, To: key.Key + "\x00",
 	})
@@ -189,6 +204,9 @@
 // Waiting returns the number of accepted jobs of which nothing has started.
 func (d *Desk) Waiting(ctx context.Context, queue acaciatally.Queue) (count int, err error) {
 	defer func() { err = oops.In("intake").With("queue", queue.Name).Wrapf(err, "count waiting jobs") }()
+	if err = d.reached(); err != nil {
+		return 0, err
+	}
 	page, err := d.config.Store.Read(ctx, acaciatally.RecordRange{Table: job.WaitingTable, Partition: string(queue.Name)})
 	if err != nil {
 		return 0, &acaciatally.NotAcceptedError{Reason: "the record store refuses", RetryAfter: outageRetryAfter}
--- a/roster/roster_test.go
+++ b/roster/roster_test.go
@@ -28,9 +28,9 @@
 	"intake": {Name: "intake"}, "reserve": {Name: "reserve", Standby: true},
 }}
 
-func instance(id string, worker acaciatally.WorkerID, state acaciatally.InstanceState) acaciatally.FleetInstance {
+func instance(id string, worker acaciatally.WorkerID) acaciatally.FleetInstance {
 	return acaciatally.FleetInstance{
-		ID: acaciatally.InstanceID(id), Pool: "intake", State: state, Worker: worker, Capacity: acaciatally.Room{Processors: 8000},
+		ID: acaciatally.InstanceID(id), Pool: "intake", State: acaciatally.InstanceUp, Worker: worker, Capacity: acaciatally.Room{Processors: 8000},
 	}
 }
 
@@ -47,7 +47,7 @@
 	if heard {
 		m.Report("i-1", acaciatally.WorkerReport{Born: w.Born}, time.Second, time.Second)
 	}
-	r.SetFleet([]acaciatally.FleetInstance{instance("m-1", "i-1", acaciatally.InstanceUp)}, time.Second)
+	r.SetFleet([]acaciatally.FleetInstance{instance("m-1", "i-1")}, time.Second)
 	r.AddWave(acaciatally.MaintenanceWave{Number: 1, Instances: []acaciatally.InstanceID{"m-1"}, Within: 4 * time.Second, AtOnce: 1}, 0, nil, false)
 	require.NotEmpty(t, r.Plan(m, configuration, 2*time.Second))
 	return r, m
@@ -65,7 +65,7 @@
 	orders := r.Orders(m, 2*time.Second)
 	require.Len(t, orders, 1)
 	require.False(t, r.Ordered(m, orders[0], acaciatally.ErrNoAnswer, 2*time.Second))
-	r.SetFleet([]acaciatally.FleetInstance{instance("m-1", "i-2", acaciatally.InstanceUp)}, 4*time.Second)
+	r.SetFleet([]acaciatally.FleetInstance{instance("m-1", "i-2")}, 4*time.Second)
 	again := r.Orders(m, 5*time.Second)
 	require.Len(t, again, 1)
 	require.Equal(t, orders[0].Lease, again[0].Lease, "a repetition has the token of the first order")
@@ -103,7 +103,7 @@
 	var wave []acaciatally.InstanceID
 	for i := range 100 {
 		id := fmt.Sprintf("m-%02d", i)
-		fleet = append(fleet, instance(id, "", acaciatally.InstanceUp))
+		fleet = append(fleet, instance(id, ""))
 		wave = append(wave, acaciatally.InstanceID(id))
 	}
 	r.SetFleet(fleet, time.Second)
@@ -126,7 +126,7 @@
 	var wave []acaciatally.InstanceID
 	for i := range 400 {
 		id := fmt.Sprintf("m-%03d", i)
-		fleet = append(fleet, instance(id, "", acaciatally.InstanceUp))
+		fleet = append(fleet, instance(id, ""))
 		wave = append(wave, acaciatally.InstanceID(id))
 	}
 	r.SetFleet(fleet, time.Second)
--- a/site/configuration.go
+++ b/site/configuration.go
@@ -30,12 +30,13 @@
 	records       OperatorRecords
 	journal       Journal
 	now           func() time.Duration
+	age           func() time.Duration // of the store's last answer
 	configuration atomic.Pointer[acaciatally.Configuration]
 	routes        atomic.Pointer[intake.Routes]
-	contact       atomic.Int64 // time of the last answer
 	mutex         sync.Mutex
 	waves         map[int]seenWave
 	lost          bool
+	lostAt        time.Duration // time of the last answer before the store was lost
 }
 
 // seenWave is a wave and when it was first seen.
@@ -76,20 +77,14 @@
 
 // answered notes whether the store answers.
 func (f *follower) answered(err error) {
-	now := f.now()
-	age := now - time.Duration(f.contact.Load())
-	if err != nil {
-		if !f.lost {
-			f.lost = true
-			f.journal.Dependency("record store", false, age, err)
-		}
-		return
+	if err != nil && !f.lost {
+		f.lost, f.lostAt = true, f.now()-f.age()
+		f.journal.Dependency("record store", false, f.age(), err)
 	}
-	if f.lost {
+	if err == nil && f.lost {
 		f.lost = false
-		f.journal.Dependency("record store", true, age, nil)
+		f.journal.Dependency("record store", true, f.now()-f.lostAt, nil)
 	}
-	f.contact.Store(int64(now))
 }
 
 func (f *follower) take(records []acaciatally.Record) {
--- a/site/failure_test.go
+++ b/site/failure_test.go
@@ -94,6 +94,29 @@
 	})
 }
 
+// TestUnreachableStore guards against callers that wait at an entry which can't serve them, while others can.
+func TestUnreachableStore(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t, 2)
+		w.addMachines("intake", 2)
+		time.Sleep(3 * time.Second)
+		w.submit(w.entries[0], quoteA, emulator.Job(emulator.Step(1, 1000)))
+		w.entries[0].faults.Hang(true)
+		time.Sleep(3 * time.Second)
+		calls := map[string]any{http.MethodPost: emulator.Job(emulator.Step(1, 1000)), http.MethodGet: nil, http.MethodDelete: nil}
+		for method, body := range calls {
+			begun := time.Now()
+			status, _ := w.call(w.entries[0], method, quoteA, body)
+			require.Equal(t, http.StatusServiceUnavailable, status, method)
+			require.Less(t, time.Since(begun), 100*time.Millisecond, method)
+		}
+		w.await(w.entries[1], quoteA, "completed", 5*time.Second)
+		w.entries[0].faults.Hang(false)
+		time.Sleep(2 * time.Second)
+		w.await(w.entries[0], quoteA, "completed", time.Second)
+	})
+}
+
 // TestTakeOverReadsAllFirst guards against a new leader that takes the runs of jobs that it has not read yet for unknown, and stops them.
 func TestTakeOverReadsAllFirst(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/site/site.go
+++ b/site/site.go
@@ -31,8 +31,6 @@
 	strongLink = 100e6
 	// workerLease outlasts the death of a leader, the term of its lease and the start of the next one.
 	workerLease = 6 * time.Second
-	// contactLimit is how long an entry without an answer of the record store takes new connections.
-	contactLimit = 2500 * time.Millisecond
 	// lingerTime lets the load balancer notice that this entry stops, before the listener closes.
 	lingerTime        = 2500 * time.Millisecond
 	readHeaderTimeout = 3 * time.Second
@@ -102,6 +100,7 @@
 // Process is one entry.
 type Process struct {
 	config   Config
+	contact  *contact
 	follower *follower
 	keeper   *leadership.Keeper
 	front    Front
@@ -115,18 +114,21 @@
 	if config.Listen == nil {
 		config.Listen = (&net.ListenConfig{}).Listen
 	}
-	p := &Process{config: config}
+	p := &Process{config: config, contact: &contact{RecordStore: config.Store, now: config.Now}}
+	p.config.Store = p.contact
 	p.follower = &follower{
-		store: config.Store, records: config.Operators, journal: config.Journal, now: config.Now, waves: map[int]seenWave{},
+		store: p.contact, age: p.contact.age, records: config.Operators, journal: config.Journal, now: config.Now, waves: map[int]seenWave{},
 	}
-	desk := intake.New(intake.Config{Store: config.Store, Routes: p.follower.routes.Load, Journal: config.Journal})
+	desk := intake.New(intake.Config{
+		Store: p.contact, Routes: p.follower.routes.Load, Reached: p.contact.fresh, Journal: config.Journal,
+	})
 	p.front = config.NewFront(desk, p.ready)
 	p.keeper = leadership.NewKeeper(leadership.KeeperConfig{
 		Lease: leadership.Config{
 			Self: config.Name, Term: leaderTerm, RenewEvery: renewEvery,
 			TakeOverLag: takeOverLag(config),
 		},
-		Store: config.Store, Now: config.Now, Journal: config.Journal, Lead: p.lead,
+		Store: p.contact, Now: config.Now, Journal: config.Journal, Lead: p.lead,
 	})
 	return p
 }
@@ -143,8 +145,7 @@
 
 // ready reports whether this entry takes new connections.
 func (p *Process) ready() bool {
-	age := p.config.Now() - time.Duration(p.follower.contact.Load())
-	return p.follower.routes.Load() != nil && age < contactLimit
+	return p.follower.routes.Load() != nil && p.contact.fresh()
 }
 
 // lead dispatches jobs for one tenure.
