Shorten the term of the lease while the store answers quickly

Ruled out: a shorter term at all times: a store that loses answers or is 90 times slower would change the leader again and again.

Change: each version of the lease says how long it holds: 1.4 s after five seconds of quick answers, else 2.5 s. A proposal that may be applied without an answer ends the right to act with its own term. A renewal whose answer was lost counts once the record shows it. An entry whose store is silent asks again after 1.65 s instead of 2.5 s.

Tests: leadership TestQuickTerm; TestSingleLeader now draws its delays with both terms.

The soak's callers now open new connections only to entries that the load balancer's checks find ready, as on the platform.

--- a/dispatch/worker.go
+++ b/dispatch/worker.go
@@ -22,7 +22,7 @@
 type worker struct {
 	listed    bool // the directory names it now
 	entry     acaciatally.Worker
-	born      time.Time // as its own reports say
+	born      time.Time     // as its own reports say
 	rebornAt  time.Duration // when this leader learned of its new life; 0 if it has had only one
 	fenceBump uint64
 	clock     time.Duration // of the last report
--- a/leadership/keeper.go
+++ b/leadership/keeper.go
@@ -13,8 +13,8 @@
 )
 
 const (
-	// callTimeout leaves room for several renewals within a term.
-	callTimeout = 700 * time.Millisecond
+	// callTimeout leaves room for a second renewal within the shortest term.
+	callTimeout = 650 * time.Millisecond
 	retryPause  = 100 * time.Millisecond
 	longestWait = time.Second
 )
@@ -115,7 +115,9 @@
 		k.read(ctx)
 		return
 	}
-	page, err := k.config.Store.Follow(ctx, Table, k.from, again)
+	following, cancel := context.WithTimeout(ctx, again+callTimeout) // a silent store is asked again soon
+	defer cancel()
+	page, err := k.config.Store.Follow(following, Table, k.from, again)
 	if errors.Is(err, acaciatally.ErrHistoryGone) {
 		k.read(ctx)
 		acaciatally.Pause(ctx, retryPause)
@@ -197,7 +199,7 @@
 		k.resolve(ctx, conflict, version)
 	default:
 		k.mutex.Lock()
-		k.lease.Tried(sent + retryPause - k.config.Lease.RenewEvery)
+		k.lease.Tried(sent+retryPause-k.config.Lease.RenewEvery, k.config.Now())
 		k.lease.Contact(false, k.config.Now())
 		k.mutex.Unlock()
 		acaciatally.Pause(ctx, retryPause)
@@ -239,9 +241,23 @@
 		k.handOver(ctx, claim)
 		return
 	}
+	if k.confirm(record) {
+		return
+	}
 	k.observe([]acaciatally.Record{record})
 }
 
+// confirm takes in the record if it is this entry's own, renewed without an answer.
+func (k *Keeper) confirm(record acaciatally.Record) bool {
+	var row Row
+	if json.Unmarshal(record.Value, &row) != nil {
+		return false
+	}
+	k.mutex.Lock()
+	defer k.mutex.Unlock()
+	return k.lease.Confirmed(row, record.Version, k.config.Now())
+}
+
 // demand claims the lease from a weaker holder.
 func (k *Keeper) demand(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
--- a/leadership/lease.go
+++ b/leadership/lease.go
@@ -19,6 +19,7 @@
 type Row struct {
 	Holder    string        // empty after the holder has given it up
 	Epoch     uint64        // rises with each change of holder
+	Term      time.Duration `json:",omitempty"` // for which this version holds
 	Lag       time.Duration `json:",omitempty"` // of the holder; the weaker it is, the longer
 	Successor string        `json:",omitempty"` // to whom the lease was given up
 }
@@ -31,6 +32,10 @@
 	claimGain = 200 * time.Millisecond
 	// claimAfter is how long an epoch is seen before it is claimed, so that a new leader has read all jobs.
 	claimAfter = time.Second
+	// calmTime is how long renewals have to be answered quickly before the term gets short.
+	calmTime = 5 * time.Second
+	// quickAnswer is the longest time of a quick answer.
+	quickAnswer = 100 * time.Millisecond
 	// successorTime is how long the others wait for the successor to take the lease.
 	successorTime = time.Second
 )
@@ -49,7 +54,8 @@
 // Config is what a Lease needs.
 type Config struct {
 	Self        string
-	Term        time.Duration
+	Term        time.Duration // while renewals are answered late or not at all
+	QuickTerm   time.Duration // while they are answered quickly; 0 is Term
 	RenewEvery  time.Duration
 	TakeOverLag time.Duration // added to the term before this entry takes a lease over; the weaker the entry, the longer
 }
@@ -67,6 +73,9 @@
 	claimed  uint64        // epoch that was claimed last
 	until    time.Duration // end of this entry's own right to act
 	renewed  time.Duration // when the last renewal was sent
+	asked    time.Duration // when the first proposal since the last answered one was sent
+	open     bool          // a proposal has no answer
+	troubled time.Duration // when a renewal was last answered late or not at all
 }
 
 // New returns a lease of which nothing is known yet.
@@ -121,7 +130,7 @@
 	switch {
 	case l.row.Holder == l.config.Self:
 	case l.row.Holder != "":
-		due += l.config.Term
+		due += l.termOf(l.row)
 	case l.row.Successor == l.config.Self:
 		return due
 	case l.row.Successor != "":
@@ -130,6 +139,22 @@
 	return max(due, l.regained) + l.config.TakeOverLag
 }
 
+// termOf returns how long a version of the lease holds.
+func (l *Lease) termOf(row Row) time.Duration {
+	if row.Term > 0 {
+		return row.Term
+	}
+	return l.config.Term
+}
+
+// nextTerm returns the term to propose: a short one lets others take over soon, a long one outlasts a store that is slow or loses answers.
+func (l *Lease) nextTerm(now time.Duration) time.Duration {
+	if l.config.QuickTerm > 0 && now-l.troubled > calmTime {
+		return l.config.QuickTerm
+	}
+	return l.config.Term
+}
+
 // claimAt returns when this entry claims the lease from a weaker holder.
 func (l *Lease) claimAt() (at time.Duration, wanted bool) {
 	if l.row.Holder == "" || l.claimed == l.row.Epoch || l.row.Lag-l.config.TakeOverLag < claimGain {
@@ -150,11 +175,18 @@
 }
 
 // Proposal returns the row to commit on the condition that the record is at the version. A tenure that has lapsed is not continued, but
-// begun anew under the next epoch, since fencing tokens count from the beginning of a tenure.
+// begun anew under the next epoch, since fencing tokens count from the beginning of a tenure. Since the proposal may be applied without an
+// answer, this entry's right to act ends with the proposed term at the latest.
 func (l *Lease) Proposal(now time.Duration) (row Row, version uint64) {
 	row = l.row
 	if l.row.Holder != l.config.Self || !l.Leads(now) {
 		row = Row{Holder: l.config.Self, Epoch: l.row.Epoch + 1, Lag: l.config.TakeOverLag}
+		l.troubled = now
+	}
+	row.Term = l.nextTerm(now)
+	l.until = min(l.until, now+row.Term)
+	if !l.open {
+		l.asked, l.open = now, true
 	}
 	return row, l.version
 }
@@ -163,8 +195,20 @@
 func (l *Lease) Committed(row Row, version uint64, sent, now time.Duration) {
 	l.Observe(row, version, now)
 	if row.Holder == l.config.Self {
-		l.until, l.renewed = sent+l.config.Term, sent
+		l.until, l.renewed, l.open = sent+l.termOf(row), sent, false
+	}
+	if now-sent > quickAnswer {
+		l.troubled = now
+	}
+}
+
+// Confirmed takes in that the record is an earlier renewal of this tenure, whose answer was lost; false means that it is not.
+func (l *Lease) Confirmed(row Row, version uint64, now time.Duration) bool {
+	if row.Holder != l.config.Self || row.Epoch != l.row.Epoch || !l.Leads(now) || !l.open {
+		return false
 	}
+	l.Committed(row, version, l.asked, now)
+	return true
 }
 
 // GivenUp returns the row that gives the lease up; an empty successor leaves it to the first to take it.
@@ -173,7 +217,7 @@
 }
 
 // Tried takes in that a renewal was sent without success.
-func (l *Lease) Tried(sent time.Duration) { l.renewed = sent }
+func (l *Lease) Tried(sent, now time.Duration) { l.renewed, l.troubled = sent, now }
 
 // Leads reports whether this entry may act as the leader.
 func (l *Lease) Leads(now time.Duration) bool { return now < l.until }
--- a/leadership/lease_test.go
+++ b/leadership/lease_test.go
@@ -12,11 +12,12 @@
 
 const (
 	term  = 2500 * time.Millisecond
+	quick = 1400 * time.Millisecond
 	renew = 600 * time.Millisecond
 )
 
 func newLease(self string) *leadership.Lease {
-	return leadership.New(leadership.Config{Self: self, Term: term, RenewEvery: renew})
+	return leadership.New(leadership.Config{Self: self, Term: term, QuickTerm: quick, RenewEvery: renew})
 }
 
 // TestTakeOver guards against two leaders: a lease is taken over only after its version stood still for a whole term.
@@ -34,7 +35,7 @@
 	step, _ = lease.Next(2*term - 1)
 	require.Equal(t, leadership.Take, step)
 	row, version := lease.Proposal(2*term - 1)
-	require.Equal(t, leadership.Row{Holder: "b", Epoch: 4}, row)
+	require.Equal(t, leadership.Row{Holder: "b", Epoch: 4, Term: term}, row)
 	require.EqualValues(t, 11, version)
 }
 
@@ -137,6 +138,42 @@
 	}
 }
 
+// TestQuickTerm guards against a takeover that takes longer than it has to, and against a leader that acts after others may have taken over
+// because a renewal with a shorter term had no answer.
+func TestQuickTerm(t *testing.T) {
+	lease := newLease("a")
+	lease.Observe(leadership.Row{}, 0, 0)
+	now, version := time.Duration(0), uint64(0)
+	propose := func() leadership.Row {
+		row, _ := lease.Proposal(now)
+		return row
+	}
+	commit := func(row leadership.Row, took time.Duration) {
+		version++
+		lease.Committed(row, version, now, now+took)
+	}
+	commit(propose(), 0)
+	for now = renew; now <= 5*time.Second; now += renew {
+		row := propose()
+		require.Equal(t, term, row.Term, "it was not calm for long enough")
+		commit(row, 0)
+	}
+	row := propose()
+	require.Equal(t, quick, row.Term)
+	require.False(t, lease.Leads(now+quick), "the renewal may have been applied")
+	lease.Tried(now, now+renew)
+	require.True(t, lease.Confirmed(row, version+1, now+renew))
+	require.True(t, lease.Leads(now+quick-1))
+	require.False(t, lease.Leads(now+quick))
+	now += renew
+	require.Equal(t, term, propose().Term, "a renewal had no answer")
+
+	other := newLease("b")
+	other.Observe(row, 9, 0)
+	step, _ := other.Next(quick)
+	require.Equal(t, leadership.Take, step)
+}
+
 // TestSuccessor guards against a third entry that takes a lease which was given up to another one, and against a wait for one that is
 // gone.
 func TestSuccessor(t *testing.T) {
--- a/site/site.go
+++ b/site/site.go
@@ -21,8 +21,10 @@
 const (
 	// leaderTerm is shorter than the platform's three seconds within which two holders must not order one instance.
 	leaderTerm = 2500 * time.Millisecond
-	// renewEvery lets three renewals fail within a term.
-	renewEvery = 600 * time.Millisecond
+	// quickTerm is the term while the store answers quickly; the first renewal may go without an answer.
+	quickTerm = 1400 * time.Millisecond
+	// renewEvery lets four renewals fail within a term.
+	renewEvery = 400 * time.Millisecond
 	// takeOverSpread keeps entries from taking the lease over all at once.
 	takeOverSpread = 100 * time.Millisecond
 	// weaknessLag lets entries with more processor time and a faster link take the lease over first.
@@ -125,7 +127,7 @@
 	p.front = config.NewFront(desk, p.ready)
 	p.keeper = leadership.NewKeeper(leadership.KeeperConfig{
 		Lease: leadership.Config{
-			Self: config.Name, Term: leaderTerm, RenewEvery: renewEvery,
+			Self: config.Name, Term: leaderTerm, QuickTerm: quickTerm, RenewEvery: renewEvery,
 			TakeOverLag: takeOverLag(config),
 		},
 		Store: p.contact, Now: config.Now, Journal: config.Journal, Lead: p.lead,
--- a/soak/callers_test.go
+++ b/soak/callers_test.go
@@ -48,7 +48,7 @@
 // run sends requests until ctx ends.
 func (c *callers) run(ctx context.Context, seed uint64) {
 	random := rand.New(rand.NewPCG(seed, 1))
-	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 1}}
+	client := c.d.client()
 	defer client.CloseIdleConnections()
 	for ctx.Err() == nil {
 		e := c.d.entries[random.IntN(len(c.d.entries))]
--- a/soak/deployment_test.go
+++ b/soak/deployment_test.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"context"
 	"encoding/json"
 	"fmt"
 	"net"
@@ -9,6 +10,7 @@
 	"os/exec"
 	"path/filepath"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -61,6 +63,8 @@
 	process *exec.Cmd
 	exited  chan struct{}
 
+	missed atomic.Int32 // readiness checks without a good answer, one after another
+
 	disturbedUntil time.Time // faults other than a planned stop are near until then
 }
 
@@ -179,6 +183,48 @@
 	d.start(e)
 }
 
+// The load balancer's checks, as the platform does them.
+const (
+	checkEvery   = time.Second
+	checkTimeout = 900 * time.Millisecond
+	mostMissed   = 2 // after which an entry gets no new connections
+)
+
+// balance checks the readiness of all entries until ctx ends.
+func (d *deployment) balance(ctx context.Context) {
+	client := &http.Client{Timeout: checkTimeout}
+	defer client.CloseIdleConnections()
+	for ctx.Err() == nil {
+		for _, e := range d.entries {
+			go func() {
+				response, err := client.Get("http://" + e.ip + ":8622/-/ready")
+				if err != nil || response.StatusCode != http.StatusOK {
+					e.missed.Add(1)
+				} else {
+					e.missed.Store(0)
+				}
+				if err == nil {
+					_ = response.Body.Close()
+				}
+			}()
+		}
+		time.Sleep(checkEvery)
+	}
+}
+
+// client returns a caller's connections: open ones are used as long as they last, new ones only reach entries in rotation.
+func (d *deployment) client() *http.Client {
+	dial := func(ctx context.Context, network, address string) (net.Conn, error) {
+		for _, e := range d.entries {
+			if address == e.ip+":8624" && e.missed.Load() >= mostMissed {
+				return nil, errNotSent
+			}
+		}
+		return (&net.Dialer{}).DialContext(ctx, network, address)
+	}
+	return &http.Client{Transport: &http.Transport{DialContext: dial, MaxIdleConnsPerHost: 1}}
+}
+
 func (d *deployment) settingsPath(e *entry) string { return filepath.Join(d.dir, e.name+".json") }
 
 func (d *deployment) writeSettings(e *entry) {
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -5,7 +5,6 @@
 	"context"
 	"flag"
 	"fmt"
-	"net/http"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -101,6 +100,7 @@
 	d := newDeployment(t, program, *entries, *fleet)
 	plan := newSeries(seed, seriesTime)
 	c := newCallers(d)
+	go d.balance(t.Context())
 	time.Sleep(startTime)
 	ctx, cancel := context.WithTimeout(t.Context(), callerSpan)
 	defer cancel()
@@ -139,7 +139,7 @@
 
 // settle waits until all accepted jobs are shown as done at every entry, within the bound.
 func (c *callers) settle(healed time.Time) {
-	client := &http.Client{}
+	client := c.d.client()
 	defer client.CloseIdleConnections()
 	deadline := healed.Add(settleTime)
 	for id, job := range c.jobs {
