--- a/dispatch/order.go
+++ b/dispatch/order.go
@@ -11,7 +11,7 @@
 	// orderRetry is the pause after an order without effect.
 	orderRetry = 100 * time.Millisecond
 	// startTries are the starts of one run without confirmation before it is stopped and started elsewhere.
-	startTries = 3
+	startTries = 5
 )
 
 // OrderKind is what an order asks of a worker.
--- a/leadership/keeper.go
+++ b/leadership/keeper.go
@@ -14,9 +14,11 @@
 
 const (
 	// callTimeout leaves room for a second renewal within the shortest term.
-	callTimeout = 650 * time.Millisecond
-	retryPause  = 100 * time.Millisecond
-	longestWait = time.Second
+	callTimeout = 800 * time.Millisecond
+	// repeatTimeout is for a renewal after one without answer, which the store may have been too slow to give.
+	repeatTimeout = 1300 * time.Millisecond
+	retryPause    = 100 * time.Millisecond
+	longestWait   = time.Second
 )
 
 // Journal takes a line for each change of the leader and of the contact with the store.
@@ -46,6 +48,7 @@
 	lease  *Lease
 	from   uint64 // newest version of the store that was read, from which the feed goes on
 	tenure *tenure
+	repeat bool // the last proposal had no answer
 }
 
 // tenure is a running call of Lead.
@@ -176,7 +179,7 @@
 
 // propose renews or takes the lease.
 func (k *Keeper) propose(ctx context.Context) {
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	ctx, cancel := context.WithTimeout(ctx, k.proposalTimeout())
 	defer cancel()
 	k.mutex.Lock()
 	row, version := k.lease.Proposal(k.config.Now())
@@ -189,6 +192,7 @@
 	}
 	sent := k.config.Now()
 	committed, err := k.config.Store.Commit(ctx, transaction)
+	k.repeat = errors.Is(err, acaciatally.ErrUnknownCommit)
 	var conflict *acaciatally.RecordConflictError
 	switch {
 	case err == nil:
@@ -206,6 +210,13 @@
 	}
 }
 
+func (k *Keeper) proposalTimeout() time.Duration {
+	if k.repeat {
+		return repeatTimeout
+	}
+	return callTimeout
+}
+
 // proposal returns the transaction that takes the lease, or renews it unless an entry that would lead better has claimed it.
 func proposal(row Row, version uint64, renews bool) (transaction acaciatally.RecordTransaction, err error) {
 	transaction, err = replace(row, version)
--- a/site/failure_test.go
+++ b/site/failure_test.go
@@ -1,6 +1,7 @@
 package site_test
 
 import (
+	"encoding/json"
 	"fmt"
 	"net/http"
 	"net/netip"
@@ -140,6 +141,31 @@
 	})
 }
 
+// TestSlowStore guards against a leader that is replaced, and jobs that stand still, because the store gets two hundred times slower.
+func TestSlowStore(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t, 3)
+		w.addMachines("intake", 2)
+		time.Sleep(10 * time.Second) // until the term is short
+		lease := func() (version uint64, epoch uint64) {
+			row := w.store.Rows("Lease")[0]
+			var decoded struct{ Epoch uint64 }
+			require.NoError(t, json.Unmarshal(row.Value, &decoded))
+			return row.Version, decoded.Epoch
+		}
+		_, first := lease()
+		for _, e := range w.entries {
+			e.faults.Slow(750 * time.Millisecond)
+		}
+		time.Sleep(4 * time.Second)
+		early, _ := lease()
+		time.Sleep(2 * time.Second)
+		late, last := lease()
+		require.Equal(t, first, last, "the leader was replaced")
+		require.Greater(t, late, early, "nobody renews the lease")
+	})
+}
+
 // TestSilentWorker guards against a task that waits for ever for a worker that went dark: each renewal without answer used to move the
 // end of the lease that was assumed.
 func TestSilentWorker(t *testing.T) {
--- a/site/site.go
+++ b/site/site.go
@@ -24,7 +24,7 @@
 	// quickTerm is the term while the store answers quickly; the first renewal may go without an answer.
 	quickTerm = 1400 * time.Millisecond
 	// renewEvery lets four renewals fail within a term.
-	renewEvery = 400 * time.Millisecond
+	renewEvery = 350 * time.Millisecond
 	// takeOverSpread keeps entries from taking the lease over all at once.
 	takeOverSpread = 100 * time.Millisecond
 	// weaknessLag lets entries with more processor time and a faster link take the lease over first.
