Count instances as down that an earlier leader could not record, and let several instances of a pool leave their lasting work

The next leader, 1.4 s later, took instances in maintenance that were not recorded for ones that wait, and did not count them. Change: whatever is in maintenance counts as down. Test, seen to fail before: roster TestUnrecordedMaintenance.

Change: as many at a time as the rest of the wave needs. Test: maintenance TestNext.

--- a/maintenance/plan.go
+++ b/maintenance/plan.go
@@ -61,20 +61,26 @@
 	return true
 }
 
-// Next returns the instances to empty now: idle ones that their pools can spare at any time, one of each pool that runs lasting work, since
+// Next returns the instances to empty now: idle ones that their pools can spare at any time, some of each pool that run lasting work, since
 // that leaves slowly, and others when time gets short.
 func (c Config) Next(wave Wave) (chosen []acaciatally.InstanceID) {
 	busy, pending := 0, []Instance{}
-	lasting := map[acaciatally.PoolName]bool{} // pools of which an instance is being emptied of lasting work
+	lasting := map[acaciatally.PoolName]int{} // instances that are being emptied of lasting work
+	waiting := map[acaciatally.PoolName]int{} // instances with lasting work that are to follow
 	for _, instance := range wave.Instances {
 		switch instance.Phase {
 		case Emptying, Down:
 			busy++
-			lasting[instance.Pool] = lasting[instance.Pool] || instance.Lasting > 0
+			if instance.Lasting > 0 {
+				lasting[instance.Pool]++
+			}
 		case Pending:
 			if instance.Up && !instance.Reserved {
 				pending = append(pending, instance)
 			}
+			if instance.Lasting > 0 {
+				waiting[instance.Pool]++
+			}
 		}
 	}
 	slices.SortFunc(pending, compare)
@@ -83,12 +89,14 @@
 		if busy >= wave.AtOnce {
 			return chosen
 		}
-		first := instance.Lasting > 0 && !lasting[instance.Pool]
+		first := instance.Lasting > 0 && lasting[instance.Pool] < max(1, c.pace(wave, waiting[instance.Pool]))
 		needed := !instance.Standby && (!instance.Spare || instance.Runs > 0)
 		if needed && !first && busy >= pace {
 			continue
 		}
-		lasting[instance.Pool] = lasting[instance.Pool] || first
+		if instance.Lasting > 0 {
+			lasting[instance.Pool]++
+		}
 		busy++
 		chosen = append(chosen, instance.ID)
 	}
--- a/maintenance/plan_test.go
+++ b/maintenance/plan_test.go
@@ -53,6 +53,13 @@
 			}},
 			nil,
 		},
+		"lasting work leaves several instances where time needs it": {
+			maintenance.Wave{AtOnce: 5, Left: 10 * time.Second, Instances: []maintenance.Instance{
+				lasting("a", maintenance.Emptying), lasting("b", maintenance.Pending), lasting("c", maintenance.Pending),
+				lasting("d", maintenance.Pending), lasting("e", maintenance.Pending),
+			}},
+			[]acaciatally.InstanceID{"b"},
+		},
 		"never more than allowed": {
 			maintenance.Wave{AtOnce: 1, Left: time.Second, Instances: []maintenance.Instance{down, up("a", 0, true)}}, nil,
 		},
--- a/roster/roster.go
+++ b/roster/roster.go
@@ -315,7 +315,7 @@
 			member.Phase = maintenance.Down
 		case reserved && todo.purpose == toMaintain:
 			member.Phase = maintenance.Emptying
-		case w.finished[id] && instance.State == acaciatally.InstanceMaintenance:
+		case instance.State == acaciatally.InstanceMaintenance: // an earlier leader may not have recorded its order
 			member.Phase = maintenance.Down
 		case w.finished[id]:
 			member.Phase = maintenance.Finished
--- a/roster/roster_test.go
+++ b/roster/roster_test.go
@@ -142,3 +142,21 @@
 	require.LessOrEqual(t, sent, perSecond+1)
 	require.Greater(t, sent, perSecond*3/4)
 }
+
+// TestUnrecordedMaintenance guards against more instances down at once than a wave allows, after a leader that was cut from the store has
+// ordered some and could not record it.
+func TestUnrecordedMaintenance(t *testing.T) {
+	r := New(Config{Epoch: 4, Holder: "entry-2", MaintenanceTime: time.Second, Capacity: capacity.Defaults(), Journal: silent{}})
+	m := dispatch.New(dispatch.Config{Journal: silent{}, WorkerLease: 6 * time.Second})
+	away, idle := instance("m-1", ""), instance("m-2", "")
+	away.State = acaciatally.InstanceMaintenance
+	r.SetFleet([]acaciatally.FleetInstance{away, idle}, time.Second)
+	r.AddWave(acaciatally.MaintenanceWave{
+		Number: 1, Instances: []acaciatally.InstanceID{"m-1", "m-2"}, Within: 4 * time.Second, AtOnce: 1,
+	}, 0, nil, false)
+	r.Plan(m, configuration, 2*time.Second)
+	require.Empty(t, r.Orders(m, 2*time.Second))
+	r.SetFleet([]acaciatally.FleetInstance{instance("m-1", ""), idle}, 3*time.Second)
+	r.Plan(m, configuration, 3*time.Second)
+	require.Len(t, r.Orders(m, 3*time.Second), 1)
+}
