--- a/roster/roster_test.go
+++ b/roster/roster_test.go
@@ -94,20 +94,25 @@
 	require.Empty(t, r.Records())
 }
 
-// TestOrdersAtOnce guards against a leader whose orders wait for each other at the instance control until the time of each is over:
-// from then on no order had a known outcome, and each was repeated.
-func TestOrdersAtOnce(t *testing.T) {
-	r := New(Config{Epoch: 3, Holder: "entry-1", MaintenanceTime: time.Second, Capacity: capacity.Defaults(), Journal: silent{}})
-	m := dispatch.New(dispatch.Config{Journal: silent{}, WorkerLease: 6 * time.Second})
+// addWave adds idle instances and a wave that may take all of them down at once.
+func addWave(r *Roster, count int) {
 	var fleet []acaciatally.FleetInstance
 	var wave []acaciatally.InstanceID
-	for i := range 100 {
-		id := fmt.Sprintf("m-%02d", i)
+	for i := range count {
+		id := fmt.Sprintf("m-%03d", i)
 		fleet = append(fleet, instance(id, ""))
 		wave = append(wave, acaciatally.InstanceID(id))
 	}
 	r.SetFleet(fleet, time.Second)
-	r.AddWave(acaciatally.MaintenanceWave{Number: 1, Instances: wave, Within: 4 * time.Second, AtOnce: 100}, 0, nil, false)
+	r.AddWave(acaciatally.MaintenanceWave{Number: 1, Instances: wave, Within: 4 * time.Second, AtOnce: count}, 0, nil, false)
+}
+
+// TestOrdersAtOnce guards against a leader whose orders wait for each other at the instance control until the time of each is over:
+// from then on no order had a known outcome, and each was repeated.
+func TestOrdersAtOnce(t *testing.T) {
+	r := New(Config{Epoch: 3, Holder: "entry-1", MaintenanceTime: time.Second, Capacity: capacity.Defaults(), Journal: silent{}})
+	m := dispatch.New(dispatch.Config{Journal: silent{}, WorkerLease: 6 * time.Second})
+	addWave(r, 100)
 	r.Plan(m, configuration, 2*time.Second)
 	first := r.Orders(m, 2*time.Second)
 	require.Len(t, first, ordersAtOnce)
@@ -122,15 +127,7 @@
 	const perSecond = 200
 	r := New(Config{Epoch: 3, Holder: "entry-1", MaintenanceTime: time.Second, Capacity: capacity.Defaults(), OrdersPerSecond: perSecond, Journal: silent{}})
 	m := dispatch.New(dispatch.Config{Journal: silent{}, WorkerLease: 6 * time.Second})
-	var fleet []acaciatally.FleetInstance
-	var wave []acaciatally.InstanceID
-	for i := range 400 {
-		id := fmt.Sprintf("m-%03d", i)
-		fleet = append(fleet, instance(id, ""))
-		wave = append(wave, acaciatally.InstanceID(id))
-	}
-	r.SetFleet(fleet, time.Second)
-	r.AddWave(acaciatally.MaintenanceWave{Number: 1, Instances: wave, Within: 4 * time.Second, AtOnce: 400}, 0, nil, false)
+	addWave(r, 400)
 	r.Plan(m, configuration, 2*time.Second)
 	sent := 0
 	for now := 2 * time.Second; now < 3*time.Second; now += 10 * time.Millisecond {
--- a/soak/deployment_test.go
+++ b/soak/deployment_test.go
@@ -121,7 +121,7 @@
 }
 
 func (d *deployment) serve(address string, handler http.Handler) {
-	listener, err := net.Listen("tcp", address)
+	listener, err := (&net.ListenConfig{}).Listen(context.Background(), "tcp", address)
 	require.NoError(d.t, err)
 	server := &http.Server{Handler: handler, ReadHeaderTimeout: time.Minute}
 	d.mutex.Lock()
@@ -196,22 +196,31 @@
 	defer client.CloseIdleConnections()
 	for ctx.Err() == nil {
 		for _, e := range d.entries {
-			go func() {
-				response, err := client.Get("http://" + e.ip + ":8622/-/ready")
-				if err != nil || response.StatusCode != http.StatusOK {
-					e.missed.Add(1)
-				} else {
-					e.missed.Store(0)
-				}
-				if err == nil {
-					_ = response.Body.Close()
-				}
-			}()
+			go e.checkReady(ctx, client)
 		}
 		time.Sleep(checkEvery)
 	}
 }
 
+// checkReady counts the readiness checks that an entry has missed.
+func (e *entry) checkReady(ctx context.Context, client *http.Client) {
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+e.ip+":8622/-/ready", http.NoBody)
+	if err != nil {
+		return // a fixed address always parses
+	}
+	response, err := client.Do(request)
+	if err != nil {
+		e.missed.Add(1)
+		return
+	}
+	_ = response.Body.Close()
+	if response.StatusCode != http.StatusOK {
+		e.missed.Add(1)
+		return
+	}
+	e.missed.Store(0)
+}
+
 // client returns a caller's connections: open ones are used as long as they last, new ones only reach entries in rotation.
 func (d *deployment) client() *http.Client {
 	dial := func(ctx context.Context, network, address string) (net.Conn, error) {
@@ -247,7 +256,7 @@
 func (d *deployment) start(e *entry) {
 	log, err := os.OpenFile(filepath.Join(d.dir, e.name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
 	require.NoError(d.t, err)
-	process := exec.Command(d.program, "attend", "-settings", d.settingsPath(e))
+	process := exec.CommandContext(context.Background(), d.program, "attend", "-settings", d.settingsPath(e))
 	process.Stdout, process.Stderr = log, log
 	require.NoError(d.t, process.Start())
 	exited := make(chan struct{})
--- a/soak/proxy_test.go
+++ b/soak/proxy_test.go
@@ -1,7 +1,7 @@
 package soak
 
 import (
-	"io"
+	"context"
 	"net"
 	"sync"
 	"testing"
@@ -32,7 +32,7 @@
 
 func newProxy(t *testing.T, address, target string) *proxy {
 	t.Helper()
-	listener, err := net.Listen("tcp", address)
+	listener, err := (&net.ListenConfig{}).Listen(t.Context(), "tcp", address)
 	require.NoError(t, err)
 	p := &proxy{
 		listener: listener, target: target, conns: map[net.Conn]bool{}, silent: map[net.Conn]bool{}, changed: make(chan struct{}),
@@ -89,7 +89,7 @@
 	p.mutex.Lock()
 	refuse := p.link.refuse
 	p.mutex.Unlock()
-	server, err := net.DialTimeout("tcp", p.target, time.Second)
+	server, err := (&net.Dialer{Timeout: time.Second}).DialContext(context.Background(), "tcp", p.target)
 	if err != nil || refuse {
 		_ = client.Close()
 		return
@@ -120,9 +120,6 @@
 			}
 		}
 		if err != nil {
-			if err != io.EOF {
-				return
-			}
 			return
 		}
 	}
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -47,7 +47,7 @@
 		os.Exit(1)
 	}
 	program = filepath.Join(folder, "acaciatally")
-	build := exec.Command("go", "build", "-o", program, "../cmd/acaciatally")
+	build := exec.CommandContext(context.Background(), "go", "build", "-o", program, "../cmd/acaciatally")
 	build.Stderr = os.Stderr
 	if err := build.Run(); err != nil {
 		os.Exit(1)
