--- a/dispatch/replay_test.go
+++ b/dispatch/replay_test.go
@@ -12,93 +12,119 @@
 )
 
 const (
-	replayStep = 20 * time.Millisecond
-	replayMean = 800 * time.Millisecond
+	replayStep  = 20 * time.Millisecond
+	replayDrain = 10 * time.Second // after the last arrival
+	replayMean  = 800 * time.Millisecond
+	replayTasks = 4 // of each step
 )
 
-// replayedLoad is a load: jobs of one or two steps that arrive at a rate, for a time, at workers with eight places each.
-type replayedLoad struct {
-	workers   int
-	perSecond int
-	lasts     time.Duration
+// replay plays a load on a machine whose orders and records take effect at once: jobs of one or two steps that arrive at a rate, for a time.
+type replay struct {
+	machine   *Machine
+	random    *rand.Rand
+	workers   []acaciatally.Worker
+	runs      map[acaciatally.WorkerID][]replayedRun
+	ends      map[acaciatally.WorkerID]uint64 // counted by each worker
+	took      map[acaciatally.TaskRef]time.Duration
+	dueBy     map[acaciatally.JobID]time.Duration
+	submitted int
+	inTime    int
 }
 
-// replay plays the load on a machine whose orders and records take effect at once, and returns the share of jobs done in the time allowed.
-func (l replayedLoad) replay(t *testing.T) (inTime float64) {
+type replayedRun struct {
+	task    acaciatally.TaskRef
+	attempt int
+	until   time.Duration
+}
+
+func newReplay(t *testing.T, workers int) *replay {
 	t.Helper()
-	random := rand.New(rand.NewPCG(1, 2))
 	m, _ := newMachine()
-	var workers []acaciatally.Worker
-	for i := range l.workers {
-		workers = append(workers, workerOf(i+1))
+	r := &replay{
+		machine: m, random: rand.New(rand.NewPCG(1, 2)), runs: map[acaciatally.WorkerID][]replayedRun{},
+		ends: map[acaciatally.WorkerID]uint64{}, took: map[acaciatally.TaskRef]time.Duration{}, dueBy: map[acaciatally.JobID]time.Duration{},
 	}
-	ready(m, workers...)
-	ends := map[acaciatally.WorkerID][]replayedRun{}
-	numbers := map[acaciatally.WorkerID]uint64{}
-	allowed, arrived := map[acaciatally.JobID]time.Duration{}, map[acaciatally.JobID]time.Duration{}
-	took := map[acaciatally.TaskRef]time.Duration{}
-	submitted, good := 0, 0
-	for now := time.Duration(0); now < l.lasts+10*time.Second; now += replayStep {
-		for now < l.lasts && submitted < int(now.Seconds()*float64(l.perSecond)) {
-			id := acaciatally.JobID(fmt.Sprintf("%08x", submitted))
-			steps := []acaciatally.Step{oneStep(4, 1000)}
-			if submitted%2 == 0 {
-				second := oneStep(4, 1000)
-				second.After = []int{0}
-				steps = append(steps, second)
-			}
-			submit(m, id, now, steps...)
-			arrived[id], allowed[id] = now, 600*time.Millisecond
-			for step := range steps {
-				longest := time.Duration(0)
-				for index := range 4 {
-					duration := time.Duration(float64(replayMean) * (0.5 + random.Float64()))
-					took[acaciatally.TaskRef{Job: id, Step: step, Index: index}] = duration
-					longest = max(longest, duration)
-				}
-				allowed[id] += time.Duration(1.6 * float64(longest))
-			}
-			submitted++
+	for i := range workers {
+		r.workers = append(r.workers, workerOf(i+1))
+	}
+	ready(m, r.workers...)
+	return r
+}
+
+// play returns the share of the jobs that were done in the time allowed.
+func (r *replay) play(perSecond int, lasts time.Duration) float64 {
+	for now := time.Duration(0); now < lasts+replayDrain; now += replayStep {
+		for now < lasts && r.submitted < int(now.Seconds()*float64(perSecond)) {
+			r.submit(now)
 		}
-		for _, w := range workers {
-			report := acaciatally.WorkerReport{Clock: now, Born: w.Born}
-			left := ends[w.ID][:0]
-			for _, run := range ends[w.ID] {
-				if run.until > now {
-					left = append(left, run)
-					report.Running = append(report.Running, acaciatally.RunningTask{Task: run.task, Attempt: run.attempt, Percent: 50})
-					continue
-				}
-				numbers[w.ID]++
-				report.Ended = append(report.Ended, acaciatally.EndedTask{Number: numbers[w.ID], Task: run.task, Attempt: run.attempt, End: acaciatally.EndDone})
-			}
-			ends[w.ID] = left
-			m.Report(w.ID, report, now, now)
+		for _, w := range r.workers {
+			r.machine.Report(w.ID, r.report(w, now), now, now)
 		}
-		for id, j := range m.jobs {
-			if j.state == acaciatally.JobCompleted && arrived[id]+allowed[id] >= now && j.endedAt == 0 {
-				good++
-			}
+		r.count(now)
+		for _, order := range started(r.machine, now) {
+			id, task := order.Worker.ID, order.Start.Task
+			r.runs[id] = append(r.runs[id], replayedRun{task, order.Start.Attempt, now + r.took[task]})
+		}
+	}
+	return float64(r.inTime) / float64(r.submitted)
+}
+
+// submit hands in a job; each other one has a second step.
+func (r *replay) submit(now time.Duration) {
+	id := acaciatally.JobID(fmt.Sprintf("%08x", r.submitted))
+	steps := []acaciatally.Step{oneStep(replayTasks, 1000)}
+	if r.submitted%2 == 0 {
+		second := oneStep(replayTasks, 1000)
+		second.After = []int{0}
+		steps = append(steps, second)
+	}
+	r.dueBy[id] = now + 600*time.Millisecond
+	for step := range steps {
+		longest := time.Duration(0)
+		for index := range replayTasks {
+			took := time.Duration(float64(replayMean) * (0.5 + r.random.Float64()))
+			r.took[acaciatally.TaskRef{Job: id, Step: step, Index: index}] = took
+			longest = max(longest, took)
 		}
-		for _, order := range started(m, now) {
-			id := order.Worker.ID
-			ends[id] = append(ends[id], replayedRun{order.Start.Task, order.Start.Attempt, now + took[order.Start.Task]})
+		r.dueBy[id] += time.Duration(1.6 * float64(longest))
+	}
+	submit(r.machine, id, now, steps...)
+	r.submitted++
+}
+
+// report returns what a worker tells at the time.
+func (r *replay) report(w acaciatally.Worker, now time.Duration) acaciatally.WorkerReport {
+	report := acaciatally.WorkerReport{Clock: now, Born: w.Born}
+	left := r.runs[w.ID][:0]
+	for _, run := range r.runs[w.ID] {
+		if run.until > now {
+			left = append(left, run)
+			report.Running = append(report.Running, acaciatally.RunningTask{Task: run.task, Attempt: run.attempt, Percent: 50})
+			continue
 		}
+		r.ends[w.ID]++
+		report.Ended = append(report.Ended, acaciatally.EndedTask{
+			Number: r.ends[w.ID], Task: run.task, Attempt: run.attempt, End: acaciatally.EndDone,
+		})
 	}
-	return float64(good) / float64(submitted)
+	r.runs[w.ID] = left
+	return report
 }
 
-type replayedRun struct {
-	task    acaciatally.TaskRef
-	attempt int
-	until   time.Duration
+// count counts the jobs that have just been completed in time.
+func (r *replay) count(now time.Duration) {
+	for id, j := range r.machine.jobs {
+		if j.state == acaciatally.JobCompleted && j.endedAt == 0 && now <= r.dueBy[id] {
+			r.inTime++
+		}
+	}
 }
 
 // TestOverload guards against a backlog in which every job is begun at the last moment and so is late: what the workers can do has to be
 // of use. Each load is replayed with what it asks of the workers, as a factor of what they can do.
 func TestOverload(t *testing.T) {
 	const workers, places = 10, 8
-	perSecond := int(workers * places / (1.5 * 4 * replayMean.Seconds())) // jobs have 1.5 steps of 4 tasks on average
+	perSecond := workers * places / (1.5 * replayTasks * replayMean.Seconds()) // jobs have 1.5 steps on average
 	tests := map[string]struct {
 		factor float64
 		inTime float64
@@ -107,9 +133,7 @@
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
-			load := replayedLoad{workers: workers, perSecond: int(test.factor * float64(perSecond)), lasts: 10 * time.Second}
-			share := load.replay(t)
-			t.Logf("%.2f of the jobs in time", share)
+			share := newReplay(t, workers).play(int(test.factor*perSecond), 10*time.Second)
 			require.GreaterOrEqual(t, share, test.inTime)
 		})
 	}
