Carry out what was decided while the right to act had lapsed for a moment

The leader's right to act may lapse and come back in one tenure, when the answer to a renewal is late (a stall of the process, or a freeze as the answer is on its way). In that moment an order was dropped without a word to the machine, which waited for its result until the end of the tenure, and a commit was dropped, after which its partition recorded nothing any more.

Ruled out: a worker that is gone for the leader when a job is loaded (its entry leaves the directory, and the run with it); a lease that lapses (6.4 s); placement (lasting work goes first).

Change: an order that was not sent is told to the machine, which decides anew; a commit waits until the right is back or the tenure ends.

--- a/dispatch/order.go
+++ b/dispatch/order.go
@@ -148,6 +148,8 @@
 	case err == nil:
 		t.stage, t.confirmed, t.moved = running, now, now
 		m.started(t)
+	case errors.Is(err, errRightLapsed):
+		t.stage, t.tries = recorded, t.tries-1
 	case errors.As(err, &rejected):
 		m.startRejected(t, rejected.Reason, now)
 	case errors.Is(err, acaciatally.ErrUnavailable) && !t.ambiguous:
--- a/dispatch/runner.go
+++ b/dispatch/runner.go
@@ -24,6 +24,8 @@
 	followGap = 15 * time.Millisecond
 	// commitRetry is the pause after a commit or read without effect.
 	commitRetry = 100 * time.Millisecond
+	// actRetry is the pause between two looks at a right to act that has lapsed.
+	actRetry    = 20 * time.Millisecond
 	eventBuffer = 1024
 )
 
@@ -152,6 +154,21 @@
 	}
 }
 
+// errRightLapsed reports that an order was not sent, since the right to act had lapsed for a moment; it is to be decided anew.
+var errRightLapsed = errors.New("the right to act had lapsed")
+
+// mayAct waits while this entry must not act and its tenure has not ended; false means that it has. The right to act may lapse and come
+// back within one tenure, when the answer to a renewal is late.
+func (r *Runner) mayAct(ctx context.Context) bool {
+	for ctx.Err() == nil {
+		if r.config.Leads() {
+			return true
+		}
+		acaciatally.Pause(ctx, actRetry)
+	}
+	return false
+}
+
 func (r *Runner) send(f func()) {
 	r.senders.Go(f)
 }
@@ -171,6 +188,9 @@
 func (r *Runner) order(ctx context.Context, order Order) {
 	var err error
 	if !r.config.Leads() {
+		if r.mayAct(ctx) {
+			r.Post(ctx, func() { r.machine.Ordered(order, errRightLapsed, r.config.Now()) })
+		}
 		return
 	}
 	switch order.Kind {
@@ -192,7 +212,7 @@
 // commit sends a transaction; one whose answer was lost is repeated as it is, since its condition lets it take effect only once.
 func (r *Runner) commit(ctx context.Context, commit *Commit) {
 	unsure := false
-	for ctx.Err() == nil && r.config.Leads() {
+	for r.mayAct(ctx) {
 		version, err := r.config.Store.Commit(ctx, commit.Transaction)
 		var conflict *acaciatally.RecordConflictError
 		switch {
--- a/leadership/handover.go
+++ b/leadership/handover.go
@@ -44,26 +44,43 @@
 
 // release gives up the lease, so that another entry takes over at once.
 func (k *Keeper) release(ctx context.Context, successor string) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	err := k.giveUp(ctx, successor)
+	var conflict *acaciatally.RecordConflictError
+	if errors.As(err, &conflict) {
+		if record, found := conflict.Find(Key); found && k.confirm(record) { // the last renewal had no answer and was applied
+			err = k.giveUp(ctx, successor)
+		}
+	}
+	if err == nil {
+		return
+	}
+	k.mutex.Lock()
+	epoch := k.lease.Epoch()
+	k.mutex.Unlock()
+	k.Resign()
+	k.config.Journal.Tenure(epoch, false, "lease not given up: "+err.Error())
+}
+
+func (k *Keeper) giveUp(ctx context.Context, successor string) (err error) {
 	k.mutex.Lock()
 	leads := k.lease.Leads(k.config.Now())
 	row, version := k.lease.GivenUp(successor)
 	k.mutex.Unlock()
 	if !leads {
-		return
+		return nil
 	}
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
-	defer cancel()
 	transaction, err := replace(row, version)
-	if err == nil {
-		transaction.Deletes = []acaciatally.RecordKey{ClaimKey}
-		version, err = k.config.Store.Commit(ctx, transaction)
-	}
 	if err != nil {
-		k.Resign()
-		k.config.Journal.Tenure(row.Epoch, false, "lease not given up: "+err.Error())
-		return
+		return err
+	}
+	transaction.Deletes = []acaciatally.RecordKey{ClaimKey}
+	if version, err = k.config.Store.Commit(ctx, transaction); err != nil {
+		return err
 	}
 	k.mutex.Lock()
 	defer k.mutex.Unlock()
 	k.lease.Observe(row, version, k.config.Now())
+	return nil
 }
--- a/site/store_test.go
+++ b/site/store_test.go
@@ -131,3 +131,17 @@
 		w.checkOnce()
 	})
 }
+
+// TestStopAfterLostAnswer guards against a planned stop that leaves the lease to lapse because the last renewal had no answer.
+func TestStopAfterLostAnswer(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t, 2)
+		time.Sleep(10 * time.Second) // until the term is short
+		old := w.leader()
+		old.faults.Lose(1, 0)
+		time.Sleep(500 * time.Millisecond)
+		old.stop()
+		time.Sleep(600 * time.Millisecond)
+		require.NotEqual(t, old, w.leader())
+	})
+}
