Let the soak run again when the program changes

Its tests build the program by a command, so the cache of test results did not know of it: a result of earlier code could pass for one of today's. The package now depends on the program's.

--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -16,6 +16,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	_ "github.com/acaciatally/acaciatally/console" // the program under test, so that no result of an earlier one is taken from the cache
 	"github.com/acaciatally/acaciatally/platform/emulator"
 )
 
