--- a/changelog/snapshot.go
+++ b/changelog/snapshot.go
@@ -101,7 +101,7 @@
 	if state.Version != version {
 		return fmt.Errorf("snapshot %d contains version %d", version, state.Version)
 	}
-	next.state = state.Indexed()
+	next.state = state
 	return nil
 }
 
--- a/fleet/members.go
+++ b/fleet/members.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"encoding/json"
 	"maps"
 	"slices"
 
@@ -146,9 +147,15 @@
 	return ""
 }
 
-// Indexed returns the state with its member index computed, which decoding leaves out.
-func (s *State) Indexed() *State {
-	next := *s
-	next.byPool = s.index()
-	return &next
+// UnmarshalJSON decodes a state and computes its member lists, which the encoded form leaves out.
+func (s *State) UnmarshalJSON(content []byte) (err error) {
+	type plain State // without UnmarshalJSON
+	decoded := plain(*New())
+	decoded.byPool = nil
+	if err = json.Unmarshal(content, &decoded); err != nil {
+		return err
+	}
+	*s = State(decoded)
+	s.byPool = s.index()
+	return nil
 }
