Keep two runs of the process tests from sharing ports, and wait for a killed entry

Change: each run holds a block of ports by listening on its first one; the test waits for the killed process.

--- a/cmd/acaciatally/configuration_test.go
+++ b/cmd/acaciatally/configuration_test.go
@@ -86,6 +86,7 @@
 	}
 	c.faults.Set(standin.Switches{})
 	c.signal(0, syscall.SIGKILL)
+	_ = c.entries[0].Wait() // its ports are free only then
 	change(25, allEntries[1:]...)
 	c.startEntry(0)
 	c.awaitReady(0)
--- a/cmd/acaciatally/main_test.go
+++ b/cmd/acaciatally/main_test.go
@@ -10,6 +10,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"sync"
 	"sync/atomic"
 	"syscall"
 	"testing"
@@ -64,14 +65,36 @@
 	return p
 }
 
-// nextPort counts up from firstPort, below the ephemeral port range, so that tests that run in parallel never share a port.
-var nextPort atomic.Uint32
+const (
+	firstPort  = 20000 // the ports of the tests are below the ephemeral port range
+	portBlocks = 40    // runs of this package at a time that do not share a port
+	blockSize  = 300
+)
+
+// blockListener listens on the first port of portBlock until this run of the package ends, so that no other run takes the block.
+var blockListener net.Listener
+
+// portBlock returns the first port of the block of this run.
+var portBlock = sync.OnceValue(func() (first uint32) {
+	for first = firstPort; first < firstPort+portBlocks*blockSize; first += blockSize {
+		address := fmt.Sprintf("127.0.0.1:%d", first)
+		listener, err := (&net.ListenConfig{}).Listen(context.Background(), "tcp", address)
+		if err == nil {
+			blockListener = listener
+			return first
+		}
+	}
+	panic("all blocks of ports are in use")
+})
 
-const firstPort = 20000
+// nextPort counts the ports taken from portBlock, so that tests that run in parallel never share a port.
+var nextPort atomic.Uint32
 
 func freeAddress(t *testing.T) string {
 	for {
-		address := fmt.Sprintf("127.0.0.1:%d", firstPort+nextPort.Add(1))
+		offset := nextPort.Add(1)
+		require.Less(t, offset, uint32(blockSize), "the block of ports is used up")
+		address := fmt.Sprintf("127.0.0.1:%d", portBlock()+offset)
 		listener, err := (&net.ListenConfig{}).Listen(t.Context(), "tcp", address)
 		if err == nil {
 			require.NoError(t, listener.Close())
