End the belief that a worker is lost, or an operation in progress, by what worker and list say later

Cause: an order on an instance that an earlier leader had already had executed is accepted without effect. The operation itself never ended, as it waited for another worker: the instance counted as down in its wave for the rest of the term. Change: a heartbeat a second after the loss ends it (dispatch.Scheduler.Heartbeats); an operation ends once its expected time has passed and the instance is listed as up. MoveTime, which had no effect, is used for that. Result: dispatch.TestOrderWithoutEffect and roster.TestMaintenanceWithoutEffect failed before and pass.

--- a/dispatch/runner_workers.go
+++ b/dispatch/runner_workers.go
@@ -17,7 +17,7 @@
 		}
 		r.Post(ctx, func() {
 			clear(r.directory)
-			r.updateDirectory(page.Records)
+			r.applyWorkerRecords(page.Records)
 		})
 		r.follow(ctx, r.config.WorkerTable, page.Version, r.updateDirectory)
 	}
@@ -43,8 +43,14 @@
 	}
 }
 
-// updateDirectory applies changed records to the directory; a worker whose record can't be decoded is removed.
+// updateDirectory applies changed records to the directory. Each one is a heartbeat of its worker.
 func (r *Runner) updateDirectory(records []acaciatally.Record) {
+	r.scheduler.Heartbeats(r.applyWorkerRecords(records), r.config.Now())
+}
+
+// applyWorkerRecords applies records to the directory and returns the workers that they list; a worker whose record is deleted or can't be
+// decoded is removed.
+func (r *Runner) applyWorkerRecords(records []acaciatally.Record) (listed []acaciatally.WorkerID) {
 	for _, record := range records {
 		id := acaciatally.WorkerID(record.Key)
 		if record.Deleted {
@@ -58,10 +64,12 @@
 			continue
 		}
 		r.directory[id] = worker
+		listed = append(listed, id)
 	}
 	workers := make([]acaciatally.Worker, 0, len(r.directory))
 	for _, worker := range r.directory {
 		workers = append(workers, worker)
 	}
 	r.scheduler.SetDirectory(workers, r.config.Now())
+	return listed
 }
--- a/dispatch/worker.go
+++ b/dispatch/worker.go
@@ -16,6 +16,8 @@
 	fenceBumpBits = 20
 	// maxReportAge is the age of a worker's last report at which it stops getting new runs.
 	maxReportAge = 3500 * time.Millisecond
+	// revivalDelay is how long after a worker was marked lost its heartbeats are ignored, since they may have been sent before.
+	revivalDelay = time.Second
 )
 
 // worker is the leader's view of one worker. A worker ID has a new incarnation each time the worker process starts.
@@ -30,7 +32,8 @@
 	reported          bool            // it has answered a renewal with the fencing token of this term of leadership
 	leaseUntil        time.Duration   // latest end of its lease, on the worker's clock
 	renewalFailures   int             // failed renewals since the last report
-	lost              bool            // its incarnation or its lease is certainly over
+	lost              bool            // its incarnation or its lease is considered over
+	lostAt            time.Duration   // when it was last marked lost
 	unackedEnds       []unackedEnd    // listed by the worker and not acknowledged, by number
 	acknowledged      uint64          // number up to which all listed ends are recorded
 	lastReportHadEnds bool            // the last report listed ends
@@ -167,6 +170,31 @@
 	}
 }
 
+// Heartbeats handles that workers have renewed their records in the directory. A worker that was marked lost, such as by an order on its
+// instance that an earlier leader had already had executed, is alive if it still sends heartbeats revivalDelay later. It gets runs again
+// after its next report.
+func (s *Scheduler) Heartbeats(ids []acaciatally.WorkerID, now time.Duration) {
+	for _, id := range ids {
+		w := s.workers[id]
+		if w == nil || !w.lost || !w.listed || now < w.lostAt+revivalDelay || s.superseded(w) {
+			continue
+		}
+		s.config.EventLog.WorkerChanged(id, w.entry.Pool, "alive again: heartbeat received", now-w.reportedAt)
+		s.raiseFence(w)
+		w.lost, w.reported, w.renewalFailures, w.nextRenewalAt = false, false, 0, now
+	}
+}
+
+// superseded reports whether the instance of the worker runs a worker that started later.
+func (s *Scheduler) superseded(w *worker) bool {
+	for _, other := range s.workers {
+		if other.entry.Instance == w.entry.Instance && w.entry.Instance != "" && other.entry.StartTime.After(w.entry.StartTime) {
+			return true
+		}
+	}
+	return false
+}
+
 // handleRestart handles that a worker process has restarted under the same ID: it has no runs from before and has seen no fencing token.
 // Its runs are kept until its next report, since runs ordered recently may have started in the new incarnation.
 func (s *Scheduler) handleRestart(w *worker, startTime time.Time, now time.Duration) {
@@ -185,7 +213,7 @@
 	w.orphans = map[runKey]bool{}
 }
 
-// markLost releases all runs of a worker whose incarnation or lease is certainly over.
+// markLost releases all runs of a worker whose incarnation or lease is considered over.
 func (s *Scheduler) markLost(w *worker, reason string, now time.Duration) {
 	for t := range w.runs {
 		s.config.EventLog.RunDropped(t.ref, t.attempt, w.entry.ID, reason)
@@ -194,7 +222,7 @@
 	if !w.lost {
 		s.config.EventLog.WorkerChanged(w.entry.ID, w.entry.Pool, reason, now-w.reportedAt)
 	}
-	w.lost = true
+	w.lost, w.lostAt = true, now
 	w.unackedEnds = nil
 	w.orphans = map[runKey]bool{}
 }
--- a/dispatch/worker_test.go
+++ b/dispatch/worker_test.go
@@ -101,3 +101,38 @@
 	require.Len(t, renewals, 1)
 	require.Equal(t, newer.ID, renewals[0].Worker.ID)
 }
+
+// TestOrderWithoutEffect guards against a worker that never runs anything again because an order on its instance was accepted, but had been
+// executed before, on an order of an earlier leader. A task that runs until its job is cancelled then waited although the worker had room.
+func TestOrderWithoutEffect(t *testing.T) {
+	const removedAt = time.Second
+	replacement := testWorker(2)
+	replacement.Instance, replacement.StartTime = testWorker(1).Instance, testWorker(1).StartTime.Add(time.Second)
+	tests := map[string]struct {
+		heartbeat time.Duration // time of a heartbeat after the order; 0 without one
+		directory []acaciatally.Worker
+		placed    bool
+	}{
+		"worker sends heartbeats":             {removedAt + 2*time.Second, []acaciatally.Worker{testWorker(1)}, true},
+		"heartbeat was sent before the order": {removedAt + 100*time.Millisecond, []acaciatally.Worker{testWorker(1)}, false},
+		"worker is silent":                    {0, []acaciatally.Worker{testWorker(1)}, false},
+		"instance has a newer worker":         {removedAt + 2*time.Second, []acaciatally.Worker{testWorker(1), replacement}, false},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			scheduler, _ := newScheduler()
+			reportIdle(scheduler, testWorker(1))
+			scheduler.InstanceRemoved("i-1", removedAt)
+			step := testStep(1, 1000)
+			step.LongRunning = true
+			loadJob(scheduler, "aa", removedAt, step)
+			scheduler.SetDirectory(test.directory, removedAt)
+			if test.heartbeat > 0 {
+				scheduler.Heartbeats([]acaciatally.WorkerID{"i-1"}, test.heartbeat)
+			}
+			now := removedAt + 3*time.Second
+			scheduler.Report("i-1", acaciatally.WorkerReport{Clock: now, StartTime: testWorker(1).StartTime}, now, now)
+			require.Equal(t, test.placed, len(startDue(scheduler, now)) == 1)
+		})
+	}
+}
--- a/roster/roster.go
+++ b/roster/roster.go
@@ -115,16 +115,28 @@
 	}
 	for id, op := range r.operations {
 		instance, exists := r.instances[id]
-		if !exists || op.completed(instance, sent) {
+		if !exists || op.completed(instance, sent, r.duration(op)) {
 			delete(r.operations, id)
 		}
 	}
 }
 
-// completed reports whether the instance is up again after the order. An instance on standby has no worker whose change would show that.
-func (o *operation) completed(instance acaciatally.FleetInstance, listed time.Duration) bool {
+// completed reports whether the instance is up again after the order: with another worker, on standby, where it has none, or, if the order
+// had been executed before and had no effect, with the same worker once it must have been replaced.
+func (o *operation) completed(instance acaciatally.FleetInstance, listed, takes time.Duration) bool {
+	if !o.done || o.doneAt >= listed || instance.State != acaciatally.InstanceUp {
+		return false
+	}
 	replaced := o.oldWorker == "" || instance.Worker != o.oldWorker
-	return o.done && o.doneAt < listed && instance.State == acaciatally.InstanceUp && replaced
+	return replaced || listed > o.doneAt+takes+listDelay
+}
+
+// duration returns the expected time from the order of an operation until its instance is up again.
+func (r *Roster) duration(op *operation) time.Duration {
+	if op.purpose == purposeMove {
+		return r.config.MoveTime
+	}
+	return r.config.MaintenanceTime
 }
 
 // AddWave adds a wave that was first seen at the given time, with the progress that earlier leaders stored. A known wave stays unchanged.
--- a/roster/roster_test.go
+++ b/roster/roster_test.go
@@ -160,3 +160,25 @@
 	r.Plan(scheduler, configuration, 3*time.Second)
 	require.Len(t, r.Orders(scheduler, 3*time.Second), 1)
 }
+
+// TestMaintenanceWithoutEffect guards against a wave that stands still because an order that an earlier leader had already had executed was
+// accepted: the instance stays up with the same worker, and counted as down for the rest of the leader's term.
+func TestMaintenanceWithoutEffect(t *testing.T) {
+	tests := map[string]struct {
+		worker    acaciatally.WorkerID
+		listed    time.Duration
+		completed bool
+	}{
+		"same worker at once":           {"i-1", 2100 * time.Millisecond, false},
+		"same worker after maintenance": {"i-1", 4 * time.Second, true},
+		"new worker at once":            {"i-2", 2100 * time.Millisecond, true},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			r, scheduler := newRoster(t, true)
+			r.OrderFinished(scheduler, r.Orders(scheduler, 2*time.Second)[0], nil, 2*time.Second)
+			r.SetFleet([]acaciatally.FleetInstance{instance("m-1", test.worker)}, test.listed)
+			require.Equal(t, test.completed, len(r.operations) == 0)
+		})
+	}
+}
