--- a/dispatch/commit.go
+++ b/dispatch/commit.go
@@ -187,7 +187,7 @@
 			committed.planned = append(committed.planned, plannedRun{t, t.attempt})
 		}
 	})
-	value, err := job.Encode(j.progress())
+	value, err := job.EncodeProgress(j.progress())
 	if err != nil {
 		panic(err) // plain data always encodes
 	}
--- a/intake/batch_test.go
+++ b/intake/batch_test.go
@@ -126,7 +126,7 @@
 			synctest.Test(t, func(t *testing.T) {
 				store := &fakeStore{rows: map[acaciatally.RecordKey]acaciatally.Record{}, script: test.script, delay: time.Millisecond}
 				for id, recorded := range test.recorded {
-					value, err := job.Encode(job.Progress{Digest: job.Digest(recorded)})
+					value, err := job.EncodeProgress(job.Progress{Digest: job.Digest(recorded)})
 					require.NoError(t, err)
 					key := job.ProgressKey(queue.Name, id)
 					store.rows[key] = acaciatally.Record{RecordKey: key, Value: value, Version: 1}
--- a/intake/service.go
+++ b/intake/service.go
@@ -99,11 +99,11 @@
 	queue acaciatally.Queue, id acaciatally.JobID, spec acaciatally.JobSpec, now time.Time,
 ) (transaction acaciatally.RecordTransaction, digest uint64, err error) {
 	digest = job.Digest(spec)
-	accepted, err := job.Encode(job.Accepted{Spec: spec, Queue: queue, Received: now.UTC()})
+	accepted, err := job.EncodeAccepted(job.Accepted{Spec: spec, Queue: queue, Received: now.UTC()})
 	if err != nil {
 		return transaction, 0, err
 	}
-	progress, err := job.Encode(job.Progress{State: acaciatally.JobQueued, Digest: digest})
+	progress, err := job.EncodeProgress(job.Progress{State: acaciatally.JobQueued, Digest: digest})
 	if err != nil {
 		return transaction, 0, err
 	}
--- /dev/null
+++ b/job/codec.go
@@ -0,0 +1,106 @@
+package job
+
+import (
+	"encoding/json"
+	"fmt"
+
+	"github.com/samber/oops"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/acaciatally/acaciatally"
+	"github.com/acaciatally/acaciatally/job/jobpb"
+)
+
+// progressFormat is the version of the stored form of Progress.
+const progressFormat = 1
+
+// EncodeProgress returns the stored form of a job's progress. A job is recorded several times while it runs, so the form is compact: each
+// worker's ID is stored once.
+func EncodeProgress(progress Progress) (content []byte, err error) {
+	defer func() { err = oops.In("job").Wrapf(err, "encode progress") }()
+	message := &jobpb.Progress{
+		Format: progressFormat, State: string(progress.State), Next: uint32(progress.Next), Digest: progress.Digest,
+	}
+	workers := workerIndex{message: message, indices: map[acaciatally.WorkerID]uint32{}}
+	for _, open := range progress.Open {
+		occurrence := &jobpb.Occurrence{Number: uint32(open.Number)}
+		for _, tasks := range open.Steps {
+			step := &jobpb.Step{Tasks: make([]*jobpb.Task, 0, len(tasks))}
+			for _, task := range tasks {
+				step.Tasks = append(step.Tasks, &jobpb.Task{
+					Phase: uint32(task.Phase), Attempt: uint32(task.Attempt), Worker: workers.indexOf(task.Worker),
+					Failures: uint32(task.Failures), Checkpoint: task.Checkpoint,
+				})
+			}
+			occurrence.Steps = append(occurrence.Steps, step)
+		}
+		message.Open = append(message.Open, occurrence)
+	}
+	return proto.Marshal(message)
+}
+
+// workerIndex assigns the indices by which tasks refer to workers.
+type workerIndex struct {
+	message *jobpb.Progress
+	indices map[acaciatally.WorkerID]uint32
+}
+
+// indexOf returns the index of the worker plus 1, or 0 for an empty ID.
+func (w *workerIndex) indexOf(worker acaciatally.WorkerID) uint32 {
+	if worker == "" {
+		return 0
+	}
+	if index, known := w.indices[worker]; known {
+		return index
+	}
+	w.message.Workers = append(w.message.Workers, string(worker))
+	w.indices[worker] = uint32(len(w.message.Workers))
+	return w.indices[worker]
+}
+
+// DecodeProgress decodes the stored form of a job's progress, also the JSON form of earlier releases.
+func DecodeProgress(content []byte) (progress Progress, err error) {
+	defer func() { err = oops.In("job").Wrapf(err, "decode progress") }()
+	if len(content) > 0 && content[0] == '{' {
+		err = json.Unmarshal(content, &progress)
+		return progress, err
+	}
+	message := &jobpb.Progress{}
+	if err = proto.Unmarshal(content, message); err != nil {
+		return progress, err
+	}
+	if message.GetFormat() != progressFormat {
+		return progress, fmt.Errorf("unknown format %d", message.GetFormat())
+	}
+	progress = Progress{State: acaciatally.JobState(message.GetState()), Next: int(message.GetNext()), Digest: message.GetDigest()}
+	for _, open := range message.GetOpen() {
+		occurrence := Occurrence{Number: int(open.GetNumber())}
+		for _, step := range open.GetSteps() {
+			tasks, err := decodeTasks(step, message.GetWorkers())
+			if err != nil {
+				return Progress{}, err
+			}
+			occurrence.Steps = append(occurrence.Steps, tasks)
+		}
+		progress.Open = append(progress.Open, occurrence)
+	}
+	return progress, nil
+}
+
+func decodeTasks(step *jobpb.Step, workers []string) (tasks []Task, err error) {
+	tasks = make([]Task, 0, len(step.GetTasks()))
+	for _, stored := range step.GetTasks() {
+		task := Task{
+			Phase: Phase(stored.GetPhase()), Attempt: int(stored.GetAttempt()), Failures: int(stored.GetFailures()), Checkpoint: stored.GetCheckpoint(),
+		}
+		index := int(stored.GetWorker())
+		if index > len(workers) {
+			return nil, fmt.Errorf("worker %d of %d", index, len(workers))
+		}
+		if index > 0 {
+			task.Worker = acaciatally.WorkerID(workers[index-1])
+		}
+		tasks = append(tasks, task)
+	}
+	return tasks, nil
+}
--- a/job/record.go
+++ b/job/record.go
@@ -66,10 +66,10 @@
 	return xxhash.Sum64(content)
 }
 
-// Encode returns the JSON encoding in which an Accepted or Progress is stored.
-func Encode(value any) (content []byte, err error) {
-	defer func() { err = oops.In("job").Wrapf(err, "encode record") }()
-	return json.Marshal(value)
+// EncodeAccepted returns the stored form of an accepted job.
+func EncodeAccepted(accepted Accepted) (content []byte, err error) {
+	defer func() { err = oops.In("job").Wrapf(err, "encode accepted job") }()
+	return json.Marshal(accepted)
 }
 
 // DecodeAccepted decodes the stored form of an accepted job.
@@ -78,10 +78,3 @@
 	err = json.Unmarshal(content, &accepted)
 	return accepted, err
 }
-
-// DecodeProgress decodes the stored form of a job's progress.
-func DecodeProgress(content []byte) (progress Progress, err error) {
-	defer func() { err = oops.In("job").Wrapf(err, "decode progress") }()
-	err = json.Unmarshal(content, &progress)
-	return progress, err
-}
