--- a/site/fleet.go
+++ b/site/fleet.go
@@ -15,8 +15,14 @@
 const (
 	// waveTable is the table with the progress of each maintenance wave.
 	waveTable = "Wave"
-	// listInterval is the interval at which the list of instances is refreshed.
-	listInterval = 400 * time.Millisecond
+	// minListInterval is the shortest interval at which the list of instances is refreshed.
+	minListInterval = 400 * time.Millisecond
+	// maxListInterval bounds how late a change of an instance is noticed.
+	maxListInterval = 2 * time.Second
+	// listedInstanceBits is the size of one instance in a list.
+	listedInstanceBits = 8 * 180
+	// listLinkShare is the part of the entry's link that the lists of a large fleet may take, since orders to workers share the link.
+	listLinkShare = 0.05
 	// planInterval is the interval at which moves and maintenance are planned.
 	planInterval = 100 * time.Millisecond
 )
@@ -75,7 +81,7 @@
 	go func() {
 		instances, err := f.process.config.Fleet.ListInstances(ctx)
 		f.post(func() {
-			f.listInFlight, f.nextListAt = false, now+listInterval
+			f.listInFlight, f.nextListAt = false, now+listInterval(len(instances), f.process.config.LinkBitsPerSecond)
 			if err == nil {
 				f.roster.SetFleet(instances, now)
 			}
@@ -83,6 +89,15 @@
 	}()
 }
 
+// listInterval returns the interval at which a fleet of that many instances is listed over a link; 0 bits per second is unlimited.
+func listInterval(instances int, linkBitsPerSecond float64) time.Duration {
+	if linkBitsPerSecond <= 0 {
+		return minListInterval
+	}
+	seconds := float64(instances*listedInstanceBits) / (listLinkShare * linkBitsPerSecond)
+	return min(maxListInterval, max(minListInterval, time.Duration(seconds*float64(time.Second))))
+}
+
 // loadWaves adds the waves that are new to this leader, with the progress that earlier leaders have stored, one read at a time.
 func (f *fleetRunner) loadWaves(ctx context.Context) {
 	for _, observed := range f.process.watcher.allWaves() {
