Limit the start orders in flight to what the leader carries, and blame no worker for an order that was not sent

Change: dispatch/start_window.go limits the orders in flight by their response time, the most urgent first; while it holds orders back, only jobs with long-running tasks are placed. ErrNotSent quarantines nobody. A long-running task takes an unhealthy worker with room rather than none.

--- a/dispatch/order.go
+++ b/dispatch/order.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"slices"
 	"time"
 
 	"github.com/acaciatally/acaciatally"
@@ -12,6 +13,8 @@
 	orderRetry = 100 * time.Millisecond
 	// maxStartAttempts is the number of unconfirmed start orders after which a run is stopped and the task is placed again.
 	maxStartAttempts = 5
+	// notSentAvoidTime is how long a task avoids a worker to which its start order could not be sent, if there are other workers.
+	notSentAvoidTime = time.Second
 )
 
 // OrderKind is the type of an order.
@@ -32,36 +35,62 @@
 	Percent int                    // CPU share, for OrderThrottle
 	task    *task                  // nil for an orphaned run
 	run     runKey
+	sentAt  time.Duration
 }
 
-// Orders returns the orders to send now.
+// Orders returns the orders to send now. Start orders are limited by the window of those in flight; the most urgent are sent first.
 func (s *Scheduler) Orders(now time.Duration) (orders []Order) {
+	var starts []*task
 	for _, w := range s.workers {
 		if w.lost || !w.reported {
 			continue
 		}
 		for t := range w.runs {
-			if order, found := s.nextOrder(w, t, now); found {
+			if t.startDue(now) {
+				starts = append(starts, t)
+			} else if order, found := s.nextOrder(w, t, now); found {
 				orders = append(orders, order)
 			}
 		}
 		for run := range w.orphans {
 			if !w.stoppingOrphans[run] {
 				w.stoppingOrphans[run] = true
-				orders = append(orders, s.newOrder(w, OrderStop, run))
+				orders = append(orders, s.newOrder(w, OrderStop, run, now))
 			}
 		}
 	}
+	return append(orders, s.startOrders(starts, now)...)
+}
+
+// startOrders returns the start orders of the recorded runs, as many as the window allows.
+func (s *Scheduler) startOrders(due []*task, now time.Duration) (orders []Order) {
+	s.heldStarts = s.starts.take(len(due))
+	if s.heldStarts > 0 {
+		slices.SortFunc(due, func(a, b *task) int { return compareJobs(a.job, b.job) })
+	}
+	for _, t := range due[:len(due)-s.heldStarts] {
+		order, found := s.startOrder(t.worker, t, now)
+		if !found {
+			s.starts.inFlight--
+			continue
+		}
+		orders = append(orders, order)
+	}
 	return orders
 }
 
-func (s *Scheduler) newOrder(w *worker, kind OrderKind, run runKey) Order {
-	order := Order{Kind: kind, Worker: w.entry, run: run}
+// startDue reports whether the run is recorded and its start order may be sent.
+func (t *task) startDue(now time.Duration) bool {
+	return now >= t.retryAt && !t.stopInFlight && t.stopReason == "" && t.stage == stageRecorded
+}
+
+func (s *Scheduler) newOrder(w *worker, kind OrderKind, run runKey, now time.Duration) Order {
+	order := Order{Kind: kind, Worker: w.entry, run: run, sentAt: now}
 	order.Start.RunOrder = acaciatally.RunOrder{Task: run.task, Attempt: run.attempt, Fence: s.fence(w)}
 	return order
 }
 
-// nextOrder returns the next order about the run of a task, if any.
+// nextOrder returns the next order about the run of a task other than its start, if any.
 func (s *Scheduler) nextOrder(w *worker, t *task, now time.Duration) (order Order, found bool) {
 	if now < t.retryAt || t.stopInFlight {
 		return order, false
@@ -69,12 +98,10 @@
 	switch {
 	case t.stopReason != "" && t.stoppedAt == 0:
 		t.stopInFlight = true
-		order = s.newOrder(w, OrderStop, t.runKey())
-	case t.stopReason == "" && t.stage == stageRecorded:
-		return s.startOrder(w, t, now)
+		order = s.newOrder(w, OrderStop, t.runKey(), now)
 	case t.stopReason == "" && t.stage == stageRunning && t.cpuShare != t.cpuShareWanted:
 		t.retryAt = now + orderRetry
-		order = s.newOrder(w, OrderThrottle, t.runKey())
+		order = s.newOrder(w, OrderThrottle, t.runKey(), now)
 		order.Percent = t.cpuShareWanted
 	default:
 		return order, false
@@ -96,7 +123,7 @@
 	if t.startSentAt == 0 {
 		t.startSentAt = now
 	}
-	order = s.newOrder(w, OrderStart, t.runKey())
+	order = s.newOrder(w, OrderStart, t.runKey(), now)
 	order.task = t
 	order.Start.Payload = t.job.accepted.Spec.Payload
 	order.Start.Checkpoint = t.checkpoint
@@ -108,6 +135,9 @@
 // OrderResult handles the result of an order.
 func (s *Scheduler) OrderResult(order Order, err error, now time.Duration) {
 	w := s.workers[order.Worker.ID]
+	if order.Kind == OrderStart {
+		s.starts.finish(now-order.sentAt, now)
+	}
 	if order.task == nil {
 		if w != nil {
 			delete(w.stoppingOrphans, order.run)
@@ -153,6 +183,11 @@
 		t.stage, t.startAttempts = stageRecorded, t.startAttempts-1
 	case errors.As(err, &rejected):
 		s.handleStartRejected(t, rejected.Reason, now)
+	case errors.Is(err, acaciatally.ErrNotSent) && !t.startOutcomeUnknown:
+		// Nothing is known against the worker; if it is down, its renewals fail too.
+		s.config.EventLog.RunDropped(t.ref, t.attempt, t.workerID(), "start order not sent")
+		t.avoidWorkerFor(notSentAvoidTime, now)
+		t.release()
 	case errors.Is(err, acaciatally.ErrUnavailable) && !t.startOutcomeUnknown:
 		s.config.EventLog.RunDropped(t.ref, t.attempt, t.workerID(), "start order refused by worker")
 		s.quarantine(t.worker, "quarantined: start order refused", now)
--- a/dispatch/plan.go
+++ b/dispatch/plan.go
@@ -86,13 +86,16 @@
 	return true
 }
 
-// place assigns waiting tasks to workers. If only is not nil, it is limited to those pools.
+// place assigns waiting tasks to workers. If only is not nil, it is limited to those pools. While start orders are held back, only jobs with
+// long-running tasks are placed: other runs would wait on their workers and keep more urgent jobs from them.
 func (s *Scheduler) place(only map[acaciatally.PoolName]bool, now time.Duration) {
 	for pool, jobs := range s.waiting(only, now) {
 		set := &candidateSet{candidates: s.candidates(pool, now)}
 		set.computeMaxFree()
 		for _, j := range jobs {
-			s.placeJob(j, set, now)
+			if s.heldStarts == 0 || j.hasLongRunning {
+				s.placeJob(j, set, now)
+			}
 		}
 	}
 }
@@ -124,6 +127,9 @@
 // placeTask places a task and returns whether it was placed. For a long-running task that fits no candidate, it may stop other runs.
 func (s *Scheduler) placeTask(t *task, set *candidateSet, now time.Duration) bool {
 	c := s.bestCandidate(t, set.candidates, now)
+	if c == nil && t.step.LongRunning {
+		c = s.anyCandidate(t, set.candidates, now)
+	}
 	if c == nil {
 		if len(t.avoidUntil) == 0 && t.job.accepted.Queue.Advice == nil {
 			set.markUnplaceable(t.step)
@@ -215,11 +221,15 @@
 		len(w.orphans) == 0 && s.toDrain[w.entry.ID] == ""
 }
 
-// fits reports whether the candidate has the label, free capacity and health to run one more task of the step, within the limit per worker.
+// fits reports whether the candidate has room for the task and the health to run one more.
 func (c *candidate) fits(t *task, now time.Duration) bool {
+	return c.hasRoom(t) && c.w.health.admits(c.load.runs, now)
+}
+
+// hasRoom reports whether the candidate has the label and the free capacity for one more task of the step, within the limit per worker.
+func (c *candidate) hasRoom(t *task) bool {
 	step := t.step
-	return c.w.entry.HasLabel(step.Label) && c.free.Fits(step.Reserved()) &&
-		(step.PerWorker == 0 || c.siblingCount(t) < step.PerWorker) && c.w.health.admits(c.load.runs, now)
+	return c.w.entry.HasLabel(step.Label) && c.free.Fits(step.Reserved()) && (step.PerWorker == 0 || c.siblingCount(t) < step.PerWorker)
 }
 
 // placeGang places the tasks one by one on copies of the candidates, and assigns them only if all fit.
@@ -273,6 +283,17 @@
 	return chosen
 }
 
+// anyCandidate returns a candidate with room for a long-running task whose health would not admit it, or nil: a task that has to run at all
+// times is better tried on a worker that failed other runs than not run.
+func (s *Scheduler) anyCandidate(t *task, candidates []*candidate, now time.Duration) *candidate {
+	for _, c := range candidates {
+		if c.hasRoom(t) && s.permitted(t, c.w.entry.ID, now) {
+			return c
+		}
+	}
+	return nil
+}
+
 // prefers reports whether a is a better candidate for the task than b.
 func (s *Scheduler) prefers(t *task, a, b *candidate) bool {
 	if near := acaciatally.Rack(t.step.NearRack); near != "" && (a.w.entry.Rack == near) != (b.w.entry.Rack == near) {
--- a/dispatch/report.go
+++ b/dispatch/report.go
@@ -157,13 +157,17 @@
 // avoidWorker keeps a failed task away from its worker for avoidTime. Long-running tasks are exempt: they may fail at any time on any
 // worker and have to restart quickly.
 func (t *task) avoidWorker(now time.Duration) {
-	if t.step.LongRunning {
-		return
+	if !t.step.LongRunning {
+		t.avoidWorkerFor(avoidTime, now)
 	}
+}
+
+// avoidWorkerFor keeps the task away from its worker for a time, if there are other workers.
+func (t *task) avoidWorkerFor(duration, now time.Duration) {
 	if t.avoidUntil == nil {
 		t.avoidUntil = map[acaciatally.WorkerID]time.Duration{}
 	}
-	t.avoidUntil[t.worker.entry.ID] = now + avoidTime
+	t.avoidUntil[t.worker.entry.ID] = now + duration
 }
 
 // avoidTime is how long a task avoids a worker on which it failed, if there are other workers.
--- a/dispatch/scheduler.go
+++ b/dispatch/scheduler.go
@@ -37,6 +37,8 @@
 	permissions     map[stepKey]*stepPermissions
 	toDrain         map[acaciatally.WorkerID]string // workers to drain, and the reason
 	drainSoon       map[acaciatally.WorkerID]bool   // workers that will have to be drained soon
+	starts          startWindow
+	heldStarts      int // start orders that the window held back in the last round
 }
 
 // New returns a scheduler without jobs and workers.
@@ -51,6 +53,7 @@
 		runTimes:    map[acaciatally.QueueName]*runTimeMeans{},
 		permissions: map[stepKey]*stepPermissions{},
 		toDrain:     map[acaciatally.WorkerID]string{},
+		starts:      newStartWindow(),
 	}
 }
 
--- /dev/null
+++ b/dispatch/start_window.go
@@ -0,0 +1,59 @@
+package dispatch
+
+import "time"
+
+const (
+	initialStartWindow = 32
+	minStartWindow     = 8
+	maxStartWindow     = 4096
+	// slowStart is the time from which a start order counts as slow; a worker usually answers within a few milliseconds.
+	slowStart = 150 * time.Millisecond
+	// windowInterval is the minimum time between two changes of the window.
+	windowInterval = 200 * time.Millisecond
+	// minWindowSamples is the number of answers that a change of the window takes, so that one worker that hangs does not lower it.
+	minWindowSamples = 8
+	windowDecrease   = 0.6
+	windowIncrease   = 1.5
+)
+
+// startWindow limits the start orders in flight when more tasks can start than the leader's link or processors carry. Without a limit the
+// orders queue in the leader until they time out and are sent again, which leaves no room for renewals of leases and reports of ends.
+type startWindow struct {
+	size      float64
+	inFlight  int
+	changedAt time.Duration
+	finished  int  // answers since the last change
+	slow      int  // slow ones of the answers
+	limited   bool // orders were held back since the last change
+}
+
+func newStartWindow() startWindow { return startWindow{size: initialStartWindow} }
+
+// take takes up to count start orders into the window and returns how many are held back.
+func (w *startWindow) take(count int) (held int) {
+	held = max(0, count-int(w.size)+w.inFlight)
+	held = min(held, count)
+	w.inFlight += count - held
+	w.limited = w.limited || held > 0
+	return held
+}
+
+// finish counts the result of a start order that was sent the given time ago. The window shrinks while most
+// orders are slow, and grows while it holds orders back that would be fast.
+func (w *startWindow) finish(took, now time.Duration) {
+	w.inFlight--
+	w.finished++
+	if took > slowStart {
+		w.slow++
+	}
+	if w.finished < minWindowSamples || now < w.changedAt+windowInterval {
+		return
+	}
+	switch {
+	case 2*w.slow > w.finished:
+		w.size = max(minStartWindow, w.size*windowDecrease)
+	case w.limited:
+		w.size = min(maxStartWindow, w.size*windowIncrease)
+	}
+	w.changedAt, w.finished, w.slow, w.limited = now, 0, 0, false
+}
--- a/workers.go
+++ b/workers.go
@@ -17,6 +17,9 @@
 // ErrUnknownOutcome reports that no response arrived: the call may have been executed, or may still be executed later.
 var ErrUnknownOutcome = errors.New("no answer, outcome not known")
 
+// ErrNotSent reports that no part of a call left this process, for lack of a connection or of time; it goes with ErrUnavailable.
+var ErrNotSent = errors.New("not sent")
+
 // Worker is a worker's own registration in the directory.
 type Worker struct {
 	ID         WorkerID
