--- a/console/attend.go
+++ b/console/attend.go
@@ -92,7 +92,7 @@
 		Adviser: adviser, Fleet: fleet, WaveStatus: platform.WaveStatus, MoveTime: settings.Bounds.MoveTime,
 		MaintenanceTime: settings.Bounds.MaintenanceTime, OrdersPerSecond: settings.ControlOrderRate,
 		Name: settings.Name, CallerListen: settings.CallerListen, ReadyListen: settings.ReadyListen, GracePeriod: settings.Bounds.GracePeriod,
-		Store:  platform.NewStore(settings.Store, nil),
+		Store:  platform.NewStore(platform.StoreConfig{Address: settings.Store, LinkBitsPerSecond: settings.LinkBitsPerSecond}),
 		Orders: platform.NewWorkerClient(nil),
 		Operators: site.OperatorRecords{
 			Table: platform.OperatorTable, ConfigurationKey: platform.ConfigurationKey,
--- a/dispatch/commit.go
+++ b/dispatch/commit.go
@@ -15,8 +15,8 @@
 	// maxCommitEntries keeps a transaction within the store's limit of 100 entries, counting the entries of the last job and the owner
 	// record.
 	maxCommitEntries = 90
-	// maxCommitBytes keeps a transaction below the store's limit of 1 MB, including the base64 overhead.
-	maxCommitBytes = 512 << 10
+	// MaxCommitBytes keeps a transaction below the store's limit of 1 MB, including the base64 overhead.
+	MaxCommitBytes = 512 << 10
 )
 
 // OwnerTable is the table that holds one record per partition, which says which leader may write to the partition.
@@ -133,7 +133,7 @@
 	size := 0
 	slices.SortFunc(dirty, compareDirtyJobs)
 	for _, j := range dirty {
-		if commit.full() || size > maxCommitBytes {
+		if commit.full() || size > s.config.MaxCommitBytes {
 			break
 		}
 		size += s.addToCommit(commit, j)
--- a/dispatch/runner_jobs.go
+++ b/dispatch/runner_jobs.go
@@ -25,6 +25,9 @@
 			continue
 		}
 		var group errgroup.Group
+		if r.config.LoadsAtOnce > 0 {
+			group.SetLimit(r.config.LoadsAtOnce)
+		}
 		for _, name := range partitions {
 			group.Go(func() error { return r.loadPartition(ctx, acaciatally.QueueName(name)) })
 		}
--- a/dispatch/scheduler.go
+++ b/dispatch/scheduler.go
@@ -15,6 +15,7 @@
 	Retention       time.Duration // how long the state of an ended job is kept
 	MaxEarlyStart   time.Duration // how much earlier than scheduled an occurrence may start
 	LeadershipStart time.Duration // start of this term of leadership
+	MaxCommitBytes  int           // size of the progress records in one transaction; 0 is MaxCommitBytes
 	EventLog        EventLog
 }
 
@@ -43,6 +44,9 @@
 
 // New returns a scheduler without jobs and workers.
 func New(config Config) *Scheduler {
+	if config.MaxCommitBytes == 0 {
+		config.MaxCommitBytes = MaxCommitBytes
+	}
 	return &Scheduler{
 		config:      config,
 		jobs:        map[acaciatally.JobID]*activeJob{},
--- a/site/deployment_test.go
+++ b/site/deployment_test.go
@@ -48,6 +48,7 @@
 	serverGoroutines sync.WaitGroup
 	log              io.Writer
 	processors       float64 // cores of the entries added from now on
+	linkBits         float64 // link speed of the entries added from now on, in bits per second; 0 is unlimited
 }
 
 type entry struct {
@@ -179,6 +180,9 @@
 	}
 	d.serve(webAddress(fmt.Sprintf("10.9.0.%d", number)), d.store.Handler(e.faults))
 	d.entries = append(d.entries, e)
+	if d.linkBits > 0 {
+		d.network.LimitLink(e.ip, d.linkBits)
+	}
 	d.startProcess(e, number)
 	return e
 }
@@ -191,7 +195,7 @@
 	logger := eventlog.New(d.log, e.name)
 	process := site.New(site.Config{
 		Name: e.name, CallerListen: netip.AddrPortFrom(e.ip, 80), ReadyListen: netip.AddrPortFrom(e.ip, 81), GracePeriod: 6 * time.Second,
-		Store:  platform.NewStore(webAddress(fmt.Sprintf("10.9.0.%d", number)), dial),
+		Store:  platform.NewStore(platform.StoreConfig{Address: webAddress(fmt.Sprintf("10.9.0.%d", number)), Dial: dial, LinkBitsPerSecond: d.linkBits}),
 		Orders: platform.NewWorkerClient(dial),
 		Fleet:  platform.NewFleetClient(webAddress("10.8.0.1"), dial), WaveStatus: platform.WaveStatus,
 		Operators: site.OperatorRecords{
@@ -203,7 +207,7 @@
 			return platform.NewJobAPI(jobs, ready)
 		},
 		MaxLease: maxLease, Retention: time.Minute, MoveTime: instanceDowntime, MaintenanceTime: instanceDowntime,
-		EventLog: logger, TakeoverJitter: float64(number) / 10, Processors: d.processors,
+		EventLog: logger, TakeoverJitter: float64(number) / 10, Processors: d.processors, LinkBitsPerSecond: d.linkBits,
 		Now: func() time.Duration { return time.Since(d.startedAt) },
 		Listen: func(_ context.Context, _, address string) (net.Listener, error) {
 			return d.network.Listen(netip.MustParseAddrPort(address)), nil
--- a/site/site.go
+++ b/site/site.go
@@ -168,10 +168,11 @@
 		Store: p.config.Store, Orders: p.config.Orders, Adviser: p.config.Adviser, WorkerTable: p.config.WorkerTable, DecodeWorker: p.config.DecodeWorker,
 		Configuration: p.watcher.configuration.Load, Now: p.config.Now,
 		Leads:            func() bool { return p.elector.Leads(epoch) },
-		OnLeadershipLost: p.elector.Resign,
+		OnLeadershipLost: p.elector.Resign, LoadsAtOnce: loadsAtOnce(p.config.LinkBitsPerSecond),
 		Scheduler: dispatch.Config{
 			Epoch: epoch, WorkerLease: min(maxWorkerLease, p.config.MaxLease), MaxLease: p.config.MaxLease,
 			Retention: p.config.Retention, MaxEarlyStart: p.config.MaxEarlyStart, LeadershipStart: p.config.Now(), EventLog: p.config.EventLog,
+			MaxCommitBytes: commitBytes(p.config.LinkBitsPerSecond),
 		},
 	})
 	if err := runner.Run(ctx); err != nil {
--- a/standin/network.go
+++ b/standin/network.go
@@ -20,13 +20,14 @@
 	conns      map[*pipeConn]struct{}
 	frozen     map[netip.AddrPort]chan struct{} // the channel is closed when the address is unfrozen
 	partitions map[netip.AddrPort]int           // partition of each address; addresses in different partitions cannot communicate
+	links      map[netip.Addr]*hostLinks        // hosts with a limited link
 }
 
 // NewNetwork returns a network without listeners or faults.
 func NewNetwork() *Network {
 	return &Network{
 		listeners: map[netip.AddrPort]*PipeListener{}, conns: map[*pipeConn]struct{}{},
-		frozen: map[netip.AddrPort]chan struct{}{}, partitions: map[netip.AddrPort]int{},
+		frozen: map[netip.AddrPort]chan struct{}{}, partitions: map[netip.AddrPort]int{}, links: map[netip.Addr]*hostLinks{},
 	}
 }
 
@@ -144,6 +145,7 @@
 
 // Write blocks while an end is frozen or the ends are in different partitions. As on a real connection, a write deadline ends the wait.
 func (c *pipeConn) Write(p []byte) (written int, err error) {
+	c.transmit(len(p))
 	for {
 		frozen, partitioned := c.network.linkState(c)
 		if frozen == nil && !partitioned {
