Divide the fleet between pools by the work that can still be in time

Change: capacity/divide.go, a pure decision: floors for long-running tasks and limits per worker, then work in time and expected arrivals, then late work, in proportion where the fleet does not suffice; shares may vary by 15 % before an instance moves. Demand is told apart by lateness (dispatch.PoolView).

--- a/capacity/plan.go
+++ b/capacity/plan.go
@@ -22,12 +22,14 @@
 	Unhealthy   bool          // its worker gets no new tasks
 }
 
-// Pool is the planner input for a pool; Used, Waiting, Expected and PerInstance are in thousandths of a core.
+// Pool is the planner input for a pool; the demand and PerInstance are in thousandths of a core.
 type Pool struct {
 	Name        acaciatally.PoolName
 	Standby     bool
-	Used        int // by running tasks
-	Waiting     int // for tasks that are ready to run
+	Used        int // by running tasks, but those of late jobs
+	Waiting     int // for tasks that are ready to run and whose jobs can be in time
+	Late        int // for running and ready tasks of jobs that can't be in time
+	LongRunning int // for long-running tasks, which are also part of Used or Waiting
 	Expected    int // forecast for about the duration of a move
 	MinWorkers  int // instances required by limits on the tasks per worker
 	Incoming    int // instances being moved or returned to the pool
@@ -41,11 +43,12 @@
 	SpareInstances int           // instances above the target that are not moved to standby
 	StandbyAfter   time.Duration // idle time after which an instance may be moved to standby
 	MaxMoves       int           // moves started by one plan
+	Tolerance      float64       // part of its share that a pool may lack while the fleet can't meet all demand, so that shares may vary
 }
 
 // Defaults returns the configuration for moves that take about two seconds and cost about as much as an instance costs per second.
 func Defaults() Config {
-	return Config{MinInstances: 2, Headroom: 0.15, SpareInstances: 1, StandbyAfter: 1200 * time.Millisecond, MaxMoves: 12}
+	return Config{MinInstances: 2, Headroom: 0.15, SpareInstances: 1, StandbyAfter: 1200 * time.Millisecond, MaxMoves: 12, Tolerance: 0.15}
 }
 
 // Move is a planned move of an instance, which has to be drained first.
@@ -58,30 +61,22 @@
 type balance struct {
 	pool     *Pool
 	have     int
-	required int // instances required by the present and expected demand
+	required int // instances required by the present and expected demand, within the pool's share of the fleet
 	target   int // required instances, but at least Config.MinInstances
+	minimum  int // instances below which the pool is short
 }
 
 // isShort reports whether the pool has fewer instances than its demand requires.
-func (b *balance) isShort() bool { return !b.pool.Standby && b.have < b.required }
+func (b *balance) isShort() bool { return !b.pool.Standby && b.have < b.minimum }
 
-// canGive reports whether an instance may be moved out of the pool; urgent is true if its new pool is short.
+// canGive reports whether an instance may be moved out of the pool; urgent is true if its new pool is short. The last instance stays.
 func (b *balance) canGive(urgent bool) bool {
-	return b.pool.Standby || b.have > b.target || (urgent && b.have > b.required)
+	return b.pool.Standby || b.have > b.target || (urgent && b.have > max(1, b.required))
 }
 
 // Plan returns the moves to start now.
 func Plan(config Config, pools []Pool, instances []Instance) (moves []Move) {
-	balances := map[acaciatally.PoolName]*balance{}
-	for i := range pools {
-		p := &pools[i]
-		balances[p.Name] = &balance{pool: p, have: p.Incoming, required: config.requiredFor(p), target: config.targetOf(p)}
-	}
-	for _, instance := range instances {
-		if b := balances[instance.Pool]; b != nil && instance.Up && !instance.Reserved && !instance.Unhealthy {
-			b.have++
-		}
-	}
+	balances := config.balances(pools, instances)
 	short := shortages(balances)
 	donors := config.donors(balances, instances, short)
 	for len(donors) > 0 && len(short) > 0 && len(moves) < config.MaxMoves {
@@ -104,22 +99,41 @@
 	return append(moves, config.toStandby(balances, donors)...)
 }
 
-// targetOf returns the number of instances that a pool should have, including the minimum that it keeps.
-func (c Config) targetOf(p *Pool) int {
-	if p.Standby || p.PerInstance == 0 {
-		return 0
+// balances compares what each pool has with its share of the fleet.
+func (c Config) balances(pools []Pool, instances []Instance) map[acaciatally.PoolName]*balance {
+	balances := map[acaciatally.PoolName]*balance{}
+	total := 0
+	for i := range pools {
+		balances[pools[i].Name] = &balance{pool: &pools[i], have: pools[i].Incoming}
+		total += pools[i].Incoming
+	}
+	for _, instance := range instances {
+		if b := balances[instance.Pool]; b != nil && instance.Up && !instance.Reserved && !instance.Unhealthy {
+			b.have++
+			total++
+		}
 	}
-	return max(c.MinInstances, c.requiredFor(p))
+	shares := c.divide(pools, total)
+	sum := 0
+	for _, share := range shares {
+		sum += share.required
+	}
+	for i, share := range shares {
+		b := balances[pools[i].Name]
+		b.required, b.minimum, b.target = share.required, share.required, c.targetOf(&pools[i], share)
+		if sum >= total { // the fleet does not meet all demand
+			b.minimum = max(share.floor, int(math.Ceil((1-c.Tolerance)*float64(share.required))))
+		}
+	}
+	return balances
 }
 
-// requiredFor returns the number of instances required by the present and expected demand of a pool. It is at least one, so that no pool
-// loses its last instance.
-func (c Config) requiredFor(p *Pool) int {
+// targetOf returns the number of instances that a pool should have, including the minimum that it keeps.
+func (c Config) targetOf(p *Pool, share share) int {
 	if p.Standby || p.PerInstance == 0 {
 		return 0
 	}
-	demand := float64(max(p.Used+p.Waiting, p.Expected)) * (1 + c.Headroom)
-	return max(1, p.MinWorkers, int(math.Ceil(demand/float64(p.PerInstance))))
+	return max(c.MinInstances, share.required)
 }
 
 // shortages returns the pools below their target, those that are short first, then by the missing share.
@@ -186,9 +200,13 @@
 // Spares returns how many of the instances that are up each pool has above its target, negative if it has fewer; all instances of a
 // standby pool are spare.
 func (c Config) Spares(pools []Pool, up map[acaciatally.PoolName]int) map[acaciatally.PoolName]int {
+	total := 0
+	for _, count := range up {
+		total += count
+	}
 	spares := map[acaciatally.PoolName]int{}
-	for i := range pools {
-		spares[pools[i].Name] = up[pools[i].Name] - c.targetOf(&pools[i])
+	for i, share := range c.divide(pools, total) {
+		spares[pools[i].Name] = up[pools[i].Name] - c.targetOf(&pools[i], share)
 	}
 	return spares
 }
--- a/dispatch/runner.go
+++ b/dispatch/runner.go
@@ -46,7 +46,7 @@
 	Now              func() time.Duration              // monotonic clock that includes time spent suspended
 	Leads            func() bool                       // whether this entry may act as the leader now
 	OnLeadershipLost func()                            // called when another leader has taken over; must end the leadership
-	LoadsAtOnce      int // partitions that a new leader reads at the same time; 0 is unlimited
+	LoadsAtOnce      int                               // partitions that a new leader reads at the same time; 0 is unlimited
 	Scheduler        Config
 	// Round is called in the goroutine that owns the scheduler, each time after it has planned and before its commits and orders are sent;
 	// nil if there is nothing to call.
--- a/dispatch/view.go
+++ b/dispatch/view.go
@@ -21,10 +21,12 @@
 
 // PoolView is the demand on a pool, in thousandths of a core.
 type PoolView struct {
-	Used       int // by assigned tasks
-	Waiting    int // by tasks that are ready to run
-	Expected   int // predicted need of the near future, from the arrivals of the last seconds
-	MinWorkers int // minimum number of workers, because of the limits of tasks per worker
+	Used        int // by assigned tasks, but those of late jobs
+	Waiting     int // by tasks that are ready to run and whose jobs can be in time
+	Late        int // by assigned and ready tasks of jobs that can't be in time
+	LongRunning int // by long-running tasks, which are also part of Used or Waiting
+	Expected    int // predicted need of the near future, from the arrivals of the last seconds
+	MinWorkers  int // minimum number of workers, because of the limits of tasks per worker
 }
 
 // Workers returns the state of all listed workers.
@@ -51,12 +53,12 @@
 	pools := map[acaciatally.PoolName]PoolView{}
 	for _, j := range s.jobs {
 		pool := pools[j.accepted.Queue.Pool]
-		j.addDemand(&pool)
+		j.addDemand(&pool, j.live() && !j.hasLongRunning && s.latenessOf(j, now) != inTime)
 		pools[j.accepted.Queue.Pool] = pool
 	}
 	for name, arrivals := range s.arrivals {
 		pool := pools[name]
-		pool.Expected = pool.processorsOfLongRunning(s, name) + arrivals.expected(now)
+		pool.Expected = pool.LongRunning + arrivals.expected(now)
 		pools[name] = pool
 	}
 	return pools
@@ -75,39 +77,39 @@
 	return view
 }
 
-// addDemand adds the processors that the job uses and those that its waiting tasks could use now.
-func (j *activeJob) addDemand(pool *PoolView) {
+// addDemand adds the processors that the job uses and those that its waiting tasks could use now; late tells whether the job can't be in
+// time.
+func (j *activeJob) addDemand(pool *PoolView, late bool) {
 	for _, o := range j.openOccurrences {
 		for number, tasks := range o.steps {
+			step := &j.accepted.Spec.Steps[number]
 			ready := j.live() && o.ready(&j.accepted.Spec, number)
-			if step := &j.accepted.Spec.Steps[number]; ready && step.PerWorker > 0 {
+			if ready && step.PerWorker > 0 {
 				pool.MinWorkers = max(pool.MinWorkers, (step.Count+step.PerWorker-1)/step.PerWorker)
 			}
 			for _, t := range tasks {
-				switch {
-				case t.assigned():
-					pool.Used += t.step.Reserved().Processors
-				case ready && t.phase == job.Waiting:
-					pool.Waiting += t.step.Reserved().Processors
+				if t.assigned() || (ready && t.phase == job.Waiting) {
+					pool.add(t, late)
 				}
 			}
 		}
 	}
 }
 
-// processorsOfLongRunning returns the processors used by the long-running tasks of a pool, in thousandths of a core.
-func (p PoolView) processorsOfLongRunning(scheduler *Scheduler, name acaciatally.PoolName) (use int) {
-	for _, w := range scheduler.workers {
-		if w.entry.Pool != name {
-			continue
-		}
-		for t := range w.runs {
-			if t.step.LongRunning {
-				use += t.step.Reserved().Processors
-			}
-		}
+// add adds the processors of an assigned or ready task.
+func (p *PoolView) add(t *task, late bool) {
+	processors := t.step.Reserved().Processors
+	if t.step.LongRunning {
+		p.LongRunning += processors
+	}
+	switch {
+	case late:
+		p.Late += processors
+	case t.assigned():
+		p.Used += processors
+	default:
+		p.Waiting += processors
 	}
-	return use
 }
 
 // SetWorkersToDrain sets the workers to drain, each with the reason; they get no new runs.
--- a/roster/roster.go
+++ b/roster/roster.go
@@ -1,6 +1,8 @@
 package roster
 
 import (
+	"maps"
+	"slices"
 	"time"
 
 	"golang.org/x/time/rate"
@@ -238,14 +240,15 @@
 			incoming[r.instances[id].Pool]++
 		}
 	}
-	for name, options := range configuration.Pools {
+	for _, name := range slices.Sorted(maps.Keys(configuration.Pools)) {
+		options := configuration.Pools[name]
 		processors := perInstance[name]
 		if processors == 0 {
 			processors = largest
 		}
 		pools = append(pools, capacity.Pool{
 			Name: name, Standby: options.Standby, Used: demand[name].Used, Waiting: demand[name].Waiting,
-			Expected: demand[name].Expected, MinWorkers: demand[name].MinWorkers, Incoming: incoming[name], PerInstance: processors,
+			Late: demand[name].Late, LongRunning: demand[name].LongRunning, Expected: demand[name].Expected, MinWorkers: demand[name].MinWorkers, Incoming: incoming[name], PerInstance: processors,
 		})
 	}
 	return pools
