--- a/dispatch/renew.go
+++ b/dispatch/renew.go
@@ -18,6 +18,9 @@
 	endCommitWait = 300 * time.Millisecond
 	// busyPollWait is the long-poll time for workers with runs; it updates their progress about once a second.
 	busyPollWait = 900 * time.Millisecond
+	// startupPollWait is the long-poll time for workers on which a long-running task is starting: its report that the task is up lets the
+	// next task of the step be moved.
+	startupPollWait = 150 * time.Millisecond
 	// idlePollWait is the long-poll time for workers without runs.
 	idlePollWait = 2 * time.Second
 )
@@ -68,8 +71,23 @@
 	switch {
 	case !w.reported || w.renewalFailures > 0 || len(w.orphans) > 0:
 		return 0
-	case len(w.runs) > 0:
-		return busyPollWait
+	case len(w.runs) == 0:
+		return idlePollWait
+	case w.hasStartingLongRunning():
+		return startupPollWait
 	}
-	return idlePollWait
+	return busyPollWait
+}
+
+// hasStartingLongRunning reports whether a long-running task on the worker was started and is not up yet.
+func (w *worker) hasStartingLongRunning() bool {
+	if w.load.numLongRunning == 0 {
+		return false
+	}
+	for t := range w.runs {
+		if t.step.LongRunning && t.stage == stageRunning && t.stopReason == "" && t.percent < fullPercent {
+			return true
+		}
+	}
+	return false
 }
--- a/dispatch/scheduler_test.go
+++ b/dispatch/scheduler_test.go
@@ -358,3 +358,26 @@
 	scheduler.Committed(commits[0], 2, 0)
 	require.Len(t, scheduler.Orders(0), 1, "the planned run is in the first transaction")
 }
+
+// TestStartingTaskPoll guards against a wave that waits for each report of a task that is starting, which came only about once a second
+// although the task was up long before.
+func TestStartingTaskPoll(t *testing.T) {
+	tests := map[string]struct {
+		percent int
+		wait    time.Duration
+	}{"starting": {40, startupPollWait}, "up": {fullPercent, busyPollWait}}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			scheduler, _ := newScheduler()
+			reportIdle(scheduler, testWorker(1))
+			step := testStep(1, 1000)
+			step.LongRunning = true
+			loadJob(scheduler, "aa", 0, step)
+			order := startDue(scheduler, 0)[0]
+			scheduler.Report("i-1", acaciatally.WorkerReport{Clock: time.Second, StartTime: testWorker(1).StartTime, Running: []acaciatally.RunningTask{
+				{Task: order.Start.Task, Attempt: 1, Percent: test.percent},
+			}}, time.Second, time.Second)
+			require.Equal(t, test.wait, scheduler.workers["i-1"].pollWait())
+		})
+	}
+}
