Count memory in the division of the fleet, and let only overdue work yield

Change: demand and capacity are vectors of resources, the scarcest decides; only overdue work yields; a pool keeps what its useful work requires unless another lacks its floor, and each move goes to the pool that lacks the largest part then.

--- a/capacity/divide_test.go
+++ b/capacity/divide_test.go
@@ -9,9 +9,15 @@
 	"github.com/acaciatally/acaciatally"
 )
 
-const testCapacity = 64000
+// testCapacity is the capacity of one instance.
+var testCapacity = acaciatally.ResourceVector{Processors: 64000, Memory: 256000}
 
-// TestDivide guards against a pool whose backlog is late and keeps the fleet from work that can still be in time, against work that has to
+// instancesOf returns the resources of some instances.
+func instancesOf(count int) acaciatally.ResourceVector {
+	return acaciatally.ResourceVector{Processors: count * testCapacity.Processors}
+}
+
+// TestDivide guards against a pool whose backlog is overdue and keeps the fleet from work that can still be of use, against work that has to
 // run at all times without an instance, and against a pool that is starved.
 func TestDivide(t *testing.T) {
 	pool := func(p Pool) Pool {
@@ -19,55 +25,61 @@
 		return p
 	}
 	tests := map[string]struct {
-		pools    []Pool
-		total    int
-		required []int
+		pools []Pool
+		total int
+		fair  []int
 	}{
 		"all demand fits": {
-			[]Pool{pool(Pool{Waiting: 8 * testCapacity}), pool(Pool{Late: 4 * testCapacity})}, 20, []int{10, 5},
+			[]Pool{pool(Pool{Waiting: instancesOf(8)}), pool(Pool{Overdue: instancesOf(4)})}, 20, []int{10, 5},
 		},
-		"late backlog yields to work in time": {
-			[]Pool{pool(Pool{Late: 90 * testCapacity}), pool(Pool{Waiting: 8 * testCapacity})}, 12, []int{2, 10},
+		"overdue backlog yields to work that can be of use": {
+			[]Pool{pool(Pool{Overdue: instancesOf(90)}), pool(Pool{Waiting: instancesOf(8)})}, 12, []int{2, 10},
 		},
-		"work in time is shared in proportion": {
-			[]Pool{pool(Pool{Waiting: 90 * testCapacity}), pool(Pool{Waiting: 30 * testCapacity})}, 42, []int{31, 11},
+		"work of use is shared in proportion": {
+			[]Pool{pool(Pool{Waiting: instancesOf(90)}), pool(Pool{Waiting: instancesOf(30)})}, 42, []int{31, 11},
 		},
 		"long-running tasks come first": {
-			[]Pool{pool(Pool{Waiting: 90 * testCapacity}), pool(Pool{Used: 8 * testCapacity, LongRunning: 8 * testCapacity})}, 20, []int{10, 10},
+			[]Pool{pool(Pool{Waiting: instancesOf(90)}), pool(Pool{Used: instancesOf(8), LongRunning: instancesOf(8)})}, 20, []int{10, 10},
 		},
 		"limits per worker come first": {
-			[]Pool{pool(Pool{Waiting: 90 * testCapacity}), pool(Pool{Used: testCapacity, MinWorkers: 8})}, 20, []int{12, 8},
+			[]Pool{pool(Pool{Waiting: instancesOf(90)}), pool(Pool{Used: instancesOf(1), MinWorkers: 8})}, 20, []int{12, 8},
 		},
 		"pool without demand yields to one with demand": {
-			[]Pool{pool(Pool{}), pool(Pool{Waiting: 9 * testCapacity})}, 1, []int{0, 1},
+			[]Pool{pool(Pool{}), pool(Pool{Waiting: instancesOf(9)})}, 1, []int{0, 1},
+		},
+		"memory takes more instances than processors": {
+			[]Pool{pool(Pool{Waiting: acaciatally.ResourceVector{Processors: 64000, Memory: 4 * 256000}})}, 20, []int{5},
 		},
 		"standby pool has no share": {
-			[]Pool{pool(Pool{Standby: true}), pool(Pool{Waiting: testCapacity})}, 9, []int{0, 2},
+			[]Pool{pool(Pool{Standby: true}), pool(Pool{Waiting: instancesOf(1)})}, 9, []int{0, 2},
 		},
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
-			required := []int{}
+			fair := []int{}
 			for _, share := range Defaults().divide(test.pools, test.total) {
-				required = append(required, share.required)
+				fair = append(fair, share.fair)
 			}
-			require.Equal(t, test.required, required)
+			require.Equal(t, test.fair, fair)
 		})
 	}
 }
 
-// TestDivideProperties checks that a division never gives out more than the fleet, leaves no instance unused while demand in time is not
+// TestDivideProperties checks that a division never gives out more than the fleet, leaves no instance unused while useful demand is not
 // met, and gives each pool at least its proportion of what is left after the floors, rounded down.
 func TestDivideProperties(t *testing.T) {
 	config := Defaults()
 	rapid.Check(t, func(t *rapid.T) {
-		demand := rapid.IntRange(0, 40*testCapacity)
+		amount := rapid.IntRange(0, 40*testCapacity.Memory)
+		demand := rapid.Custom(func(t *rapid.T) acaciatally.ResourceVector {
+			return acaciatally.ResourceVector{Processors: amount.Draw(t, "processors") / 4, Memory: amount.Draw(t, "memory")}
+		})
 		pools := make([]Pool, rapid.IntRange(1, 6).Draw(t, "pools"))
 		for i := range pools {
 			used, waiting := demand.Draw(t, "used"), demand.Draw(t, "waiting")
 			pools[i] = Pool{
-				Name: acaciatally.PoolName(rune('a' + i)), Used: used, Waiting: waiting, Late: demand.Draw(t, "late"),
-				LongRunning: rapid.IntRange(0, used).Draw(t, "long-running"), Expected: demand.Draw(t, "expected"), PerInstance: testCapacity,
+				Name: acaciatally.PoolName(rune('a' + i)), Used: used, Waiting: waiting, Overdue: demand.Draw(t, "late"),
+				LongRunning: rapid.SampledFrom([]acaciatally.ResourceVector{{}, used}).Draw(t, "long-running"), Expected: demand.Draw(t, "expected"), PerInstance: testCapacity,
 			}
 		}
 		total := rapid.IntRange(0, 300).Draw(t, "total")
@@ -76,8 +88,9 @@
 		wanted := make([]int, len(pools))
 		for i, share := range shares {
 			p := &pools[i]
-			wanted[i] = max(share.floor, config.instancesFor(p, max(p.Used+p.Waiting, p.Expected)))
-			sum += share.required
+			wanted[i] = max(share.floor, config.instancesFor(p, p.Used.Plus(p.Waiting).Max(p.Expected)))
+			sum += share.fair
+			require.GreaterOrEqual(t, share.required, share.fair)
 			floors += share.floor
 			lacking += wanted[i] - share.floor
 		}
@@ -87,9 +100,9 @@
 		}
 		for i, share := range shares {
 			proportion := min(wanted[i]-share.floor, (total-floors)*(wanted[i]-share.floor)/max(1, lacking))
-			require.GreaterOrEqual(t, share.required, share.floor+proportion)
+			require.GreaterOrEqual(t, share.fair, share.floor+proportion)
 			if sum < total {
-				require.GreaterOrEqual(t, share.required, wanted[i])
+				require.GreaterOrEqual(t, share.fair, wanted[i])
 			}
 		}
 	})
--- a/capacity/plan.go
+++ b/capacity/plan.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"math"
 	"slices"
 	"time"
 
@@ -22,18 +21,18 @@
 	Unhealthy   bool          // its worker gets no new tasks
 }
 
-// Pool is the planner input for a pool; the demand and PerInstance are in thousandths of a core.
+// Pool is the planner input for a pool.
 type Pool struct {
 	Name        acaciatally.PoolName
 	Standby     bool
-	Used        int // by running tasks, but those of late jobs
-	Waiting     int // for tasks that are ready to run and whose jobs can be in time
-	Late        int // for running and ready tasks of jobs that can't be in time
-	LongRunning int // for long-running tasks, which are also part of Used or Waiting
-	Expected    int // forecast for about the duration of a move
-	MinWorkers  int // instances required by limits on the tasks per worker
-	Incoming    int // instances being moved or returned to the pool
-	PerInstance int // capacity of one instance
+	Used        acaciatally.ResourceVector // by running tasks, but those of overdue jobs
+	Waiting     acaciatally.ResourceVector // for tasks that are ready to run, but those of overdue jobs
+	Overdue     acaciatally.ResourceVector // for running and ready tasks of jobs whose result comes too late to be of use
+	LongRunning acaciatally.ResourceVector // for long-running tasks, which are also part of Used or Waiting
+	Expected    acaciatally.ResourceVector // forecast for about the duration of a move
+	MinWorkers  int                        // instances required by limits on the tasks per worker
+	Incoming    int                        // instances being moved or returned to the pool
+	PerInstance acaciatally.ResourceVector // capacity of one instance
 }
 
 // Config is the configuration of the planner, which balances the cost of instances against the cost of moves.
@@ -43,12 +42,11 @@
 	SpareInstances int           // instances above the target that are not moved to standby
 	StandbyAfter   time.Duration // idle time after which an instance may be moved to standby
 	MaxMoves       int           // moves started by one plan
-	Tolerance      float64       // part of its share that a pool may lack while the fleet can't meet all demand, so that shares may vary
 }
 
 // Defaults returns the configuration for moves that take about two seconds and cost about as much as an instance costs per second.
 func Defaults() Config {
-	return Config{MinInstances: 2, Headroom: 0.15, SpareInstances: 1, StandbyAfter: 1200 * time.Millisecond, MaxMoves: 12, Tolerance: 0.15}
+	return Config{MinInstances: 2, Headroom: 0.15, SpareInstances: 1, StandbyAfter: 1200 * time.Millisecond, MaxMoves: 12}
 }
 
 // Move is a planned move of an instance, which has to be drained first.
@@ -59,41 +57,66 @@
 
 // balance compares the instances that a pool has with those that it needs.
 type balance struct {
-	pool     *Pool
-	have     int
-	required int // instances required by the present and expected demand, within the pool's share of the fleet
-	target   int // required instances, but at least Config.MinInstances
-	minimum  int // instances below which the pool is short
+	pool   *Pool
+	have   int
+	share  share
+	target int // required instances, but at least Config.MinInstances
 }
 
-// isShort reports whether the pool has fewer instances than its demand requires.
-func (b *balance) isShort() bool { return !b.pool.Standby && b.have < b.minimum }
+// need is how much a pool needs more instances.
+type need int
 
-// canGive reports whether an instance may be moved out of the pool; urgent is true if its new pool is short. The last instance stays.
-func (b *balance) canGive(urgent bool) bool {
-	return b.pool.Standby || b.have > b.target || (urgent && b.have > max(1, b.required))
+const (
+	noNeed   need = iota
+	reserve       // it has fewer than it keeps without demand
+	short         // it has fewer than its demand requires
+	starving      // it has fewer than its floor
+)
+
+// need returns how much the pool needs more instances.
+func (b *balance) need() need {
+	switch {
+	case b.pool.Standby || b.have >= b.target:
+		return noNeed
+	case b.have < b.share.floor:
+		return starving
+	case b.have < b.share.required:
+		return short
+	}
+	return reserve
+}
+
+// canGive reports whether an instance may be moved to a pool with the need. The last instance stays.
+func (b *balance) canGive(n need) bool {
+	switch {
+	case b.pool.Standby || b.have > b.target:
+		return true
+	case n == starving:
+		return b.have > max(b.share.floor, b.share.fair)
+	case n == short:
+		return b.have > max(1, b.share.required)
+	}
+	return false
 }
 
 // Plan returns the moves to start now.
 func Plan(config Config, pools []Pool, instances []Instance) (moves []Move) {
 	balances := config.balances(pools, instances)
-	short := shortages(balances)
-	donors := config.donors(balances, instances, short)
-	for len(donors) > 0 && len(short) > 0 && len(moves) < config.MaxMoves {
+	needy := shortages(balances)
+	donors := config.donors(balances, instances, needy)
+	for len(donors) > 0 && len(needy) > 0 && len(moves) < config.MaxMoves {
 		donor := donors[0]
 		donors = donors[1:]
-		from, to := balances[donor.Pool], short[0]
-		if from == to || !from.canGive(to.isShort()) {
+		from, to := balances[donor.Pool], needy[0]
+		if from == to || !from.canGive(to.need()) {
 			continue
 		}
 		moves = append(moves, Move{donor.ID, donor.Pool, to.pool.Name})
 		from.have--
 		to.have++
-		if to.have >= to.target {
-			short = short[1:]
-		}
+		needy = shortages(balances)
 	}
-	if len(short) > 0 {
+	if len(needy) > 0 {
 		return moves
 	}
 	return append(moves, config.toStandby(balances, donors)...)
@@ -114,51 +137,46 @@
 		}
 	}
 	shares := c.divide(pools, total)
-	sum := 0
-	for _, share := range shares {
-		sum += share.required
-	}
 	for i, share := range shares {
 		b := balances[pools[i].Name]
-		b.required, b.minimum, b.target = share.required, share.required, c.targetOf(&pools[i], share)
-		if sum >= total { // the fleet does not meet all demand
-			b.minimum = max(share.floor, int(math.Ceil((1-c.Tolerance)*float64(share.required))))
-		}
+		b.share, b.target = share, c.targetOf(&pools[i], share)
 	}
 	return balances
 }
 
 // targetOf returns the number of instances that a pool should have, including the minimum that it keeps.
 func (c Config) targetOf(p *Pool, share share) int {
-	if p.Standby || p.PerInstance == 0 {
+	if p.Standby || p.PerInstance.IsZero() {
 		return 0
 	}
 	return max(c.MinInstances, share.required)
 }
 
-// shortages returns the pools below their target, those that are short first, then by the missing share.
-func shortages(balances map[acaciatally.PoolName]*balance) (short []*balance) {
+// shortages returns the pools below their target, by need and then by the missing share.
+func shortages(balances map[acaciatally.PoolName]*balance) (list []*balance) {
 	for _, b := range balances {
-		if !b.pool.Standby && b.have < b.target {
-			short = append(short, b)
+		if b.need() > noNeed {
+			list = append(list, b)
 		}
 	}
-	slices.SortFunc(short, func(a, b *balance) int {
-		return cmp.Or(ordering.CompareBools(b.isShort(), a.isShort()), cmp.Compare(a.have*b.target, b.have*a.target), cmp.Compare(a.pool.Name, b.pool.Name))
+	slices.SortFunc(list, func(a, b *balance) int {
+		return cmp.Or(cmp.Compare(b.need(), a.need()), cmp.Compare(a.have*b.target, b.have*a.target), cmp.Compare(a.pool.Name, b.pool.Name))
 	})
-	return short
+	return list
 }
 
 // donors returns the instances that may leave their pools, in order of preference: on standby, then idle, then with the fewest tasks.
-func (c Config) donors(balances map[acaciatally.PoolName]*balance, instances []Instance, short []*balance) (donors []Instance) {
-	anyShortage := len(short) > 0
-	urgent := anyShortage && short[0].isShort()
+func (c Config) donors(balances map[acaciatally.PoolName]*balance, instances []Instance, needy []*balance) (donors []Instance) {
+	worst := noNeed
+	if len(needy) > 0 {
+		worst = needy[0].need()
+	}
 	for _, instance := range instances {
 		b := balances[instance.Pool]
 		if b == nil || !instance.Up || instance.Reserved || instance.LongRunning > 0 || instance.Unhealthy {
 			continue
 		}
-		if b.canGive(urgent) && (instance.Runs == 0 || anyShortage) {
+		if b.canGive(worst) && (instance.Runs == 0 || worst > noNeed) {
 			donors = append(donors, instance)
 		}
 	}
--- a/capacity/plan_test.go
+++ b/capacity/plan_test.go
@@ -11,7 +11,13 @@
 	"github.com/acaciatally/acaciatally/capacity"
 )
 
-const perInstance = 64000
+// perInstance is the capacity of one instance.
+var perInstance = acaciatally.ResourceVector{Processors: 64000}
+
+// capacityOf returns the capacity of some instances.
+func capacityOf(count int) acaciatally.ResourceVector {
+	return acaciatally.ResourceVector{Processors: count * perInstance.Processors}
+}
 
 // idle returns instances of a pool without running tasks.
 func idle(pool acaciatally.PoolName, count int) (instances []capacity.Instance) {
@@ -45,42 +51,42 @@
 			moves:     map[acaciatally.PoolName]int{},
 		},
 		"burst is served from standby": {
-			pools:     []capacity.Pool{{Name: "a", Used: 3 * perInstance, Waiting: 3 * perInstance, PerInstance: perInstance}, standby},
+			pools:     []capacity.Pool{{Name: "a", Used: capacityOf(3), Waiting: capacityOf(3), PerInstance: perInstance}, standby},
 			instances: append(busy("a", 3, 0), idle("standby", 8)...),
 			moves:     map[acaciatally.PoolName]int{"a": 4},
 		},
 		"burst is served from an idle pool": {
-			pools:     []capacity.Pool{{Name: "a", Waiting: 4 * perInstance, PerInstance: perInstance}, {Name: "b", PerInstance: perInstance}},
+			pools:     []capacity.Pool{{Name: "a", Waiting: capacityOf(4), PerInstance: perInstance}, {Name: "b", PerInstance: perInstance}},
 			instances: append(busy("a", 3, 0), idle("b", 6)...),
 			moves:     map[acaciatally.PoolName]int{"a": 2},
 		},
 		"the last instance stays": {
-			pools:     []capacity.Pool{{Name: "a", Waiting: 9 * perInstance, PerInstance: perInstance}, {Name: "b", PerInstance: perInstance}},
+			pools:     []capacity.Pool{{Name: "a", Waiting: capacityOf(9), PerInstance: perInstance}, {Name: "b", PerInstance: perInstance}},
 			instances: append(busy("a", 3, 0), idle("b", 2)...),
 			moves:     map[acaciatally.PoolName]int{"a": 1},
 		},
 		"instances with long-running tasks are not moved": {
-			pools:     []capacity.Pool{{Name: "a", Waiting: 9 * perInstance, PerInstance: perInstance}, {Name: "b", PerInstance: perInstance}},
+			pools:     []capacity.Pool{{Name: "a", Waiting: capacityOf(9), PerInstance: perInstance}, {Name: "b", PerInstance: perInstance}},
 			instances: append(busy("a", 3, 0), busy("b", 6, 1)...),
 			moves:     map[acaciatally.PoolName]int{},
 		},
 		"incoming instances count": {
-			pools:     []capacity.Pool{{Name: "a", Waiting: 4 * perInstance, Incoming: 2, PerInstance: perInstance}, standby},
+			pools:     []capacity.Pool{{Name: "a", Waiting: capacityOf(4), Incoming: 2, PerInstance: perInstance}, standby},
 			instances: append(busy("a", 3, 0), idle("standby", 8)...),
 			moves:     map[acaciatally.PoolName]int{},
 		},
 		"limits on tasks per worker require instances": {
-			pools:     []capacity.Pool{{Name: "a", Used: 1000, MinWorkers: 5, PerInstance: perInstance}, standby},
+			pools:     []capacity.Pool{{Name: "a", Used: acaciatally.ResourceVector{Processors: 1000}, MinWorkers: 5, PerInstance: perInstance}, standby},
 			instances: append(busy("a", 3, 1), idle("standby", 8)...),
 			moves:     map[acaciatally.PoolName]int{"a": 2},
 		},
 		"idle instances are moved to standby": {
-			pools:     []capacity.Pool{{Name: "a", Used: 1000, PerInstance: perInstance}, standby},
+			pools:     []capacity.Pool{{Name: "a", Used: acaciatally.ResourceVector{Processors: 1000}, PerInstance: perInstance}, standby},
 			instances: idle("a", 9),
 			moves:     map[acaciatally.PoolName]int{"standby": 6},
 		},
 		"unhealthy instances neither count nor move": {
-			pools: []capacity.Pool{{Name: "a", Waiting: 2 * perInstance, PerInstance: perInstance}, standby},
+			pools: []capacity.Pool{{Name: "a", Waiting: capacityOf(2), PerInstance: perInstance}, standby},
 			instances: append(idle("standby", 4),
 				capacity.Instance{ID: "a-0", Pool: "a", Up: true, Unhealthy: true},
 				capacity.Instance{ID: "a-1", Pool: "a", Up: true}),
--- a/dispatch/demand.go
+++ b/dispatch/demand.go
@@ -2,6 +2,8 @@
 
 import (
 	"time"
+
+	"github.com/acaciatally/acaciatally"
 )
 
 const (
@@ -15,40 +17,62 @@
 	newSampleWeight = 0.05
 )
 
-// arrivals is the work that has arrived for a pool during the last seconds, in thousandths of a core times seconds.
+// work is an amount of each resource times seconds.
+type work struct{ processors, memory, accelerators float64 }
+
+// plus returns the sum of w and an amount of resources used for a time.
+func (w work) plus(resources acaciatally.ResourceVector, runTime time.Duration) work {
+	seconds := runTime.Seconds()
+	return work{
+		processors:   w.processors + float64(resources.Processors)*seconds,
+		memory:       w.memory + float64(resources.Memory)*seconds,
+		accelerators: w.accelerators + float64(resources.Accelerators)*seconds,
+	}
+}
+
+// arrivals is the work that has arrived for a pool during the last seconds.
 type arrivals struct {
-	buckets [demandBuckets]float64
+	buckets [demandBuckets]work
 	index   int64
 }
 
-func (a *arrivals) add(work float64, now time.Duration) {
+func (a *arrivals) add(arrived work, now time.Duration) {
 	a.advance(now)
-	a.buckets[a.index%demandBuckets] += work
+	bucket := &a.buckets[a.index%demandBuckets]
+	bucket.processors += arrived.processors
+	bucket.memory += arrived.memory
+	bucket.accelerators += arrived.accelerators
 }
 
 func (a *arrivals) advance(now time.Duration) {
 	index := int64(now / demandBucket)
 	for step := max(a.index+1, index-demandBuckets+1); step <= index; step++ {
-		a.buckets[step%demandBuckets] = 0
+		a.buckets[step%demandBuckets] = work{}
 	}
 	a.index = max(a.index, index)
 }
 
-// rate returns the rate of arriving work, in thousandths of a core, over recentBuckets buckets that ended the given number of buckets ago.
-func (a *arrivals) rate(ago int64) float64 {
+// rate returns the rate of one resource of the arriving work over recentBuckets buckets that ended the given number of buckets ago.
+func (a *arrivals) rate(ago int64, resource func(w work) float64) float64 {
 	sum := 0.0
 	for i := range int64(recentBuckets) {
-		sum += a.buckets[(a.index-ago-i+2*demandBuckets)%demandBuckets]
+		sum += resource(a.buckets[(a.index-ago-i+2*demandBuckets)%demandBuckets])
 	}
 	return sum / (recentBuckets * demandBucket.Seconds())
 }
 
-// expected returns the processors needed, in thousandths of a core, if the change of the rate over the last second continues for another
-// second.
-func (a *arrivals) expected(now time.Duration) int {
+// expected returns the resources needed if the change of the rate over the last second continues for another second.
+func (a *arrivals) expected(now time.Duration) acaciatally.ResourceVector {
 	a.advance(now)
-	recent, before := a.rate(0), a.rate(recentBuckets)
-	return int(max(0, recent+max(0, recent-before)))
+	extrapolate := func(resource func(w work) float64) int {
+		recent, before := a.rate(0, resource), a.rate(recentBuckets, resource)
+		return int(max(0, recent+max(0, recent-before)))
+	}
+	return acaciatally.ResourceVector{
+		Processors:   extrapolate(func(w work) float64 { return w.processors }),
+		Memory:       extrapolate(func(w work) float64 { return w.memory }),
+		Accelerators: extrapolate(func(w work) float64 { return w.accelerators }),
+	}
 }
 
 // runTimeMeans holds the mean run time of a queue's tasks and of its steps; a step takes as long as its longest task.
@@ -62,18 +86,18 @@
 	*mean += time.Duration(newSampleWeight * float64(sample-*mean))
 }
 
-// estimatedWork returns the expected work of a job in thousandths of a core times seconds.
-func (s *Scheduler) estimatedWork(j *activeJob) (work float64) {
+// estimatedWork returns the expected work of a job.
+func (s *Scheduler) estimatedWork(j *activeJob) (estimated work) {
 	runTime := defaultRunTime
 	if known := s.runTimes[j.accepted.Queue.Name]; known != nil {
 		runTime = known.task
 	}
 	for _, step := range j.accepted.Spec.Steps {
 		if !step.LongRunning {
-			work += float64(step.Count*step.Reserved().Processors) * runTime.Seconds()
+			estimated = estimated.plus(step.Reserved(), time.Duration(step.Count)*runTime)
 		}
 	}
-	return work
+	return estimated
 }
 
 // observeArrival adds the expected work of a loaded job to the arrivals of its pool.
--- a/dispatch/view.go
+++ b/dispatch/view.go
@@ -19,14 +19,14 @@
 	Capacity    acaciatally.ResourceVector
 }
 
-// PoolView is the demand on a pool, in thousandths of a core.
+// PoolView is the demand on a pool.
 type PoolView struct {
-	Used        int // by assigned tasks, but those of late jobs
-	Waiting     int // by tasks that are ready to run and whose jobs can be in time
-	Late        int // by assigned and ready tasks of jobs that can't be in time
-	LongRunning int // by long-running tasks, which are also part of Used or Waiting
-	Expected    int // predicted need of the near future, from the arrivals of the last seconds
-	MinWorkers  int // minimum number of workers, because of the limits of tasks per worker
+	Used        acaciatally.ResourceVector // by assigned tasks, but those of overdue jobs
+	Waiting     acaciatally.ResourceVector // by tasks that are ready to run, but those of overdue jobs
+	Overdue     acaciatally.ResourceVector // by assigned and ready tasks of jobs whose result comes too late to be of use
+	LongRunning acaciatally.ResourceVector // by long-running tasks, which are also part of Used or Waiting
+	Expected    acaciatally.ResourceVector // predicted need of the near future, from the arrivals of the last seconds
+	MinWorkers  int                        // minimum number of workers, because of the limits of tasks per worker
 }
 
 // Workers returns the state of all listed workers.
@@ -53,12 +53,12 @@
 	pools := map[acaciatally.PoolName]PoolView{}
 	for _, j := range s.jobs {
 		pool := pools[j.accepted.Queue.Pool]
-		j.addDemand(&pool, j.live() && !j.hasLongRunning && s.latenessOf(j, now) != inTime)
+		j.addDemand(&pool, j.live() && !j.hasLongRunning && s.latenessOf(j, now) == overdue)
 		pools[j.accepted.Queue.Pool] = pool
 	}
 	for name, arrivals := range s.arrivals {
 		pool := pools[name]
-		pool.Expected = pool.LongRunning + arrivals.expected(now)
+		pool.Expected = pool.LongRunning.Plus(arrivals.expected(now))
 		pools[name] = pool
 	}
 	return pools
@@ -77,9 +77,8 @@
 	return view
 }
 
-// addDemand adds the processors that the job uses and those that its waiting tasks could use now; late tells whether the job can't be in
-// time.
-func (j *activeJob) addDemand(pool *PoolView, late bool) {
+// addDemand adds the resources that the job uses and those that its waiting tasks could use now.
+func (j *activeJob) addDemand(pool *PoolView, overdue bool) {
 	for _, o := range j.openOccurrences {
 		for number, tasks := range o.steps {
 			step := &j.accepted.Spec.Steps[number]
@@ -89,26 +88,26 @@
 			}
 			for _, t := range tasks {
 				if t.assigned() || (ready && t.phase == job.Waiting) {
-					pool.add(t, late)
+					pool.add(t, overdue)
 				}
 			}
 		}
 	}
 }
 
-// add adds the processors of an assigned or ready task.
-func (p *PoolView) add(t *task, late bool) {
-	processors := t.step.Reserved().Processors
+// add adds the resources of an assigned or ready task.
+func (p *PoolView) add(t *task, overdue bool) {
+	reserved := t.step.Reserved()
 	if t.step.LongRunning {
-		p.LongRunning += processors
+		p.LongRunning = p.LongRunning.Plus(reserved)
 	}
 	switch {
-	case late:
-		p.Late += processors
+	case overdue:
+		p.Overdue = p.Overdue.Plus(reserved)
 	case t.assigned():
-		p.Used += processors
+		p.Used = p.Used.Plus(reserved)
 	default:
-		p.Waiting += processors
+		p.Waiting = p.Waiting.Plus(reserved)
 	}
 }
 
--- a/jobs.go
+++ b/jobs.go
@@ -28,6 +28,14 @@
 	return ResourceVector{r.Processors - other.Processors, r.Memory - other.Memory, r.Accelerators - other.Accelerators}
 }
 
+// Max returns the larger amount of each resource of r and other.
+func (r ResourceVector) Max(other ResourceVector) ResourceVector {
+	return ResourceVector{max(r.Processors, other.Processors), max(r.Memory, other.Memory), max(r.Accelerators, other.Accelerators)}
+}
+
+// IsZero reports whether r is no amount of any resource.
+func (r ResourceVector) IsZero() bool { return r == ResourceVector{} }
+
 // Fits reports whether other fits into r in every resource.
 func (r ResourceVector) Fits(other ResourceVector) bool {
 	return other.Processors <= r.Processors && other.Memory <= r.Memory && other.Accelerators <= r.Accelerators
--- a/roster/roster.go
+++ b/roster/roster.go
@@ -226,11 +226,11 @@
 func (r *Roster) pools(
 	configuration *acaciatally.Configuration, demand map[acaciatally.PoolName]dispatch.PoolView,
 ) (pools []capacity.Pool) {
-	perInstance := map[acaciatally.PoolName]int{}
-	largest := 0
+	perInstance := map[acaciatally.PoolName]acaciatally.ResourceVector{}
+	largest := acaciatally.ResourceVector{}
 	for _, instance := range r.instances {
-		perInstance[instance.Pool] = max(perInstance[instance.Pool], instance.Capacity.Processors)
-		largest = max(largest, instance.Capacity.Processors)
+		perInstance[instance.Pool] = perInstance[instance.Pool].Max(instance.Capacity)
+		largest = largest.Max(instance.Capacity)
 	}
 	incoming := map[acaciatally.PoolName]int{}
 	for id, op := range r.operations {
@@ -242,13 +242,14 @@
 	}
 	for _, name := range slices.Sorted(maps.Keys(configuration.Pools)) {
 		options := configuration.Pools[name]
-		processors := perInstance[name]
-		if processors == 0 {
-			processors = largest
+		instanceCapacity := perInstance[name]
+		if instanceCapacity.IsZero() {
+			instanceCapacity = largest
 		}
 		pools = append(pools, capacity.Pool{
-			Name: name, Standby: options.Standby, Used: demand[name].Used, Waiting: demand[name].Waiting,
-			Late: demand[name].Late, LongRunning: demand[name].LongRunning, Expected: demand[name].Expected, MinWorkers: demand[name].MinWorkers, Incoming: incoming[name], PerInstance: processors,
+			Name: name, Standby: options.Standby, Used: demand[name].Used, Waiting: demand[name].Waiting, Overdue: demand[name].Overdue,
+			LongRunning: demand[name].LongRunning, Expected: demand[name].Expected, MinWorkers: demand[name].MinWorkers,
+			Incoming: incoming[name], PerInstance: instanceCapacity,
 		})
 	}
 	return pools
