Apply the records that arrive while the partition of a new queue is read

Cause: changes of the job table of a queue that the leader did not know yet started a read of its partition and were dropped, on the belief that the read includes them. Change: such records are kept and applied after the partition, if they are newer than what was read. Result: dispatch.TestRecordsDuringLoad failed before (1 of 2 jobs seen) and passes.

--- a/dispatch/runner.go
+++ b/dispatch/runner.go
@@ -60,6 +60,7 @@
 	events          chan func()
 	loadedVersions  map[acaciatally.QueueName]uint64 // store versions at which the partitions were read
 	loadsInProgress map[acaciatally.QueueName]bool
+	earlyRecords    map[acaciatally.QueueName][]acaciatally.Record // of the job table, received while the partition was being read
 	directory       map[acaciatally.WorkerID]acaciatally.Worker
 	allLoaded       bool // all partitions are loaded; until then, runs of jobs that are not loaded would be stopped as orphans
 	calls           sync.WaitGroup
@@ -70,7 +71,8 @@
 	return &Runner{
 		config: config, scheduler: New(config.Scheduler), events: make(chan func(), eventBuffer),
 		loadedVersions: map[acaciatally.QueueName]uint64{}, loadsInProgress: map[acaciatally.QueueName]bool{},
-		directory: map[acaciatally.WorkerID]acaciatally.Worker{},
+		earlyRecords: map[acaciatally.QueueName][]acaciatally.Record{},
+		directory:    map[acaciatally.WorkerID]acaciatally.Worker{},
 	}
 }
 
--- a/dispatch/runner_jobs.go
+++ b/dispatch/runner_jobs.go
@@ -54,6 +54,7 @@
 		switch {
 		case record.Deleted || (known && record.Version <= loaded):
 		case !known:
+			r.earlyRecords[queue] = append(r.earlyRecords[queue], record)
 			r.loadInBackground(ctx, queue)
 		default:
 			r.handleJobRecord(queue, record)
@@ -61,7 +62,8 @@
 	}
 }
 
-// loadInBackground loads a partition that had no jobs before. Records that change meanwhile are included in what it reads.
+// loadInBackground loads a partition that had no jobs before. Records that change meanwhile may be missing from what it reads; they are
+// applied afterwards.
 func (r *Runner) loadInBackground(ctx context.Context, queue acaciatally.QueueName) {
 	if r.loadsInProgress[queue] {
 		return
@@ -140,6 +142,12 @@
 			r.scheduler.CancelJob(queue, id)
 		}
 	}
+	for _, record := range r.earlyRecords[queue] {
+		if record.Version > jobs.Version {
+			r.handleJobRecord(queue, record)
+		}
+	}
+	delete(r.earlyRecords, queue)
 }
 
 // applyProgress decodes the progress records of a partition; ended jobs are only retained.
