Let epochs go on from the last one seen when the lease is damaged

Cause: a lease that could not be decoded counted as free with epoch 0: another entry took it at once, though its holder could still act, and with an epoch that workers and owner records of the earlier ones reject for good. Change: an undecodable lease is waited for like any other; a new epoch is higher than every one seen in the lease or in an owner record.

--- a/dispatch/runner.go
+++ b/dispatch/runner.go
@@ -45,7 +45,7 @@
 	Configuration    func() *acaciatally.Configuration // returns the newest configuration; nil if there is none yet
 	Now              func() time.Duration              // monotonic clock that includes time spent suspended
 	Leads            func() bool                       // whether this entry may act as the leader now
-	OnLeadershipLost func()                            // called when another leader has taken over; must end the leadership
+	OnLeadershipLost func(epoch uint64)                // called when another leader has taken over, with its epoch; must end the leadership
 	LoadsAtOnce      int                               // partitions that a new leader reads at the same time; 0 is unlimited
 	Scheduler        Config
 	// Round is called in the goroutine that owns the scheduler, each time after it has planned and before its commits and orders are sent;
@@ -247,12 +247,12 @@
 		r.Post(ctx, func() { r.scheduler.Committed(commit, current.Version, r.config.Now()) })
 		return
 	}
-	r.stepDown(ctx)
+	r.stepDown(ctx, owner.Epoch)
 }
 
-// stepDown ends the leadership because another leader has taken over, and returns when ctx has ended.
-func (r *Runner) stepDown(ctx context.Context) {
+// stepDown ends the leadership because a leader with the epoch has taken over, and returns when ctx has ended.
+func (r *Runner) stepDown(ctx context.Context, epoch uint64) {
 	r.config.Scheduler.EventLog.LeadershipLost(r.config.Scheduler.Epoch)
-	r.config.OnLeadershipLost()
+	r.config.OnLeadershipLost(epoch)
 	<-ctx.Done()
 }
--- a/dispatch/runner_jobs.go
+++ b/dispatch/runner_jobs.go
@@ -201,7 +201,7 @@
 			version = record.Version
 		}
 		if current.Epoch > own.Epoch {
-			r.stepDown(ctx)
+			r.stepDown(ctx, current.Epoch)
 			return 0, ErrLeadershipLost
 		}
 		if current == own {
--- a/leadership/elector.go
+++ b/leadership/elector.go
@@ -73,11 +73,11 @@
 	return e.lease.Epoch() == epoch && e.lease.Leads(e.config.Now())
 }
 
-// Resign ends the leadership at once, because another leader was noticed.
-func (e *Elector) Resign() {
+// Resign ends the leadership at once, because another leader was noticed; epoch is its epoch, or 0 if it is not known.
+func (e *Elector) Resign(epoch uint64) {
 	e.mutex.Lock()
 	defer e.mutex.Unlock()
-	e.lease.Resign()
+	e.lease.Resign(epoch)
 }
 
 // Run takes part in the election until ctx ends, then releases the lease.
@@ -171,7 +171,9 @@
 			continue
 		}
 		if err := json.Unmarshal(record.Value, &row); err != nil {
-			row = Row{} // a corrupt lease has no holder; epochs restart at 1, and the owner records of the partitions fence off low ones
+			e.config.EventLog.RecordIgnored(record.RecordKey, record.Version, err)
+			e.lease.ObserveUndecodable(record.Version, e.config.Now())
+			continue
 		}
 		if row.Epoch != e.lease.row.Epoch {
 			e.config.EventLog.LeaderChanged(row, record.Version, row.Holder == e.config.Lease.Self)
@@ -247,7 +249,7 @@
 	record, found := conflict.Find(Key)
 	if !found {
 		e.mutex.Lock()
-		e.lease = New(e.config.Lease)
+		e.lease = e.lease.forgotten()
 		e.mutex.Unlock()
 		return
 	}
--- a/leadership/handover.go
+++ b/leadership/handover.go
@@ -59,7 +59,7 @@
 	e.mutex.Lock()
 	epoch := e.lease.Epoch()
 	e.mutex.Unlock()
-	e.Resign()
+	e.Resign(0)
 	e.config.EventLog.LeadershipChanged(epoch, false, "lease release failed: "+err.Error())
 }
 
--- a/leadership/lease.go
+++ b/leadership/lease.go
@@ -72,6 +72,7 @@
 	storeDown      bool          // the last call of the store failed
 	storeUpAt      time.Duration // when the store became reachable again
 	requestedEpoch uint64        // last epoch for which a handover was requested
+	minEpoch       uint64        // highest epoch seen outside the lease; a new epoch is higher
 	validUntil     time.Duration // end of the time in which this entry may act as the leader
 	renewedAt      time.Duration // when the last renewal was sent; earlier after a failed one, so that the next is due soon
 	proposedAt     time.Duration // when the first proposal after the last committed one was made
@@ -82,6 +83,11 @@
 // New returns a lease whose record was not read yet.
 func New(config Config) *Lease { return &Lease{config: config} }
 
+// forgotten returns a lease whose record was not read yet, for a record that has disappeared. Epochs go on from the last one seen.
+func (l *Lease) forgotten() *Lease {
+	return &Lease{config: l.config, minEpoch: max(l.minEpoch, l.row.Epoch)}
+}
+
 // Observe updates the lease from a record that was read; version 0 means that the record does not exist. Older versions are ignored.
 func (l *Lease) Observe(row Row, version uint64, now time.Duration) {
 	if l.known && version <= l.version {
@@ -181,7 +187,7 @@
 func (l *Lease) Proposal(now time.Duration) (row Row, version uint64) {
 	row = l.row
 	if l.row.Holder != l.config.Self || !l.Leads(now) {
-		row = Row{Holder: l.config.Self, Epoch: l.row.Epoch + 1, Lag: l.config.TakeoverDelay}
+		row = Row{Holder: l.config.Self, Epoch: max(l.row.Epoch, l.minEpoch) + 1, Lag: l.config.TakeoverDelay}
 		l.slowAt = now
 	}
 	row.Term = l.nextTerm(now)
@@ -230,5 +236,18 @@
 // Until returns when this entry has to stop acting as the leader.
 func (l *Lease) Until() time.Duration { return l.validUntil }
 
-// Resign ends the leadership of this entry at once, because another leader was noticed.
-func (l *Lease) Resign() { l.validUntil = 0 }
+// Resign ends the leadership of this entry at once, because another leader was noticed. Its epoch is that in which it has fenced a record;
+// the next epoch of this entry is higher, also if the lease was damaged and shows a lower one.
+func (l *Lease) Resign(epoch uint64) {
+	l.validUntil = 0
+	l.minEpoch = max(l.minEpoch, epoch)
+}
+
+// unknownHolder stands for the holder of a lease that can't be decoded.
+const unknownHolder = "unknown"
+
+// ObserveUndecodable updates the lease from a record that can't be decoded. Its holder may still act, so it is waited for as for any other,
+// and epochs go on from the last one seen.
+func (l *Lease) ObserveUndecodable(version uint64, now time.Duration) {
+	l.Observe(Row{Holder: unknownHolder, Epoch: l.row.Epoch}, version, now)
+}
--- a/leadership/lease_test.go
+++ b/leadership/lease_test.go
@@ -212,3 +212,28 @@
 	step, _ = lease.Next(restoredAt + lag)
 	require.Equal(t, leadership.Acquire, step)
 }
+
+// TestDamagedLease guards against two leaders and against epochs that start again at 1, which workers and records of higher epochs reject,
+// after the lease was damaged or has disappeared.
+func TestDamagedLease(t *testing.T) {
+	tests := map[string]func(lease *leadership.Lease){
+		"can't be decoded": func(lease *leadership.Lease) { lease.ObserveUndecodable(11, time.Second) },
+		"shows an epoch of long ago": func(lease *leadership.Lease) {
+			lease.Observe(leadership.Row{Holder: "a", Epoch: 1}, 11, time.Second)
+			lease.Resign(7)
+		},
+	}
+	for name, damage := range tests {
+		t.Run(name, func(t *testing.T) {
+			lease := newLease("b")
+			lease.Observe(leadership.Row{Holder: "a", Epoch: 7}, 10, 0)
+			damage(lease)
+			step, _ := lease.Next(time.Second + term - 1)
+			require.Equal(t, leadership.Wait, step, "the holder may still act")
+			step, _ = lease.Next(time.Second + term)
+			require.Equal(t, leadership.Acquire, step)
+			row, _ := lease.Proposal(time.Second + term)
+			require.EqualValues(t, 8, row.Epoch)
+		})
+	}
+}
--- a/site/fleet.go
+++ b/site/fleet.go
@@ -140,7 +140,7 @@
 	}
 	f.post(func() {
 		if f.roster.OrderFinished(scheduler, order, err, f.process.config.Now()) {
-			f.process.elector.Resign()
+			f.process.elector.Resign(0)
 		}
 		f.sendOrders(ctx, scheduler, f.process.config.Now()) // orders that waited for this result
 	})
