Keep the cancellation of a job that waits for another queue's job with its ID

Cause: a cancel request for a deferred job was taken for one of an unknown job and deleted; the job ran later. Change: the request is kept with the deferred job and takes effect when it is loaded. Result: dispatch.TestCancelDeferredJob failed before (1 of 2 jobs cancelled) and passes.

--- a/dispatch/commit.go
+++ b/dispatch/commit.go
@@ -303,6 +303,9 @@
 			continue
 		}
 		s.LoadJob(d.jobID, d.accepted, d.progress, 0, now)
+		if d.cancel {
+			s.CancelJob(d.accepted.Queue.Name, d.jobID)
+		}
 	}
 }
 
--- a/dispatch/jobs.go
+++ b/dispatch/jobs.go
@@ -16,7 +16,7 @@
 	}
 	if other := s.jobs[id]; other != nil {
 		if other.accepted.Queue.Name != accepted.Queue.Name {
-			s.deferredJobs = append(s.deferredJobs, deferredJob{id, accepted, progress})
+			s.deferredJobs = append(s.deferredJobs, deferredJob{jobID: id, accepted: accepted, progress: progress})
 		}
 		return
 	}
@@ -99,6 +99,9 @@
 // CancelJob handles a recorded cancel request. The record of a request for an unknown job is deleted.
 func (s *Scheduler) CancelJob(queue acaciatally.QueueName, id acaciatally.JobID) {
 	j := s.jobs[id]
+	if s.cancelDeferred(queue, id) {
+		return
+	}
 	if j == nil || j.accepted.Queue.Name != queue {
 		s.partition(queue).staleRecords = append(s.partition(queue).staleRecords, job.CancelKey(queue, id))
 		return
@@ -112,6 +115,17 @@
 	j.recordsDeleted = false
 }
 
+// cancelDeferred notes a cancel request for a deferred job, which takes effect when the job is loaded, and returns whether there is one.
+func (s *Scheduler) cancelDeferred(queue acaciatally.QueueName, id acaciatally.JobID) bool {
+	for i := range s.deferredJobs {
+		if d := &s.deferredJobs[i]; d.jobID == id && d.accepted.Queue.Name == queue {
+			d.cancel = true
+			return true
+		}
+	}
+	return false
+}
+
 // endJob sets the final state of the job and stops its remaining runs.
 func (s *Scheduler) endJob(j *activeJob, state acaciatally.JobState) {
 	j.state = state
--- a/dispatch/scheduler.go
+++ b/dispatch/scheduler.go
@@ -72,6 +72,7 @@
 	jobID    acaciatally.JobID
 	accepted job.Accepted
 	progress job.Progress
+	cancel   bool // a cancel request is recorded
 }
 
 // Configure applies a configuration unless its version is older than or equal to the current one.
--- a/dispatch/scheduler_test.go
+++ b/dispatch/scheduler_test.go
@@ -381,3 +381,20 @@
 		})
 	}
 }
+
+// TestCancelDeferredJob guards against a job that runs although it was cancelled while a job of another queue had its ID.
+func TestCancelDeferredJob(t *testing.T) {
+	scheduler, eventLog := newScheduler()
+	reportIdle(scheduler, testWorker(1))
+	loadJob(scheduler, "aa", 0, testStep(1, 1000))
+	other := job.Accepted{Spec: acaciatally.JobSpec{Steps: []acaciatally.Step{testStep(1, 1000)}}, Queue: acaciatally.Queue{Name: "plans", Pool: testPool, Attempts: 2}}
+	scheduler.LoadJob("aa", other, job.Progress{State: acaciatally.JobQueued}, 0, 0)
+	scheduler.PartitionClaimed("plans", 1)
+	scheduler.CancelJob("plans", "aa")
+	scheduler.CancelJob("quotes", "aa")
+	commitAll(scheduler, time.Second)
+	commitAll(scheduler, time.Second)
+	require.Equal(t, 2, eventLog.counts["JobLoaded"])
+	require.Equal(t, 2, eventLog.counts["JobEnded "+string(acaciatally.JobCancelled)])
+	require.Empty(t, startDue(scheduler, 2*time.Second))
+}
