Place, start and stop gangs as a whole

Cause: members of a gang placed in one trial were not counted against the limit per worker, and each was ordered on its own: when one worker might get no new runs any more, its member was dropped and the others still started and waited alone. Change: dispatch/gang.go; a trial counts its members by worker and rack, the first orders wait until all members are recorded and their workers may get runs, else the gang is released whole; runs of a gang of which a member has none are stopped and it is placed anew.

--- a/dispatch/jobs.go
+++ b/dispatch/jobs.go
@@ -24,6 +24,7 @@
 		id: id, accepted: accepted, state: progress.State, digest: progress.Digest, nextOccurrence: progress.Next,
 		arrivedAt:        now - min(max(0, age), maxJobAge),
 		hasWaitingRecord: progress.State == acaciatally.JobQueued && accepted.Spec.Repeat == 0, placementDue: true,
+		hasGang:        slices.ContainsFunc(accepted.Spec.Steps, func(step acaciatally.Step) bool { return step.Gang }),
 		hasLongRunning: slices.ContainsFunc(accepted.Spec.Steps, func(step acaciatally.Step) bool { return step.LongRunning }),
 	}
 	if s.configuration != nil {
--- a/dispatch/order.go
+++ b/dispatch/order.go
@@ -69,6 +69,10 @@
 		slices.SortFunc(due, func(a, b *task) int { return compareJobs(a.job, b.job) })
 	}
 	for _, t := range due[:len(due)-s.heldStarts] {
+		if !t.assigned() {
+			s.starts.inFlight-- // released with its gang
+			continue
+		}
 		order, found := s.startOrder(t.worker, t, now)
 		if !found {
 			s.starts.inFlight--
@@ -111,9 +115,12 @@
 }
 
 // startOrder returns the start order for a recorded run. If no start order was sent yet and the worker may no longer get new runs, it
-// releases the run instead.
+// releases the run instead, and that of a gang's member with its gang.
 func (s *Scheduler) startOrder(w *worker, t *task, now time.Duration) (order Order, found bool) {
-	if t.startAttempts == 0 && (!s.schedulable(w, now) || !s.permitted(t, w.entry.ID, now)) {
+	if t.startAttempts == 0 && t.step.Gang && !s.gangStartable(t, now) {
+		return order, false
+	}
+	if t.startAttempts == 0 && !t.step.Gang && (!s.schedulable(w, now) || !s.permitted(t, w.entry.ID, now)) {
 		s.config.EventLog.RunDropped(t.ref, t.attempt, w.entry.ID, "worker is not schedulable")
 		t.release()
 		return order, false
--- a/dispatch/plan.go
+++ b/dispatch/plan.go
@@ -24,6 +24,7 @@
 	if now >= s.nextCheckAt {
 		s.nextCheckAt = now + checkInterval
 		s.stopStalledRuns(now)
+		s.stopBrokenGangs()
 		s.drainWorkers()
 	}
 	pools := s.takeChangedPools()
@@ -178,9 +179,11 @@
 
 // candidate is a worker that may get new runs, with its load and free capacity.
 type candidate struct {
-	w    *worker
-	load load
-	free acaciatally.ResourceVector
+	w            *worker
+	load         load
+	free         acaciatally.ResourceVector
+	trial        *gangTrial // nil unless a gang is being placed
+	trialMembers int        // members of that gang that the trial has placed on the worker
 }
 
 // candidates returns the workers of a pool that may get new runs, sorted by ID.
@@ -205,8 +208,9 @@
 	c.free = c.w.entry.Capacity.Minus(c.load.used)
 }
 
-// siblingCount returns how many tasks of the task's step are assigned to the worker.
+// siblingCount returns how many tasks of the task's step are assigned to the worker, those of a trial included.
 func (c *candidate) siblingCount(t *task) (count int) {
+	count = c.trialMembers
 	for run := range c.w.runs {
 		if run.stepKey() == t.stepKey() {
 			count++
@@ -232,36 +236,6 @@
 	return c.w.entry.HasLabel(step.Label) && c.free.Fits(step.Reserved()) && (step.PerWorker == 0 || c.siblingCount(t) < step.PerWorker)
 }
 
-// placeGang places the tasks one by one on copies of the candidates, and assigns them only if all fit.
-func (s *Scheduler) placeGang(tasks []*task, set *candidateSet, now time.Duration) {
-	trial := make([]*candidate, 0, len(set.candidates))
-	original := map[*candidate]*candidate{}
-	for _, c := range set.candidates {
-		copied := *c
-		trial = append(trial, &copied)
-		original[&copied] = c
-	}
-	attempt := 0
-	checkpoint := ""
-	chosen := make([]*candidate, 0, len(tasks))
-	for _, t := range tasks {
-		c := s.bestCandidate(t, trial, now)
-		if c == nil {
-			return
-		}
-		c.reserve(t)
-		chosen = append(chosen, original[c])
-		attempt = max(attempt, t.attempt+1)
-		if t.checkpoint != "" {
-			checkpoint = t.checkpoint
-		}
-	}
-	for i, t := range tasks {
-		t.checkpoint = checkpoint
-		s.assign(t, chosen[i], attempt)
-	}
-}
-
 func (s *Scheduler) assign(t *task, c *candidate, attempt int) {
 	t.attempt = attempt
 	t.assign(c.w, stagePlanned)
@@ -321,6 +295,9 @@
 
 // rackSiblings counts the assigned tasks of the same step and occurrence in the candidate's rack.
 func (c *candidate) rackSiblings(t *task) (count int) {
+	if c.trial != nil {
+		return c.trial.racks[c.w.entry.Rack]
+	}
 	for _, o := range t.job.openOccurrences {
 		if o.number != t.ref.Occurrence {
 			continue
--- a/dispatch/scheduler.go
+++ b/dispatch/scheduler.go
@@ -103,6 +103,7 @@
 	lateness         lateness
 	estimate         estimate
 	hasLongRunning   bool // has tasks that run until the job is cancelled
+	hasGang          bool // has a step whose tasks run all at the same time or not at all
 	placementDue     bool // a task has started or stopped waiting since the last placement
 	hasCancelRecord  bool // a cancel request is recorded
 	unrecordedEnds   []endRef
@@ -146,6 +147,7 @@
 	stopPreempted   stopReason = "preempted"
 	stopUnconfirmed stopReason = "start not confirmed"
 	stopCopyEnded   stopReason = "another copy ended first"
+	stopGangBroken  stopReason = "a member of its gang has no run"
 )
 
 // task is one task of an occurrence. Each attempt to execute it on a worker is a run.
