--- a/dispatch/gang_test.go
+++ b/dispatch/gang_test.go
@@ -43,7 +43,9 @@
 func TestGangStartedWhole(t *testing.T) {
 	scheduler, _ := newScheduler()
 	reportIdle(scheduler, testWorker(1), testWorker(2), testWorker(3))
-	loadJob(scheduler, "aa", 0, gangStep(2, 1))
+	step := gangStep(2, 0)
+	step.Resources.Processors = 5000 // one member fits on a worker
+	loadJob(scheduler, "aa", 0, step)
 	scheduler.Plan(0, time.UnixMilli(0))
 	commitAll(scheduler, 0)
 	first := scheduler.findTask(acaciatally.TaskRef{Job: "aa"})
