Refuse jobs while the leader can't start in time what waits already

Change: a leader whose start orders are held back without a break publishes with its lease how long the tasks of a new job would wait; entries refuse jobs beyond 4 s, with the time after which the wait is over as Retry-After, but not those with long-running tasks, nor a job that is recorded already.

--- a/dispatch/order.go
+++ b/dispatch/order.go
@@ -184,6 +184,7 @@
 	var rejected *acaciatally.OrderRejectedError
 	switch {
 	case err == nil:
+		s.startRate.started++
 		t.stage, t.confirmedAt, t.progressedAt = stageRunning, now, now
 		s.markStarted(t)
 	case errors.Is(err, errLeadershipExpired):
--- a/dispatch/scheduler.go
+++ b/dispatch/scheduler.go
@@ -40,6 +40,7 @@
 	drainSoon       map[acaciatally.WorkerID]bool   // workers that will have to be drained soon
 	starts          startWindow
 	heldStarts      int // start orders that the window held back in the last round
+	startRate       startRate
 }
 
 // New returns a scheduler without jobs and workers.
@@ -58,6 +59,7 @@
 		permissions: map[stepKey]*stepPermissions{},
 		toDrain:     map[acaciatally.WorkerID]string{},
 		starts:      newStartWindow(),
+		startRate:   newStartRate(),
 	}
 }
 
--- a/intake/batch_test.go
+++ b/intake/batch_test.go
@@ -15,7 +15,7 @@
 	"github.com/acaciatally/acaciatally/job"
 )
 
-// fakeStore is a record store that only implements Commit, with a delay and a script of errors.
+// fakeStore is a record store that only implements Commit, with a delay and a script of errors, and reads of one record.
 type fakeStore struct {
 	mu         sync.Mutex
 	rows       map[acaciatally.RecordKey]acaciatally.Record
@@ -24,8 +24,14 @@
 	batchSizes []int
 }
 
-func (s *fakeStore) Read(context.Context, acaciatally.RecordRange) (acaciatally.RecordPage, error) {
-	return acaciatally.RecordPage{}, nil
+func (s *fakeStore) Read(_ context.Context, selection acaciatally.RecordRange) (page acaciatally.RecordPage, err error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	key := acaciatally.RecordKey{Table: selection.Table, Partition: selection.Partition, Key: selection.From}
+	if record, found := s.rows[key]; found {
+		page.Records = []acaciatally.Record{record}
+	}
+	return page, nil
 }
 
 func (s *fakeStore) Partitions(context.Context, string) ([]string, error) { return nil, nil }
--- a/intake/service.go
+++ b/intake/service.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"sync"
 	"time"
 
@@ -17,6 +18,8 @@
 	storeRetryAfter = time.Second
 	// commitRetryDelay is the delay between two attempts at a commit whose outcome is unknown.
 	commitRetryDelay = 50 * time.Millisecond
+	// maxStartDelay is how long the tasks of an accepted job may wait for the leader to start them; jobs are refused beyond that.
+	maxStartDelay = 4 * time.Second
 )
 
 // Config is the configuration of a Service.
@@ -24,7 +27,9 @@
 	Store          acaciatally.RecordStore
 	Routes         func() *Routes // returns the current routes; nil before the first configuration
 	StoreReachable func() bool    // reports whether the record store has responded recently; otherwise callers are refused at once
-	EventLog       EventLog
+	// StartDelay returns how long the tasks of a job submitted now would wait for the leader to start them; nil if that is not known.
+	StartDelay func() time.Duration
+	EventLog   EventLog
 }
 
 // Service carries out callers' requests with the record store; it is safe for concurrent use.
@@ -80,6 +85,9 @@
 	if err = s.checkStore(); err != nil {
 		return err
 	}
+	if err = s.checkStartDelay(ctx, queue, id, spec); err != nil {
+		return err
+	}
 	transaction, digest, err := newTransaction(queue, id, spec, startedAt)
 	if err != nil {
 		return err
@@ -95,6 +103,23 @@
 	return &acaciatally.NotAcceptedError{Reason: "the record store does not answer", RetryAfter: storeRetryAfter}
 }
 
+// checkStartDelay returns a *NotAcceptedError while the leader can't start the job's tasks in time. Jobs with tasks that have to run at all
+// times are accepted, and so is the repetition of a call that was accepted.
+func (s *Service) checkStartDelay(ctx context.Context, queue acaciatally.Queue, id acaciatally.JobID, spec acaciatally.JobSpec) error {
+	if s.config.StartDelay == nil {
+		return nil
+	}
+	delay := s.config.StartDelay()
+	longRunning := slices.ContainsFunc(spec.Steps, func(step acaciatally.Step) bool { return step.LongRunning })
+	if delay <= maxStartDelay || longRunning {
+		return nil
+	}
+	if _, err := s.read(ctx, job.ProgressKey(queue.Name, id)); !errors.Is(err, acaciatally.ErrJobNotFound) {
+		return nil
+	}
+	return &acaciatally.NotAcceptedError{Reason: "more tasks wait than can be started in time", RetryAfter: delay - maxStartDelay, Overload: true}
+}
+
 func newTransaction(
 	queue acaciatally.Queue, id acaciatally.JobID, spec acaciatally.JobSpec, now time.Time,
 ) (transaction acaciatally.RecordTransaction, digest uint64, err error) {
--- a/leadership/elector.go
+++ b/leadership/elector.go
@@ -40,6 +40,8 @@
 	Store    acaciatally.RecordStore
 	Now      func() time.Duration // monotonic clock that also runs during system suspend
 	EventLog EventLog
+	// StartDelay returns the delay to publish with the lease while this entry leads; nil if there is none.
+	StartDelay func() time.Duration
 	// Lead runs the leader until ctx ends and must not act after that.
 	Lead func(ctx context.Context, epoch uint64)
 }
@@ -73,6 +75,13 @@
 	return e.lease.Epoch() == epoch && e.lease.Leads(e.config.Now())
 }
 
+// StartDelay returns how long the tasks of a job submitted now would wait for the leader to start them.
+func (e *Elector) StartDelay() time.Duration {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	return e.lease.StartDelay(e.config.Now())
+}
+
 // Resign ends the leadership at once, because another leader was noticed; epoch is its epoch, or 0 if it is not known.
 func (e *Elector) Resign(epoch uint64) {
 	e.mutex.Lock()
@@ -190,6 +199,9 @@
 	row, version := e.lease.Proposal(e.config.Now())
 	renews := e.lease.Leads(e.config.Now())
 	e.mutex.Unlock()
+	if renews && e.config.StartDelay != nil {
+		row.StartDelay = e.config.StartDelay()
+	}
 	transaction, err := proposalTransaction(row, version, renews)
 	if err != nil {
 		e.config.EventLog.LeadershipChanged(row.Epoch, false, err.Error())
--- a/leadership/lease.go
+++ b/leadership/lease.go
@@ -22,6 +22,8 @@
 	Term      time.Duration `json:",omitempty"` // validity of this version; 0 stands for the configured term
 	Lag       time.Duration `json:",omitempty"` // takeover delay of the holder; longer for entries with less processor time or a slower link
 	Successor string        `json:",omitempty"` // entry for which the lease was released; empty if any may acquire it
+	// StartDelay is how long the tasks of a job submitted now would wait for the leader to start them; 0 while it keeps up.
+	StartDelay time.Duration `json:",omitempty"`
 }
 
 // HandoverRequest is a stored request that the holder hand over the lease.
@@ -190,7 +192,7 @@
 		row = Row{Holder: l.config.Self, Epoch: max(l.row.Epoch, l.minEpoch) + 1, Lag: l.config.TakeoverDelay}
 		l.slowAt = now
 	}
-	row.Term = l.nextTerm(now)
+	row.Term, row.StartDelay = l.nextTerm(now), 0
 	l.validUntil = min(l.validUntil, now+row.Term)
 	if !l.unanswered {
 		l.proposedAt, l.unanswered = now, true
@@ -230,6 +232,17 @@
 // Leads reports whether this entry may act as the leader at the time now.
 func (l *Lease) Leads(now time.Duration) bool { return now < l.validUntil }
 
+// maxStartDelayAge is the age of a version of the lease from which its StartDelay says nothing any more.
+const maxStartDelayAge = 3 * time.Second
+
+// StartDelay returns the leader's StartDelay, or 0 if it was not seen lately.
+func (l *Lease) StartDelay(now time.Duration) time.Duration {
+	if now > l.versionSeenAt+maxStartDelayAge {
+		return 0
+	}
+	return l.row.StartDelay
+}
+
 // Epoch returns the epoch of the last row seen.
 func (l *Lease) Epoch() uint64 { return l.row.Epoch }
 
--- a/site/site.go
+++ b/site/site.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"sync/atomic"
 	"time"
 
 	"github.com/samber/oops"
@@ -34,6 +35,8 @@
 	fastLinkBitsPerSecond = 100e6
 	// maxWorkerLease covers the crash of a leader, the rest of its lease term and the start of the next leader, so that runs survive them.
 	maxWorkerLease = 6 * time.Second
+	// startDelayInterval is the interval at which a leader determines how long jobs wait for it; it is that of the lease's renewals.
+	startDelayInterval = renewInterval
 	// maxCloseDelay is the delay before the listener closes, in which the load balancer notices that this entry is stopping.
 	maxCloseDelay     = 2500 * time.Millisecond
 	readHeaderTimeout = 3 * time.Second
@@ -108,7 +111,9 @@
 	store   *monitoredStore
 	watcher *operatorWatcher
 	elector *leadership.Elector
-	jobAPI  JobAPI
+	// startDelay is the scheduler's StartDelay in nanoseconds while this entry leads.
+	startDelay atomic.Int64
+	jobAPI     JobAPI
 }
 
 // New returns a process that is not running yet.
@@ -127,6 +132,7 @@
 	}
 	jobs := intake.New(intake.Config{
 		Store: p.store, Routes: p.watcher.routes.Load, StoreReachable: p.store.reachable, EventLog: config.EventLog,
+		StartDelay: func() time.Duration { return p.elector.StartDelay() },
 	})
 	p.jobAPI = config.NewJobAPI(jobs, p.ready)
 	p.elector = leadership.NewElector(leadership.ElectorConfig{
@@ -135,6 +141,7 @@
 			TakeoverDelay: takeoverDelay(config),
 		},
 		Store: p.store, Now: config.Now, EventLog: config.EventLog, Lead: p.runLeader,
+		StartDelay: func() time.Duration { return time.Duration(p.startDelay.Load()) },
 	})
 	return p
 }
@@ -158,11 +165,21 @@
 // runLeader dispatches jobs and manages instances during one term of leadership.
 func (p *Process) runLeader(ctx context.Context, epoch uint64) {
 	var runner *dispatch.Runner
-	var round func(scheduler *dispatch.Scheduler, now time.Duration)
+	var fleet *fleetRunner
 	if p.config.Fleet != nil {
-		fleet := newFleetRunner(p, epoch, func(f func()) { runner.Post(ctx, f) })
-		round = func(scheduler *dispatch.Scheduler, now time.Duration) { fleet.round(ctx, scheduler, now) }
+		fleet = newFleetRunner(p, epoch, func(f func()) { runner.Post(ctx, f) })
 	}
+	var nextDelayAt time.Duration
+	round := func(scheduler *dispatch.Scheduler, now time.Duration) {
+		if fleet != nil {
+			fleet.round(ctx, scheduler, now)
+		}
+		if now >= nextDelayAt {
+			nextDelayAt = now + startDelayInterval
+			p.startDelay.Store(int64(scheduler.StartDelay(now)))
+		}
+	}
+	defer p.startDelay.Store(0)
 	runner = dispatch.NewRunner(dispatch.RunnerConfig{
 		Round: round,
 		Store: p.config.Store, Orders: p.config.Orders, Adviser: p.config.Adviser, WorkerTable: p.config.WorkerTable, DecodeWorker: p.config.DecodeWorker,
