--- a/site/fleet.go
+++ b/site/fleet.go
@@ -32,6 +32,7 @@
 type fleetRunner struct {
 	process          *Process
 	post             func(f func())
+	leads            func() bool // whether this entry may act as the leader now
 	roster           *roster.Roster
 	nextPlanAt       time.Duration
 	listInFlight     bool
@@ -40,7 +41,8 @@
 }
 
 func newFleetRunner(p *Process, epoch uint64, post func(f func())) *fleetRunner {
-	return &fleetRunner{process: p, post: post, roster: roster.New(roster.Config{
+	leads := func() bool { return p.elector.Leads(epoch) }
+	return &fleetRunner{process: p, post: post, leads: leads, roster: roster.New(roster.Config{
 		Epoch: epoch, Holder: p.config.Name, MoveTime: p.config.MoveTime, MaintenanceTime: p.config.MaintenanceTime,
 		Capacity: capacityConfig(p.config.OrdersPerSecond), OrdersPerSecond: p.config.OrdersPerSecond, EventLog: p.config.EventLog,
 	})}
@@ -132,12 +134,7 @@
 }
 
 func (f *fleetRunner) sendOrder(ctx context.Context, scheduler *dispatch.Scheduler, order roster.Order) {
-	var err error
-	if order.Maintain {
-		err = f.process.config.Fleet.StartMaintenance(ctx, order.Lease, order.Instance, order.Wave)
-	} else {
-		err = f.process.config.Fleet.Move(ctx, order.Lease, order.Instance, order.To)
-	}
+	err := f.callFleet(ctx, order)
 	f.post(func() {
 		if f.roster.OrderFinished(scheduler, order, err, f.process.config.Now()) {
 			f.process.elector.Resign(0)
@@ -146,6 +143,18 @@
 	})
 }
 
+// callFleet sends an order to the instance control, unless the lease has expired since the order was planned, as after a pause of the
+// process: the next leader may have ordered the instance by then, and not every platform compares fencing tokens.
+func (f *fleetRunner) callFleet(ctx context.Context, order roster.Order) error {
+	if !f.leads() {
+		return acaciatally.ErrUnavailable
+	}
+	if order.Maintain {
+		return f.process.config.Fleet.StartMaintenance(ctx, order.Lease, order.Instance, order.Wave)
+	}
+	return f.process.config.Fleet.Move(ctx, order.Lease, order.Instance, order.To)
+}
+
 // storeWaves stores the progress of waves, for operators and for the next leader, one wave at a time.
 func (f *fleetRunner) storeWaves(ctx context.Context) {
 	records := f.roster.UnsavedWaves()
