Read only the job table of a partition again when the store has dropped its history

Cause: the leader read the progress of all jobs too, which only it writes; over the twin's link of 2 Mbit/s the reload took up to 6 s, in which no new job was seen. Change: progress is read only when the partition is claimed.

--- a/dispatch/runner_jobs.go
+++ b/dispatch/runner_jobs.go
@@ -99,10 +99,13 @@
 		acaciatally.Sleep(ctx, commitRetry)
 		return err
 	}
-	progress, err := r.config.Store.Read(ctx, acaciatally.RecordRange{Table: job.ProgressTable, Partition: string(queue)})
-	if err != nil {
-		acaciatally.Sleep(ctx, commitRetry)
-		return err
+	var progress acaciatally.RecordPage
+	if owner != alreadyOwned { // otherwise this leader knows the progress of all jobs, since only it writes progress
+		progress, err = r.config.Store.Read(ctx, acaciatally.RecordRange{Table: job.ProgressTable, Partition: string(queue)})
+		if err != nil {
+			acaciatally.Sleep(ctx, commitRetry)
+			return err
+		}
 	}
 	jobs, err := r.config.Store.Read(ctx, acaciatally.RecordRange{Table: job.AcceptedTable, Partition: string(queue)})
 	if err != nil {
@@ -167,8 +170,11 @@
 	return byID
 }
 
+// alreadyOwned is returned in place of the version of an owner record for a partition that this term of leadership has claimed before.
+const alreadyOwned = 0
+
 // claimOnce claims a partition and returns the version of its owner record. If this term of leadership has claimed the partition before, it
-// returns 0: a second claim would conflict with its own commits.
+// returns alreadyOwned: a second claim would conflict with its own commits.
 func (r *Runner) claimOnce(ctx context.Context, queue acaciatally.QueueName) (version uint64, err error) {
 	owned := make(chan bool, 1)
 	r.Post(ctx, func() { owned <- r.scheduler.OwnsPartition(queue) })
@@ -177,7 +183,7 @@
 		return 0, ctx.Err()
 	case known := <-owned:
 		if known {
-			return 0, nil
+			return alreadyOwned, nil
 		}
 	}
 	return r.claimPartition(ctx, queue)
