Order jobs by the time by which they have to start, and predict it from callers' estimates where these are good

Cause: the time that a job needs came from the mean of its queue, though the steps of one queue take from 0.5 to 3 s and callers say how long theirs take; and among jobs in time the oldest went first, not the one with least to spare.

--- a/dispatch/demand.go
+++ b/dispatch/demand.go
@@ -75,8 +75,11 @@
 	}
 }
 
-// runTimeMeans holds the mean run time of a queue's tasks and of its steps; a step takes as long as its longest task.
-type runTimeMeans struct{ task, step time.Duration }
+// runTimeMeans holds the mean run time of a queue's tasks and what is known of the times of its steps.
+type runTimeMeans struct {
+	task time.Duration
+	step stepTimes
+}
 
 func updateMean(mean *time.Duration, sample time.Duration) {
 	if *mean == 0 {
@@ -123,10 +126,10 @@
 	updateMean(&s.runTimes[queue].task, t.runTime)
 }
 
-// observeStepTime updates the mean step time of the queue when all tasks of a step are done.
+// observeStepTime updates the step times of the queue when all tasks of a step are done.
 func (s *Scheduler) observeStepTime(j *activeJob, tasks []*task) {
 	known := s.runTimes[j.accepted.Queue.Name]
 	if longest, done := longestRunTime(tasks); done && longest > 0 && known != nil {
-		updateMean(&known.step, longest)
+		known.step.observe(longest, tasks[0].step.Estimate)
 	}
 }
--- a/dispatch/estimate.go
+++ b/dispatch/estimate.go
@@ -67,10 +67,10 @@
 	return j.arrivedAt
 }
 
-// estimateOf computes the critical path of the job from the measured run times of completed steps and the expected step time of the others.
+// estimateOf computes the critical path of the job from the measured run times of completed steps and the expected times of the others.
 func (s *Scheduler) estimateOf(j *activeJob, now time.Duration) (e estimate) {
 	e.computedAt = max(now, 1)
-	expected := s.expectedStepTime(j)
+	expected := s.expectedStepTimes(j)
 	longest := time.Duration(0)
 	for _, occurrence := range j.openOccurrences {
 		total, remaining, started := occurrence.criticalPath(j.accepted.Spec.Steps, expected)
@@ -83,13 +83,13 @@
 
 // criticalPath returns the total time of the longest chain of steps, the remaining time of the longest chain of unfinished steps, and
 // whether a task has started.
-func (o *occurrence) criticalPath(steps []acaciatally.Step, expected time.Duration) (total, remaining time.Duration, started bool) {
+func (o *occurrence) criticalPath(steps []acaciatally.Step, expected []time.Duration) (total, remaining time.Duration, started bool) {
 	totals, remainders := make([]time.Duration, len(steps)), make([]time.Duration, len(steps))
 	for number, tasks := range o.steps {
 		longest, done := longestRunTime(tasks)
 		started = started || done || anyStarted(tasks)
 		if longest == 0 {
-			longest = expected
+			longest = expected[number]
 		}
 		totals[number], remainders[number] = longest, longest
 		if done {
@@ -126,19 +126,26 @@
 	return false
 }
 
-// expectedStepTime returns the mean step time of the queue, or the caller's longest estimate if no step has completed yet.
-func (s *Scheduler) expectedStepTime(j *activeJob) time.Duration {
-	if known := s.runTimes[j.accepted.Queue.Name]; known != nil && known.step > 0 {
-		return known.step
+// expectedStepTimes returns the expected time of each step of the job.
+func (s *Scheduler) expectedStepTimes(j *activeJob) []time.Duration {
+	known := stepTimes{}
+	if means := s.runTimes[j.accepted.Queue.Name]; means != nil {
+		known = means.step
 	}
-	longest := time.Duration(0)
-	for _, step := range j.accepted.Spec.Steps {
-		longest = max(longest, step.Estimate)
+	expected := make([]time.Duration, len(j.accepted.Spec.Steps))
+	for number, step := range j.accepted.Spec.Steps {
+		expected[number] = known.expect(step.Estimate)
 	}
-	return longest
+	return expected
+}
+
+// latestStart returns when the remaining steps of the job have to start for the job to be in time.
+func (j *activeJob) latestStart() time.Duration {
+	return j.waitingSince() + j.estimate.allowed - j.estimate.remaining
 }
 
-// compareJobs sorts jobs with long-running tasks first, then by priority, lateness, whether they have started, and arrival. It returns
+// compareJobs sorts jobs with long-running tasks first, then by priority, lateness, whether they have started, and the time by which they
+// have to start: while a pool is full for a few seconds, a job with little time to spare goes before an older one that can wait. It returns
 // early because thousands of jobs are sorted under overload.
 func compareJobs(a, b *activeJob) int {
 	if a.hasLongRunning != b.hasLongRunning {
@@ -153,8 +160,8 @@
 	if a.estimate.started != b.estimate.started {
 		return ordering.CompareBools(b.estimate.started, a.estimate.started)
 	}
-	if a.arrivedAt != b.arrivedAt {
-		return cmp.Compare(a.arrivedAt, b.arrivedAt)
+	if latestA, latestB := a.latestStart(), b.latestStart(); latestA != latestB {
+		return cmp.Compare(latestA, latestB)
 	}
 	return cmp.Compare(a.id, b.id)
 }
