--- a/capacity/divide.go
+++ b/capacity/divide.go
@@ -22,8 +22,9 @@
 //   - work that can still be of use, and the expected arrivals;
 //   - overdue work.
 //
-// An overdue backlog therefore does not keep instances from pools whose work can still be of use. A pool keeps what that work requires, beyond its fair share too, unless another pool lacks its floor: while demand exceeds the fleet, each move only costs the
-// time that it takes.
+// An overdue backlog therefore does not keep instances from pools whose work can still be of use. A pool keeps what that work requires,
+// beyond its fair share too, unless another pool lacks its floor: while demand exceeds the fleet, each move only costs the time that it
+// takes.
 func (c Config) divide(pools []Pool, total int) []share {
 	needed, floors := make([]int, len(pools)), make([]int, len(pools))
 	useful, all := make([]int, len(pools)), make([]int, len(pools))
