--- a/dispatch/start_window_test.go
+++ b/dispatch/start_window_test.go
@@ -106,14 +106,14 @@
 // TestLongRunningOnUnhealthyWorker guards against a task that has to run at all times waiting for as long as every worker with room is
 // quarantined.
 func TestLongRunningOnUnhealthyWorker(t *testing.T) {
-	tests := map[string]struct{ longRunning, placed bool }{"long-running": {true, true}, "other": {false, false}}
+	tests := map[string]struct{ isLongRunning, placed bool }{"long-running": {true, true}, "other": {false, false}}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
 			scheduler, _ := newScheduler()
 			reportIdle(scheduler, testWorker(1))
 			scheduler.quarantine(scheduler.workers["i-1"], "test", 0)
 			step := testStep(1, 1000)
-			step.LongRunning = test.longRunning
+			step.LongRunning = test.isLongRunning
 			loadJob(scheduler, "aa", 0, step)
 			require.Equal(t, test.placed, len(startDue(scheduler, 0)) == 1)
 		})
--- a/intake/service.go
+++ b/intake/service.go
@@ -110,8 +110,8 @@
 		return nil
 	}
 	delay := s.config.StartDelay()
-	longRunning := slices.ContainsFunc(spec.Steps, func(step acaciatally.Step) bool { return step.LongRunning })
-	if delay <= maxStartDelay || longRunning {
+	hasLongRunning := slices.ContainsFunc(spec.Steps, func(step acaciatally.Step) bool { return step.LongRunning })
+	if delay <= maxStartDelay || hasLongRunning {
 		return nil
 	}
 	if _, err := s.read(ctx, job.ProgressKey(queue.Name, id)); !errors.Is(err, acaciatally.ErrJobNotFound) {
--- a/intake/service_test.go
+++ b/intake/service_test.go
@@ -20,14 +20,14 @@
 	require.NoError(t, err)
 	tests := map[string]struct {
 		delay       time.Duration
-		longRunning bool
+		isLongRunning bool
 		recorded    bool
 		retryAfter  time.Duration // of the refusal; 0 if the job is accepted
 	}{
 		"leader keeps up":          {delay: 0},
 		"short delay":              {delay: 3 * time.Second},
 		"long delay":               {delay: 10 * time.Second, retryAfter: 6 * time.Second},
-		"long-running tasks":       {delay: 10 * time.Second, longRunning: true},
+		"long-running tasks":       {delay: 10 * time.Second, isLongRunning: true},
 		"repetition of an earlier": {delay: 10 * time.Second, recorded: true},
 	}
 	for name, test := range tests {
@@ -40,7 +40,7 @@
 			service := intake.New(intake.Config{
 				Store: store, EventLog: nopEventLog{}, StartDelay: func() time.Duration { return test.delay },
 			})
-			err := service.Submit(t.Context(), queue, jobID, specOf(test.longRunning))
+			err := service.Submit(t.Context(), queue, jobID, specOf(test.isLongRunning))
 			if test.retryAfter == 0 {
 				require.NoError(t, err)
 				return
@@ -53,6 +53,6 @@
 	}
 }
 
-func specOf(longRunning bool) acaciatally.JobSpec {
-	return acaciatally.JobSpec{Payload: "work", Steps: []acaciatally.Step{{Count: 1, LongRunning: longRunning}}}
+func specOf(isLongRunning bool) acaciatally.JobSpec {
+	return acaciatally.JobSpec{Payload: "work", Steps: []acaciatally.Step{{Count: 1, LongRunning: isLongRunning}}}
 }
