--- a/intake/service_test.go
+++ b/intake/service_test.go
@@ -19,10 +19,10 @@
 	recorded, err := job.EncodeProgress(job.Progress{State: acaciatally.JobRunning, Digest: job.Digest(specOf(false))})
 	require.NoError(t, err)
 	tests := map[string]struct {
-		delay       time.Duration
+		delay         time.Duration
 		isLongRunning bool
-		recorded    bool
-		retryAfter  time.Duration // of the refusal; 0 if the job is accepted
+		recorded      bool
+		retryAfter    time.Duration // of the refusal; 0 if the job is accepted
 	}{
 		"leader keeps up":          {delay: 0},
 		"short delay":              {delay: 3 * time.Second},
