--- a/dispatch/event_log.go
+++ b/dispatch/event_log.go
@@ -18,6 +18,8 @@
 	RunDropped(task acaciatally.TaskRef, attempt int, worker acaciatally.WorkerID, reason string)
 	// RunOrdered logs the result of an order about a run.
 	RunOrdered(order string, task acaciatally.TaskRef, attempt int, worker acaciatally.WorkerID, err error)
+	// StartsHeld logs that start orders are held back because the leader has as many in flight as its window allows.
+	StartsHeld(held int, window StartWindowState)
 	// RunEnded logs the end of a run as listed by a worker; counts is false if the run is not the current one of a known task.
 	RunEnded(ended acaciatally.EndedTask, worker acaciatally.WorkerID, counts bool)
 	// WorkerChanged logs a new state of a worker as the leader sees it, and the age of the worker's last report.
--- a/dispatch/order.go
+++ b/dispatch/order.go
@@ -65,6 +65,7 @@
 // startOrders returns the start orders of the recorded runs, as many as the window allows.
 func (s *Scheduler) startOrders(due []*task, now time.Duration) (orders []Order) {
 	s.heldStarts = s.starts.take(len(due))
+	s.logHeldStarts(now)
 	if s.heldStarts > 0 {
 		slices.SortFunc(due, func(a, b *task) int { return compareJobs(a.job, b.job) })
 	}
--- a/dispatch/start_window.go
+++ b/dispatch/start_window.go
@@ -14,8 +14,19 @@
 	minWindowSamples = 8
 	windowDecrease   = 0.6
 	windowIncrease   = 1.5
+	// heldLogInterval is the minimum time between two log lines about start orders that are held back.
+	heldLogInterval = 500 * time.Millisecond
 )
 
+// StartWindowState is the state of the window of start orders in flight, for the log.
+type StartWindowState struct {
+	Size     int
+	InFlight int
+	Finished int           // answers since the window last changed
+	Slow     int           // slow ones of the answers
+	Delay    time.Duration // how long the tasks of a job submitted now would wait
+}
+
 // startWindow limits the start orders in flight when more tasks can start than the leader's link or processors carry. Without a limit the
 // orders queue in the leader until they time out and are sent again, which leaves no room for renewals of leases and reports of ends.
 type startWindow struct {
@@ -25,6 +36,7 @@
 	finished  int  // answers since the last change
 	slow      int  // slow ones of the answers
 	limited   bool // orders were held back since the last change
+	nextLogAt time.Duration
 }
 
 func newStartWindow() startWindow { return startWindow{size: initialStartWindow} }
@@ -57,3 +69,14 @@
 	}
 	w.changedAt, w.finished, w.slow, w.limited = now, 0, 0, false
 }
+
+// logHeldStarts logs the state of the window while start orders are held back, at most once per heldLogInterval.
+func (s *Scheduler) logHeldStarts(now time.Duration) {
+	if s.heldStarts == 0 || now < s.starts.nextLogAt {
+		return
+	}
+	s.starts.nextLogAt = now + heldLogInterval
+	s.config.EventLog.StartsHeld(s.heldStarts, StartWindowState{
+		Size: int(s.starts.size), InFlight: s.starts.inFlight, Finished: s.starts.finished, Slow: s.starts.slow, Delay: s.StartDelay(now),
+	})
+}
--- a/eventlog/events.go
+++ b/eventlog/events.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/acaciatally/acaciatally"
+	"github.com/acaciatally/acaciatally/dispatch"
 )
 
 // JobLoaded logs a job that the leader has loaded.
@@ -39,6 +40,12 @@
 		Str("Worker", string(worker)).Err(err).Msg("")
 }
 
+// StartsHeld logs that start orders are held back, and the window of those in flight.
+func (l *Logger) StartsHeld(held int, window dispatch.StartWindowState) {
+	l.line("StartsHeld").Int("Held", held).Int("Window", window.Size).Int("InFlight", window.InFlight).Int("Finished", window.Finished).
+		Int("Slow", window.Slow).Dur("Delay", window.Delay).Msg("")
+}
+
 // RunEnded logs the end of a run as listed by a worker; counts is false if the run is not the current one of a known task.
 func (l *Logger) RunEnded(ended acaciatally.EndedTask, worker acaciatally.WorkerID, counts bool) {
 	l.count("RunEnded" + string(ended.End))
