--- a/dispatch/runner.go
+++ b/dispatch/runner.go
@@ -14,8 +14,11 @@
 )
 
 const (
-	// eventBatchTime is how long events are collected before the next round of decisions.
-	eventBatchTime = 3 * time.Millisecond
+	// minEventBatchTime is the minimum time for which events are collected before the next round of decisions.
+	minEventBatchTime = 3 * time.Millisecond
+	// eventBatchFactor is the ratio of the time for which events are collected to the time that the last round took. It leaves most of the
+	// processor to the calls that the rounds decide on, when a large fleet or backlog makes rounds slow.
+	eventBatchFactor = 3
 	// roundInterval limits the delay of decisions that depend only on time.
 	roundInterval = 50 * time.Millisecond
 	// followTimeout is the long-poll timeout for table changes; it limits how long a dead connection goes unnoticed.
@@ -100,26 +103,35 @@
 func (r *Runner) eventLoop(ctx context.Context) error {
 	ticker := time.NewTicker(roundInterval)
 	defer ticker.Stop()
+	roundTime := time.Duration(0) // time that the last round took
 	for {
 		select {
 		case <-ctx.Done():
 			return nil
 		case f := <-r.events:
 			f()
-			if err := r.collectEvents(ctx); err != nil {
+			if err := r.collectEvents(ctx, batchTime(roundTime)); err != nil {
 				return nil //nolint:nilerr // the leadership has ended
 			}
 		case <-ticker.C:
 		}
 		if r.allLoaded && r.config.Leads() {
+			startedAt := r.config.Now()
 			r.round(ctx)
+			roundTime = r.config.Now() - startedAt
+			ticker.Reset(roundInterval)
 		}
 	}
 }
 
-// collectEvents handles the events that arrive within eventBatchTime.
-func (r *Runner) collectEvents(ctx context.Context) error {
-	timer := time.NewTimer(eventBatchTime)
+// batchTime returns how long events are collected after a round that took the given time.
+func batchTime(roundTime time.Duration) time.Duration {
+	return min(roundInterval, max(minEventBatchTime, eventBatchFactor*roundTime))
+}
+
+// collectEvents handles the events that arrive within the given time.
+func (r *Runner) collectEvents(ctx context.Context, batchTime time.Duration) error {
+	timer := time.NewTimer(batchTime)
 	defer timer.Stop()
 	for {
 		select {
--- a/dispatch/runner_test.go
+++ b/dispatch/runner_test.go
@@ -71,3 +71,37 @@
 	require.Len(t, again, 1)
 	require.Equal(t, order.Start.RunOrder, again[0].Start.RunOrder)
 }
+
+// TestRoundsStarveCalls guards against rounds of decisions that follow each other as soon as an event arrives, however long each takes: with
+// a large fleet and a backlog they left no processor time for the orders, renewals and commits that they had decided on.
+func TestRoundsStarveCalls(t *testing.T) {
+	const (
+		roundTime = 10 * time.Millisecond
+		duration  = 2 * time.Second
+		maxShare  = 0.35
+	)
+	synctest.Test(t, func(t *testing.T) {
+		startedAt := time.Now()
+		inRounds := time.Duration(0)
+		r := NewRunner(RunnerConfig{
+			Configuration: func() *acaciatally.Configuration { return nil }, Leads: func() bool { return true },
+			Now: func() time.Duration { return time.Since(startedAt) },
+			Round: func(*Scheduler, time.Duration) {
+				time.Sleep(roundTime)
+				inRounds += roundTime
+			},
+		})
+		r.allLoaded = true
+		ctx, cancel := context.WithTimeout(t.Context(), duration)
+		defer cancel()
+		go func() {
+			for ctx.Err() == nil {
+				r.Post(ctx, func() {})
+				time.Sleep(time.Millisecond)
+			}
+		}()
+		require.NoError(t, r.eventLoop(ctx))
+		require.Less(t, inRounds.Seconds()/duration.Seconds(), maxShare)
+		require.Greater(t, inRounds.Seconds()/duration.Seconds(), maxShare/3, "rounds go on")
+	})
+}
