--- a/dispatch/runner_test.go
+++ b/dispatch/runner_test.go
@@ -94,13 +94,14 @@
 		r.allLoaded = true
 		ctx, cancel := context.WithTimeout(t.Context(), duration)
 		defer cancel()
-		go func() {
+		r.runCall(func() {
 			for ctx.Err() == nil {
 				r.Post(ctx, func() {})
 				time.Sleep(time.Millisecond)
 			}
-		}()
+		})
 		require.NoError(t, r.eventLoop(ctx))
+		r.calls.Wait()
 		require.Less(t, inRounds.Seconds()/duration.Seconds(), maxShare)
 		require.Greater(t, inRounds.Seconds()/duration.Seconds(), maxShare/3, "rounds go on")
 	})
