--- a/dispatch/commit.go
+++ b/dispatch/commit.go
@@ -251,6 +251,7 @@
 		for _, run := range committed.planned {
 			if run.task.assigned() && run.task.attempt == run.attempt && run.task.stage == stagePlanned {
 				run.task.stage = stageRecorded
+				run.task.markOrderDue()
 			}
 		}
 		for _, end := range committed.ends {
--- a/dispatch/jobs.go
+++ b/dispatch/jobs.go
@@ -148,5 +148,6 @@
 	}
 	if t.stopReason == "" || reason == stopJobEnded {
 		t.stopReason = reason
+		t.markOrderDue()
 	}
 }
--- a/dispatch/order.go
+++ b/dispatch/order.go
@@ -13,6 +13,8 @@
 	orderRetry = 100 * time.Millisecond
 	// maxStartAttempts is the number of unconfirmed start orders after which a run is stopped and the task is placed again.
 	maxStartAttempts = 5
+	// fullScanInterval is the interval at which the runs of all workers are searched for orders.
+	fullScanInterval = 100 * time.Millisecond
 	// notSentAvoidTime is how long a task avoids a worker to which its start order could not be sent, if there are other workers.
 	notSentAvoidTime = time.Second
 )
@@ -38,28 +40,57 @@
 	sentAt  time.Duration
 }
 
-// Orders returns the orders to send now. Start orders are limited by the window of those in flight; the most urgent are sent first.
+// Orders returns the orders to send now. Start orders are limited by the window of those in flight; the most urgent are sent first. Only
+// the workers marked by markOrderDue are looked at, and all workers once per fullScanInterval, so that the time that a round takes does
+// not grow with the runs in progress.
 func (s *Scheduler) Orders(now time.Duration) (orders []Order) {
+	fullScan := now >= s.nextFullScanAt
+	if fullScan {
+		s.nextFullScanAt = now + fullScanInterval
+	}
 	var starts []*task
 	for _, w := range s.workers {
-		if w.lost || !w.reported {
+		if w.lost || !w.reported || !(w.orderDue || fullScan) {
 			continue
 		}
-		for t := range w.runs {
-			if t.startDue(now) {
-				starts = append(starts, t)
-			} else if order, found := s.nextOrder(w, t, now); found {
-				orders = append(orders, order)
-			}
+		w.orderDue = false
+		starts, orders = s.workerOrders(w, starts, orders, now)
+	}
+	return append(orders, s.startOrders(starts, now)...)
+}
+
+// workerOrders appends the start orders due on a worker to starts and its other orders to orders.
+func (s *Scheduler) workerOrders(w *worker, starts []*task, orders []Order, now time.Duration) ([]*task, []Order) {
+	for t := range w.runs {
+		if t.startDue(now) {
+			starts = append(starts, t)
+		} else if order, found := s.nextOrder(w, t, now); found {
+			orders = append(orders, order)
 		}
-		for run := range w.orphans {
-			if !w.stoppingOrphans[run] {
-				w.stoppingOrphans[run] = true
-				orders = append(orders, s.newOrder(w, OrderStop, run, now))
-			}
+		w.orderDue = w.orderDue || t.orderPending()
+	}
+	for run := range w.orphans {
+		if !w.stoppingOrphans[run] {
+			w.stoppingOrphans[run] = true
+			orders = append(orders, s.newOrder(w, OrderStop, run, now))
 		}
 	}
-	return append(orders, s.startOrders(starts, now)...)
+	return starts, orders
+}
+
+// orderPending reports whether an order about the run is due, now or after a delay.
+func (t *task) orderPending() bool {
+	if t.stopReason != "" {
+		return t.stoppedAt == 0 && !t.stopInFlight
+	}
+	return t.stage == stageRecorded || t.stage == stageRunning && t.cpuShare != t.cpuShareWanted
+}
+
+// markOrderDue makes the next round look for orders about the runs of the task's worker.
+func (t *task) markOrderDue() {
+	if t.worker != nil {
+		t.worker.orderDue = true
+	}
 }
 
 // startOrders returns the start orders of the recorded runs, as many as the window allows.
@@ -157,6 +188,7 @@
 	if t.worker == nil || t.worker != w || t.attempt != order.run.attempt {
 		return // the run was released in the meantime
 	}
+	defer t.markOrderDue()
 	if errors.Is(err, acaciatally.ErrWorkerMismatch) {
 		s.markLost(w, "another worker answers at its address", now)
 		return
--- a/dispatch/report.go
+++ b/dispatch/report.go
@@ -43,6 +43,7 @@
 		}
 	}
 	w.orphans = orphans
+	w.orderDue = w.orderDue || len(orphans) > 0
 	s.throttle(w, now)
 	s.releaseMissing(w, listed, sent)
 	w.advanceAcknowledged()
--- a/dispatch/scheduler.go
+++ b/dispatch/scheduler.go
@@ -31,6 +31,7 @@
 	deferredJobs    []deferredJob   // jobs whose ID is in use by a job of another queue
 	nextCheckAt     time.Duration   // time of the next check for stalled runs and workers to drain
 	nextPlacementAt time.Duration   // time of the next placement, even if nothing has changed
+	nextFullScanAt  time.Duration   // time of the next search of all workers for orders
 	busyWorkers     int             // workers with runs
 	fenceBumps      uint64          // incremented to invalidate orders that are still in flight
 	arrivals        map[acaciatally.PoolName]*arrivals
--- a/dispatch/throttle.go
+++ b/dispatch/throttle.go
@@ -32,6 +32,7 @@
 		}
 		if wanted := nextCPUShare(t.cpuShareWanted, worst); wanted != t.cpuShareWanted {
 			t.cpuShareWanted = wanted
+			t.markOrderDue()
 			w.throttledAt = now
 		}
 	}
--- a/dispatch/worker.go
+++ b/dispatch/worker.go
@@ -41,6 +41,7 @@
 	stoppingOrphans   map[runKey]bool // orphans with a stop order in flight
 	runs              map[*task]bool  // assigned tasks
 	load              load            // of the assigned tasks
+	orderDue          bool            // an order about one of its runs may be due; see Scheduler.Orders
 	health            health
 	throttledAt       time.Duration // when the CPU share of its runs was last changed
 	idleSince         time.Duration // when a run was last seen on it
