--- /dev/null
+++ b/eventlog/buffered_output.go
@@ -0,0 +1,46 @@
+package eventlog
+
+import (
+	"bufio"
+	"io"
+	"sync"
+	"time"
+)
+
+const (
+	// outputBufferBytes is the amount of buffered lines that is written at once.
+	outputBufferBytes = 32 << 10
+	// flushDelay bounds how long a line stays in the buffer; a process that is killed loses the lines of that time.
+	flushDelay = 50 * time.Millisecond
+)
+
+// bufferedOutput writes lines in batches, because each write is a system call.
+type bufferedOutput struct {
+	mutex     sync.Mutex
+	buffer    *bufio.Writer
+	scheduled bool // a flush is scheduled
+}
+
+func newBufferedOutput(output io.Writer) *bufferedOutput {
+	return &bufferedOutput{buffer: bufio.NewWriterSize(output, outputBufferBytes)}
+}
+
+// Write adds a line to the buffer.
+func (o *bufferedOutput) Write(line []byte) (n int, err error) {
+	o.mutex.Lock()
+	defer o.mutex.Unlock()
+	n, err = o.buffer.Write(line)
+	if !o.scheduled {
+		o.scheduled = true
+		time.AfterFunc(flushDelay, func() { _ = o.Flush() }) // the error is returned by the next write
+	}
+	return n, err
+}
+
+// Flush writes the buffered lines.
+func (o *bufferedOutput) Flush() error {
+	o.mutex.Lock()
+	defer o.mutex.Unlock()
+	o.scheduled = false
+	return o.buffer.Flush()
+}
--- a/eventlog/logger.go
+++ b/eventlog/logger.go
@@ -1,6 +1,7 @@
 package eventlog
 
 import (
+	"errors"
 	"fmt"
 	"io"
 	"sync"
@@ -27,6 +28,7 @@
 type Logger struct {
 	logger            *log.Logger
 	writer            *log.AsyncWriter
+	output            *bufferedOutput
 	limiter           *rate.Limiter
 	metricSet         *metrics.Set
 	submissions       *metrics.Histogram // seconds from the receipt of a submission to its answer
@@ -38,9 +40,10 @@
 // New returns a logger that writes JSON lines to output, each with the name of the process.
 func New(output io.Writer, name string) *Logger {
 	metricSet := metrics.NewSet()
-	writer := &log.AsyncWriter{ChannelSize: maxPendingLines, DiscardOnFull: true, Writer: &log.IOWriter{Writer: output}}
+	buffered := newBufferedOutput(output)
+	writer := &log.AsyncWriter{ChannelSize: maxPendingLines, DiscardOnFull: true, Writer: &log.IOWriter{Writer: buffered}}
 	return &Logger{
-		writer: writer,
+		writer: writer, output: buffered,
 		logger: &log.Logger{
 			Level: log.InfoLevel, TimeField: "Time", TimeFormat: "2006-01-02T15:04:05.000Z07:00", Writer: writer,
 			Context: log.NewContext(nil).Str("Process", name).Value(),
@@ -59,7 +62,7 @@
 }
 
 // Close writes the pending lines and closes the log.
-func (l *Logger) Close() error { return l.writer.Close() }
+func (l *Logger) Close() error { return errors.Join(l.writer.Close(), l.output.Flush()) }
 
 // Dropped returns the number of lines dropped by the rate limit since the last report of dropped lines in the log.
 func (l *Logger) Dropped() int64 { return l.dropped.Load() }
--- a/eventlog/logger_test.go
+++ b/eventlog/logger_test.go
@@ -5,6 +5,7 @@
 	"strings"
 	"sync"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/stretchr/testify/require"
@@ -76,3 +77,26 @@
 		require.Contains(t, line, part)
 	}
 }
+
+// countingWriter counts the calls of Write.
+type countingWriter struct{ calls int }
+
+func (c *countingWriter) Write(p []byte) (int, error) {
+	c.calls++
+	return len(p), nil
+}
+
+// TestWritesBatched guards against a leader that makes one system call for each of some thousand lines a second, and against lines that
+// stay in the buffer.
+func TestWritesBatched(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		output := &countingWriter{}
+		logger := eventlog.New(output, "entry-1")
+		for range 50 {
+			logger.JobEnded("job", "queue", acaciatally.JobCompleted)
+		}
+		time.Sleep(time.Second)
+		require.Equal(t, 1, output.calls)
+		require.NoError(t, logger.Close())
+	})
+}
