--- a/dispatch/start_window.go
+++ b/dispatch/start_window.go
@@ -12,7 +12,10 @@
 	windowInterval = 200 * time.Millisecond
 	// minWindowSamples is the number of answers that a change of the window takes, so that one worker that hangs does not lower it.
 	minWindowSamples = 8
-	windowDecrease   = 0.6
+	// congestedShare is the share of slow answers from which the leader itself counts as congested. A full link or processor delays all
+	// answers; workers that do not answer delay only their own, while those of the others are fast.
+	congestedShare = 0.8
+	windowDecrease = 0.6
 	windowIncrease   = 1.5
 	// heldLogInterval is the minimum time between two log lines about start orders that are held back.
 	heldLogInterval = 500 * time.Millisecond
@@ -50,8 +53,8 @@
 	return held
 }
 
-// finish counts the result of a start order that was sent the given time ago. The window shrinks while most
-// orders are slow, and grows while it holds orders back that would be fast.
+// finish counts the result of a start order that was sent the given time ago. The window shrinks while nearly all answers are slow, and
+// grows while it holds back orders of which some would be fast.
 func (w *startWindow) finish(took, now time.Duration) {
 	w.inFlight--
 	w.finished++
@@ -62,7 +65,7 @@
 		return
 	}
 	switch {
-	case 2*w.slow > w.finished:
+	case float64(w.slow) > congestedShare*float64(w.finished):
 		w.size = max(minStartWindow, w.size*windowDecrease)
 	case w.limited:
 		w.size = min(maxStartWindow, w.size*windowIncrease)
--- a/dispatch/start_window_test.go
+++ b/dispatch/start_window_test.go
@@ -10,14 +10,14 @@
 	"github.com/acaciatally/acaciatally"
 )
 
-// TestStartWindow guards against start orders that pile up in a leader whose link or processors carry no more, and against a window that a
-// single worker without answers closes for all others.
+// TestStartWindow guards against start orders that pile up in a leader whose link or processors carry no more, and against a window that
+// workers without answers close for all others.
 func TestStartWindow(t *testing.T) {
 	tests := map[string]struct {
 		slowShare int // of ten answers
 		grows     bool
 	}{
-		"all fast": {0, true}, "one worker hangs": {1, true}, "link is full": {10, false},
+		"all fast": {0, true}, "one worker hangs": {1, true}, "half of the answers are missing": {6, true}, "link is full": {10, false},
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
@@ -76,6 +76,49 @@
 	require.Zero(t, eventLog.counts["WorkerChanged quarantined: starts not confirmed"])
 }
 
+// TestSilentWorkers replays a fleet in which every second start order gets no answer, with room for all tasks. What the workers do not answer
+// must not hold back the starts on the others, and callers must not be refused for it.
+func TestSilentWorkers(t *testing.T) {
+	const (
+		timeout  = 500 * time.Millisecond
+		interval = 10 * time.Millisecond
+		duration = 6 * time.Second
+	)
+	scheduler, _ := newScheduler()
+	workers := []acaciatally.Worker{}
+	for i := range 200 {
+		workers = append(workers, testWorker(i+1))
+	}
+	reportIdle(scheduler, workers...)
+	var silent []Order
+	loaded, started := 0, 0
+	for now := time.Duration(0); now < duration; now += interval {
+		if loaded < int(now.Seconds()*25) {
+			loadJob(scheduler, acaciatally.JobID(fmt.Sprintf("%08x", loaded)), now, testStep(8, 1000))
+			loaded++
+		}
+		for _, w := range workers {
+			scheduler.Report(w.ID, runningReport(scheduler, w, now), now, now)
+		}
+		for len(silent) > 0 && now >= silent[0].sentAt+timeout {
+			scheduler.OrderResult(silent[0], acaciatally.ErrUnknownOutcome, now)
+			silent = silent[1:]
+		}
+		scheduler.Plan(now, time.UnixMilli(0))
+		commitAll(scheduler, now)
+		for i, order := range scheduler.Orders(now) {
+			if i%2 == 0 {
+				silent = append(silent, order)
+				continue
+			}
+			started++
+			scheduler.OrderResult(order, nil, now)
+		}
+		require.Zero(t, scheduler.StartDelay(now), "callers would be refused at %v", now)
+	}
+	require.Greater(t, started, loaded*8*8/10)
+}
+
 // runningReport returns a report of a worker that runs what was started on it.
 func runningReport(scheduler *Scheduler, w acaciatally.Worker, now time.Duration) acaciatally.WorkerReport {
 	report := acaciatally.WorkerReport{Clock: now, StartTime: w.StartTime}
