--- /dev/null
+++ b/dispatch/crash.go
@@ -0,0 +1,158 @@
+package dispatch
+
+import (
+	"time"
+
+	"github.com/acaciatally/acaciatally"
+	"github.com/acaciatally/acaciatally/job"
+)
+
+// A task may crash each worker that starts it. The leader sees only that a worker has ended and which runs it had lately been given, so it
+// suspects all of these, keeps the suspects of different jobs on different workers from then on, and gives up a task that remains.
+
+const (
+	// crashWindow is how long before the last report of a crashed worker a run may have been started to be suspected of the crash. A run
+	// that has gone on for longer has not crashed the worker by its start.
+	crashWindow = time.Second
+	// acquittalTime is how long a suspected task has to run for the suspicion to end.
+	acquittalTime = 2 * time.Second
+	// maxCrashes is the number of crashed workers after which a suspected task is given up.
+	maxCrashes = 3
+	// maxCrashesAlone is the same for a task of which no other job was suspected in the last crash; tasks that run until they are cancelled
+	// are only given up after maxCrashes.
+	maxCrashesAlone = 2
+)
+
+// suspectRuns are runs that ended with their worker, of which it is not known yet whether it crashed or could only not be reached.
+type suspectRuns struct {
+	runs        []suspectRun
+	workerStart time.Time
+}
+
+type suspectRun struct {
+	task *task
+	run  runKey
+}
+
+// suspectsOn returns the runs that were started so late that they may have crashed their worker. A worker that drains ends by itself.
+func (s *Scheduler) suspectsOn(w *worker) (suspects []suspectRun) {
+	if w.entry.Draining {
+		return nil
+	}
+	for t := range w.runs {
+		if t.startedAfter(w.reportedAt - crashWindow) {
+			suspects = append(suspects, suspectRun{t, t.runKey()})
+		}
+	}
+	return suspects
+}
+
+// startedAfter reports whether the first start order of the run was sent after the given time, or by an earlier leader at a time that is not
+// known.
+func (t *task) startedAfter(at time.Duration) bool {
+	if t.stage == stageInherited {
+		return !t.step.LongRunning
+	}
+	return t.startAttempts > 0 && t.startSentAt > at
+}
+
+// holdSuspects keeps the suspects of a worker that could not be reached until its lease had expired. If a later worker appears on its
+// instance, the worker has crashed.
+func (s *Scheduler) holdSuspects(w *worker) {
+	if suspects := s.suspectsOn(w); len(suspects) > 0 && w.entry.Instance != "" {
+		s.suspects[w.entry.Instance] = suspectRuns{suspects, w.entry.StartTime}
+	}
+}
+
+// confirmCrash counts a crash against the held suspects of the instance if a worker that started later is listed there.
+func (s *Scheduler) confirmCrash(instance acaciatally.InstanceID, workerStart time.Time) {
+	if held, found := s.suspects[instance]; found && workerStart.After(held.workerStart) {
+		delete(s.suspects, instance)
+		s.countCrash(held.runs)
+	}
+}
+
+// dropSuspects drops the held suspects of a worker that has responded again, so it had not crashed.
+func (s *Scheduler) dropSuspects(w *worker) {
+	if held, found := s.suspects[w.entry.Instance]; found && !w.entry.StartTime.After(held.workerStart) {
+		delete(s.suspects, w.entry.Instance)
+	}
+}
+
+// countCrash counts the crash of a worker against the suspects, and gives up those that have crashed too many.
+func (s *Scheduler) countCrash(suspects []suspectRun) {
+	alone := ofOneJob(suspects)
+	for _, suspect := range suspects {
+		t := suspect.task
+		if !t.job.live() || t.phase == job.Done {
+			continue
+		}
+		t.crashes++
+		t.job.dirty = true
+		s.config.EventLog.CrashCounted(t.ref, suspect.run.attempt, t.crashes, len(suspects))
+		if t.crashes >= maxCrashes || (alone && !t.step.LongRunning && t.crashes >= maxCrashesAlone) {
+			s.endJob(t.job, acaciatally.JobFailed)
+		}
+	}
+}
+
+func ofOneJob(suspects []suspectRun) bool {
+	for _, suspect := range suspects {
+		if suspect.task.job != suspects[0].task.job {
+			return false
+		}
+	}
+	return true
+}
+
+// countRestart counts the restart of a worker under its ID against the suspects that its first report does not list.
+func (s *Scheduler) countRestart(w *worker, listed map[runKey]bool) {
+	var lost []suspectRun
+	for _, suspect := range w.suspects {
+		if !listed[suspect.run] {
+			lost = append(lost, suspect)
+		}
+	}
+	w.suspects = nil
+	s.countCrash(lost)
+}
+
+// acquit ends the suspicion against a task that has run for acquittalTime.
+func (t *task) acquit(now time.Duration) {
+	if t.crashes == 0 || t.stage != stageRunning || now < t.confirmedAt+acquittalTime {
+		return
+	}
+	t.crashes = 0
+	t.job.dirty = true
+	t.leaveSuspects()
+}
+
+// joinSuspects adds an assigned task to the suspected runs of its worker.
+func (t *task) joinSuspects() {
+	if t.crashes > 0 {
+		t.countedAsSuspect = true
+		t.worker.suspectRuns++
+	}
+}
+
+// leaveSuspects removes a task from the suspected runs of its worker.
+func (t *task) leaveSuspects() {
+	if t.countedAsSuspect {
+		t.countedAsSuspect = false
+		t.worker.suspectRuns--
+	}
+}
+
+// keepsSuspectsApart reports whether the task may join the worker: a suspected one only if no task of another job is suspected there, so
+// that the next crash tells which it was.
+func (c *candidate) keepsSuspectsApart(t *task) bool {
+	if t.crashes == 0 || c.w.suspectRuns == 0 {
+		return true
+	}
+	for other := range c.w.runs {
+		if other.countedAsSuspect && other.job != t.job {
+			return false
+		}
+	}
+	return true
+}
--- /dev/null
+++ b/dispatch/crash_test.go
@@ -0,0 +1,242 @@
+package dispatch
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/acaciatally/acaciatally"
+	"github.com/acaciatally/acaciatally/job"
+)
+
+const (
+	// crashStep is the time between two rounds of a crashSimulation.
+	crashStep = 50 * time.Millisecond
+	// startLimit is the number of starts that a task may have under which workers crash: three, and fewer than three more.
+	startLimit = 5
+)
+
+// crashSimulation runs a scheduler whose workers crash when they start a task of the job "dd". All other tasks take a second.
+type crashSimulation struct {
+	scheduler *Scheduler
+	workers   map[acaciatally.InstanceID]acaciatally.Worker
+	downUntil map[acaciatally.InstanceID]time.Duration
+	crashed   map[acaciatally.InstanceID]acaciatally.Worker // as they were before the crash
+	runs      map[acaciatally.WorkerID][]simulatedRun
+	ends      map[acaciatally.WorkerID]uint64
+	starts    map[acaciatally.TaskRef]int
+	downTime  time.Duration
+	keepsID   bool // workers start again under the same ID
+}
+
+func newCrashSimulation(workers int, downTime time.Duration, keepsID bool) *crashSimulation {
+	scheduler, _ := newScheduler()
+	c := &crashSimulation{
+		scheduler: scheduler, workers: map[acaciatally.InstanceID]acaciatally.Worker{}, downUntil: map[acaciatally.InstanceID]time.Duration{},
+		crashed: map[acaciatally.InstanceID]acaciatally.Worker{}, runs: map[acaciatally.WorkerID][]simulatedRun{},
+		ends: map[acaciatally.WorkerID]uint64{}, starts: map[acaciatally.TaskRef]int{}, downTime: downTime, keepsID: keepsID,
+	}
+	for i := range workers {
+		w := testWorker(i + 1)
+		c.workers[w.Instance] = w
+	}
+	return c
+}
+
+// run runs rounds from one time to another.
+func (c *crashSimulation) run(from, to time.Duration) {
+	for now := from; now < to; now += crashStep {
+		c.restart(now)
+		c.scheduler.SetDirectory(c.listed(), now)
+		for _, w := range c.workers {
+			if now < c.downUntil[w.Instance] {
+				c.scheduler.RenewalFailed(w.ID, acaciatally.ErrUnavailable, now)
+				continue
+			}
+			c.scheduler.Report(w.ID, c.report(w, now), now, now)
+		}
+		for _, order := range startDue(c.scheduler, now) {
+			c.start(order, now)
+		}
+	}
+}
+
+// listed returns the directory; the record of a crashed worker stays until another one takes its place.
+func (c *crashSimulation) listed() (workers []acaciatally.Worker) {
+	for _, w := range c.workers {
+		workers = append(workers, w)
+	}
+	return workers
+}
+
+func (c *crashSimulation) start(order Order, now time.Duration) {
+	w, task := c.workers[order.Worker.Instance], order.Start.Task
+	if w.ID != order.Worker.ID || now < c.downUntil[w.Instance] {
+		return
+	}
+	c.starts[task]++
+	if task.Job == "dd" {
+		c.downUntil[w.Instance] = now + c.downTime
+		delete(c.runs, w.ID)
+		return
+	}
+	c.runs[w.ID] = append(c.runs[w.ID], simulatedRun{task, order.Start.Attempt, now + time.Second})
+}
+
+// restart starts the crashed workers whose time is over again.
+func (c *crashSimulation) restart(now time.Duration) {
+	for instance, until := range c.downUntil {
+		if now < until {
+			continue
+		}
+		delete(c.downUntil, instance)
+		w := c.workers[instance]
+		if !c.keepsID {
+			w.ID += "+"
+		}
+		w.StartTime = time.UnixMilli(1000 + until.Milliseconds())
+		c.ends[w.ID] = 0
+		c.workers[instance] = w
+	}
+}
+
+func (c *crashSimulation) report(w acaciatally.Worker, now time.Duration) acaciatally.WorkerReport {
+	report := acaciatally.WorkerReport{Clock: now, StartTime: w.StartTime}
+	var left []simulatedRun
+	for _, run := range c.runs[w.ID] {
+		if run.endsAt > now {
+			left = append(left, run)
+			report.Running = append(report.Running, acaciatally.RunningTask{Task: run.task, Attempt: run.attempt, Percent: int(now / crashStep)})
+			continue
+		}
+		c.ends[w.ID]++
+		report.Ended = append(report.Ended, acaciatally.EndedTask{Number: c.ends[w.ID], Task: run.task, Attempt: run.attempt, End: acaciatally.EndDone})
+	}
+	c.runs[w.ID] = left
+	return report
+}
+
+// TestTaskCrashesWorkers guards against a task that crashes one worker after the other without end, and against giving up other tasks that
+// were lost with it.
+func TestTaskCrashesWorkers(t *testing.T) {
+	tests := map[string]struct {
+		downTime    time.Duration
+		keepsID     bool
+		longRunning bool
+		maxStarts   int
+	}{
+		"new worker on the instance":       {3 * time.Second, false, false, 3},
+		"same worker again":                {3 * time.Second, true, false, 3},
+		"new worker after the lease":       {9 * time.Second, false, false, startLimit},
+		"same worker after the lease":      {9 * time.Second, true, false, startLimit},
+		"task that runs until cancelled":   {3 * time.Second, false, true, 3},
+		"same worker again within a round": {crashStep, true, false, 3},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			c := newCrashSimulation(6, test.downTime, test.keepsID)
+			c.run(0, crashStep)
+			step := testStep(1, 1000)
+			step.LongRunning = test.longRunning
+			loadJob(c.scheduler, "aa", 0, testStep(3, 1000), testStep(1, 1000))
+			loadJob(c.scheduler, "dd", 0, step)
+			loadJob(c.scheduler, "ee", 0, testStep(3, 1000))
+			deadly := c.scheduler.jobs["dd"]
+			innocent := []*activeJob{c.scheduler.jobs["aa"], c.scheduler.jobs["ee"]}
+			c.run(crashStep, time.Minute)
+			require.Equal(t, acaciatally.JobFailed, deadly.state)
+			require.LessOrEqual(t, c.starts[acaciatally.TaskRef{Job: "dd"}], test.maxStarts)
+			for _, j := range innocent {
+				require.Equal(t, acaciatally.JobCompleted, j.state, "job %s", j.id)
+			}
+			for _, w := range c.scheduler.workers {
+				require.Zero(t, w.suspectRuns, "%s", w.entry.ID)
+			}
+		})
+	}
+}
+
+// TestCrashesRecorded guards against a count of crashes that starts again with each leader.
+func TestCrashesRecorded(t *testing.T) {
+	c := newCrashSimulation(2, 3*time.Second, false)
+	c.run(0, crashStep)
+	loadJob(c.scheduler, "dd", 0, testStep(1, 1000))
+	deadly := c.scheduler.jobs["dd"]
+	for now := crashStep; deadly.openOccurrences == nil || deadly.openOccurrences[0].steps[0][0].crashes == 0; now += crashStep {
+		require.Less(t, now, time.Minute)
+		c.run(now, now+crashStep)
+	}
+	progress := deadly.progress()
+	require.Equal(t, 1, progress.Open[0].Steps[0][0].Crashes)
+	next, _ := newScheduler()
+	next.LoadJob("dd", deadly.accepted, progress, 0, 0)
+	require.Equal(t, 1, next.jobs["dd"].openOccurrences[0].steps[0][0].crashes)
+}
+
+// TestNoCrash guards against blaming tasks for workers that could not be reached, were taken away by an order, drained, or ended long after
+// the start of the task.
+func TestNoCrash(t *testing.T) {
+	tests := map[string]func(s *Scheduler, w acaciatally.Worker){
+		"not reached": func(s *Scheduler, w acaciatally.Worker) {
+			s.RenewalFailed(w.ID, acaciatally.ErrUnavailable, time.Second)
+			s.Plan(10*time.Second, time.UnixMilli(0))
+			s.Report(w.ID, acaciatally.WorkerReport{Clock: 10 * time.Second, StartTime: w.StartTime}, 10*time.Second, 10*time.Second)
+			s.SetDirectory([]acaciatally.Worker{w}, 11*time.Second)
+		},
+		"taken away by an order": func(s *Scheduler, w acaciatally.Worker) {
+			s.InstanceRemoved(w.ID, time.Second)
+			later := w
+			later.ID, later.StartTime = "i-9", time.UnixMilli(5000)
+			s.SetDirectory([]acaciatally.Worker{later}, 3*time.Second)
+		},
+		"drained": func(s *Scheduler, w acaciatally.Worker) {
+			w.Draining = true
+			s.SetDirectory([]acaciatally.Worker{w}, time.Second)
+			later := w
+			later.ID, later.StartTime, later.Draining = "i-9", time.UnixMilli(5000), false
+			s.SetDirectory([]acaciatally.Worker{w, later}, 3*time.Second)
+		},
+		"long after the start": func(s *Scheduler, w acaciatally.Worker) {
+			running := []acaciatally.RunningTask{{Task: acaciatally.TaskRef{Job: "aa"}, Attempt: 1, Percent: 50}}
+			s.Report(w.ID, acaciatally.WorkerReport{Clock: 3 * time.Second, StartTime: w.StartTime, Running: running}, 3*time.Second, 3*time.Second)
+			later := w
+			later.ID, later.StartTime = "i-9", time.UnixMilli(5000)
+			s.SetDirectory([]acaciatally.Worker{w, later}, 3*time.Second)
+		},
+	}
+	for name, happens := range tests {
+		t.Run(name, func(t *testing.T) {
+			scheduler, eventLog := newScheduler()
+			w := testWorker(1)
+			reportIdle(scheduler, w)
+			loadJob(scheduler, "aa", 0, testStep(1, 1000))
+			require.Len(t, startDue(scheduler, 0), 1)
+			happens(scheduler, w)
+			require.Zero(t, eventLog.counts["CrashCounted"])
+			require.Equal(t, job.Waiting, scheduler.jobs["aa"].openOccurrences[0].steps[0][0].phase, "the task is to be started again")
+		})
+	}
+}
+
+// TestSuspectsApart guards against suspected tasks of several jobs on one worker, of which the next crash would not tell which it was, and
+// against placing other tasks beside them while there is room elsewhere.
+func TestSuspectsApart(t *testing.T) {
+	scheduler, _ := newScheduler()
+	reportIdle(scheduler, testWorker(1), testWorker(2), testWorker(3))
+	for i, crashes := range []int{1, 1, 0, 0} {
+		id := acaciatally.JobID(fmt.Sprintf("%02d", i))
+		loadJob(scheduler, id, 0, testStep(1, 1000))
+		scheduler.openDueOccurrences(scheduler.jobs[id], 0, time.UnixMilli(0))
+		scheduler.jobs[id].openOccurrences[0].steps[0][0].crashes = crashes
+	}
+	workers := map[acaciatally.JobID]acaciatally.WorkerID{}
+	for _, order := range startDue(scheduler, 0) {
+		workers[order.Start.Task.Job] = order.Worker.ID
+	}
+	require.Len(t, workers, 4)
+	require.NotEqual(t, workers["00"], workers["01"])
+	require.Equal(t, workers["02"], workers["03"])
+	require.NotContains(t, []acaciatally.WorkerID{workers["00"], workers["01"]}, workers["02"])
+}
--- a/dispatch/order.go
+++ b/dispatch/order.go
@@ -190,6 +190,7 @@
 	}
 	defer t.markOrderDue()
 	if errors.Is(err, acaciatally.ErrWorkerMismatch) {
+		s.countCrash(s.suspectsOn(w))
 		s.markLost(w, "another worker answers at its address", now)
 		return
 	}
--- a/dispatch/plan.go
+++ b/dispatch/plan.go
@@ -132,7 +132,7 @@
 		c = s.anyCandidate(t, set.candidates, now)
 	}
 	if c == nil {
-		if len(t.avoidUntil) == 0 && t.job.accepted.Queue.Advice == nil {
+		if len(t.avoidUntil) == 0 && t.crashes == 0 && t.job.accepted.Queue.Advice == nil {
 			set.markUnplaceable(t.step)
 		}
 		if t.step.LongRunning && !t.step.Backfill {
@@ -233,7 +233,7 @@
 // hasRoom reports whether the candidate has the label and the free capacity for one more task of the step, within the limit per worker.
 func (c *candidate) hasRoom(t *task) bool {
 	step := t.step
-	return c.w.entry.HasLabel(step.Label) && c.free.Fits(step.Reserved()) && (step.PerWorker == 0 || c.siblingCount(t) < step.PerWorker)
+	return c.w.entry.HasLabel(step.Label) && c.free.Fits(step.Reserved()) && c.keepsSuspectsApart(t) && (step.PerWorker == 0 || c.siblingCount(t) < step.PerWorker)
 }
 
 func (s *Scheduler) assign(t *task, c *candidate, attempt int) {
@@ -270,6 +270,12 @@
 
 // prefers reports whether a is a better candidate for the task than b.
 func (s *Scheduler) prefers(t *task, a, b *candidate) bool {
+	if suspectsA, suspectsB := a.w.suspectRuns, b.w.suspectRuns; suspectsA != suspectsB {
+		return suspectsA < suspectsB
+	}
+	if t.crashes > 0 && a.load.runs != b.load.runs {
+		return a.load.runs < b.load.runs // if it crashes the worker, few others are lost
+	}
 	if near := acaciatally.Rack(t.step.NearRack); near != "" && (a.w.entry.Rack == near) != (b.w.entry.Rack == near) {
 		return a.w.entry.Rack == near
 	}
--- a/dispatch/report.go
+++ b/dispatch/report.go
@@ -46,6 +46,8 @@
 	w.orderDue = w.orderDue || len(orphans) > 0
 	s.throttle(w, now)
 	s.releaseMissing(w, listed, sent)
+	s.countRestart(w, listed)
+	s.dropSuspects(w)
 	w.advanceAcknowledged()
 }
 
@@ -70,6 +72,7 @@
 	if run.Checkpoint != "" {
 		t.checkpoint = run.Checkpoint
 	}
+	t.acquit(now)
 	return true
 }
 
--- a/dispatch/scheduler.go
+++ b/dispatch/scheduler.go
@@ -37,8 +37,9 @@
 	arrivals        map[acaciatally.PoolName]*arrivals
 	runTimes        map[acaciatally.QueueName]*runTimeMeans
 	permissions     map[stepKey]*stepPermissions
-	toDrain         map[acaciatally.WorkerID]string // workers to drain, and the reason
-	drainSoon       map[acaciatally.WorkerID]bool   // workers that will have to be drained soon
+	suspects        map[acaciatally.InstanceID]suspectRuns // of workers that could not be reached
+	toDrain         map[acaciatally.WorkerID]string        // workers to drain, and the reason
+	drainSoon       map[acaciatally.WorkerID]bool          // workers that will have to be drained soon
 	starts          startWindow
 	heldStarts      int // start orders that the window held back in the last round
 	startRate       startRate
@@ -58,6 +59,7 @@
 		arrivals:    map[acaciatally.PoolName]*arrivals{},
 		runTimes:    map[acaciatally.QueueName]*runTimeMeans{},
 		permissions: map[stepKey]*stepPermissions{},
+		suspects:    map[acaciatally.InstanceID]suspectRuns{},
 		toDrain:     map[acaciatally.WorkerID]string{},
 		starts:      newStartWindow(),
 		startRate:   newStartRate(),
@@ -163,6 +165,8 @@
 	attempt             int
 	worker              *worker // worker of the current run; nil without a run
 	failures            int
+	crashes             int  // workers that have crashed under the task since it was last seen to run for some time
+	countedAsSuspect    bool // it is counted in suspectRuns of its worker
 	checkpoint          string
 	stopReason          stopReason
 	stopInFlight        bool          // a stop order is in flight
@@ -191,6 +195,7 @@
 	t.phase, t.stage, t.worker = job.Assigned, s, w
 	w.runs[t] = true
 	w.load.add(t.step, 1)
+	t.joinSuspects()
 	t.job.dirty = true
 }
 
@@ -207,6 +212,7 @@
 	if t.worker != nil {
 		delete(t.worker.runs, t)
 		t.worker.load.add(t.step, -1)
+		t.leaveSuspects()
 	}
 	t.phase, t.stage, t.worker = job.Waiting, stagePlanned, nil
 	t.stopReason, t.stopInFlight, t.stoppedAt, t.startOutcomeUnknown, t.startAttempts = "", false, 0, false, 0
--- a/dispatch/start_window.go
+++ b/dispatch/start_window.go
@@ -16,7 +16,7 @@
 	// answers; workers that do not answer delay only their own, while those of the others are fast.
 	congestedShare = 0.8
 	windowDecrease = 0.6
-	windowIncrease   = 1.5
+	windowIncrease = 1.5
 	// heldLogInterval is the minimum time between two log lines about start orders that are held back.
 	heldLogInterval = 500 * time.Millisecond
 )
--- a/dispatch/worker.go
+++ b/dispatch/worker.go
@@ -41,6 +41,8 @@
 	stoppingOrphans   map[runKey]bool // orphans with a stop order in flight
 	runs              map[*task]bool  // assigned tasks
 	load              load            // of the assigned tasks
+	suspectRuns       int             // assigned tasks that are suspected of having crashed workers
+	suspects          []suspectRun    // runs that may have crashed the incarnation before, until the first report of this one
 	orderDue          bool            // an order about one of its runs may be due; see Scheduler.Orders
 	health            health
 	throttledAt       time.Duration // when the CPU share of its runs was last changed
@@ -150,6 +152,7 @@
 		w.lost = false // it was considered lost while it was not listed
 	}
 	w.listed, w.entry = true, entry
+	s.confirmCrash(entry.Instance, entry.StartTime)
 }
 
 // loseSuperseded marks workers as lost whose instance runs a worker that started later.
@@ -166,6 +169,7 @@
 	}
 	for _, w := range s.workers {
 		if other := newest[w.entry.Instance]; other != nil && other != w && !w.lost && w.entry.StartTime.Before(other.entry.StartTime) {
+			s.countCrash(s.suspectsOn(w))
 			s.markLost(w, "superseded by a newer worker on its instance", now)
 		}
 	}
@@ -209,6 +213,7 @@
 	}
 	s.config.EventLog.WorkerChanged(w.entry.ID, w.entry.Pool, "restarted", now-w.reportedAt)
 	s.raiseFence(w)
+	w.suspects = s.suspectsOn(w)
 	w.lost, w.reported, w.restartedAt, w.reportClock, w.reportedAt, w.leaseUntil, w.acknowledged = false, false, now, 0, 0, 0, 0
 	w.unackedEnds, w.lastReportHadEnds, w.health = nil, false, health{}
 	w.orphans = map[runKey]bool{}
@@ -278,6 +283,7 @@
 		return
 	}
 	if errors.Is(err, acaciatally.ErrWorkerMismatch) {
+		s.countCrash(s.suspectsOn(w))
 		s.markLost(w, "another worker answers at its address", now)
 		return
 	}
@@ -294,6 +300,7 @@
 			continue
 		}
 		if (w.renewalFailures > 0 || w.reportedAt == 0) && len(w.runs) > 0 {
+			s.holdSuspects(w)
 			s.markLost(w, "lease expired", now)
 			w.lost = !w.listed // a listed worker may answer again
 			s.raiseFence(w)
--- a/job/codec.go
+++ b/job/codec.go
@@ -29,7 +29,7 @@
 			for _, task := range tasks {
 				step.Tasks = append(step.Tasks, &jobpb.Task{
 					Phase: uint32(task.Phase), Attempt: uint32(task.Attempt), Worker: workers.indexOf(task.Worker),
-					Failures: uint32(task.Failures), Checkpoint: task.Checkpoint,
+					Failures: uint32(task.Failures), Checkpoint: task.Checkpoint, Crashes: uint32(task.Crashes),
 				})
 			}
 			occurrence.Steps = append(occurrence.Steps, step)
@@ -92,6 +92,7 @@
 	for _, stored := range step.GetTasks() {
 		task := Task{
 			Phase: Phase(stored.GetPhase()), Attempt: int(stored.GetAttempt()), Failures: int(stored.GetFailures()), Checkpoint: stored.GetCheckpoint(),
+			Crashes: int(stored.GetCrashes()),
 		}
 		index := int(stored.GetWorker())
 		if index > len(workers) {
--- a/job/progress.go
+++ b/job/progress.go
@@ -19,6 +19,7 @@
 	Worker     acaciatally.WorkerID `json:",omitempty"`
 	Failures   int                  `json:",omitempty"`
 	Checkpoint string               `json:",omitempty"`
+	Crashes    int                  `json:",omitempty"` // workers that have crashed under the task since it last ran for some time
 }
 
 // Occurrence is one execution of a job's steps; a scheduled job has several. Steps holds the tasks of each step.
