--- a/dispatch/gang.go
+++ b/dispatch/gang.go
@@ -74,7 +74,7 @@
 		}
 	}
 	for _, member := range members {
-		if !s.schedulable(member.worker, now) || !s.permitted(member, member.workerID(), now) {
+		if !s.startable(member, now) {
 			for _, released := range members {
 				s.config.EventLog.RunDropped(released.ref, released.attempt, released.workerID(), "gang: worker of a member is not schedulable")
 				released.release()
--- a/dispatch/order.go
+++ b/dispatch/order.go
@@ -152,7 +152,7 @@
 	if t.startAttempts == 0 && t.step.Gang && !s.gangStartable(t, now) {
 		return order, false
 	}
-	if t.startAttempts == 0 && !t.step.Gang && (!s.schedulable(w, now) || !s.permitted(t, w.entry.ID, now)) {
+	if t.startAttempts == 0 && !t.step.Gang && !s.startable(t, now) {
 		s.config.EventLog.RunDropped(t.ref, t.attempt, w.entry.ID, "worker is not schedulable")
 		t.release()
 		return order, false
@@ -171,6 +171,13 @@
 	return order, true
 }
 
+// startable reports whether a recorded run may be started for the first time: since it was placed, its worker may have begun to drain, or its
+// capacity may have shrunk.
+func (s *Scheduler) startable(t *task, now time.Duration) bool {
+	free := t.worker.entry.Capacity.Minus(t.worker.load.used)
+	return s.schedulable(t.worker, now) && s.permitted(t, t.workerID(), now) && !free.ExceededBy(t.step.Reserved())
+}
+
 // OrderResult handles the result of an order.
 func (s *Scheduler) OrderResult(order Order, err error, now time.Duration) {
 	w := s.workers[order.Worker.ID]
--- a/dispatch/scheduler_test.go
+++ b/dispatch/scheduler_test.go
@@ -175,6 +175,39 @@
 	}
 }
 
+// TestShrunkCapacity guards against starts on a worker whose capacity has shrunk since they were placed: a worker that does not enforce its
+// capacity would run them all. What it takes when the capacity grows again is started.
+func TestShrunkCapacity(t *testing.T) {
+	tests := map[string]struct {
+		processors int // capacity when the runs are recorded
+		started    int
+	}{
+		"unchanged": {8000, 6}, "room for half": {3000, 3}, "no room": {0, 0},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			scheduler, _ := newScheduler()
+			w := testWorker(1)
+			reportIdle(scheduler, w)
+			loadJob(scheduler, "aa", 0, testStep(6, 1000))
+			scheduler.Plan(0, time.UnixMilli(0))
+			shrunk := w
+			shrunk.Capacity.Processors = test.processors
+			scheduler.SetDirectory([]acaciatally.Worker{shrunk}, 0)
+			commitAll(scheduler, 0)
+			started := 0
+			for _, order := range scheduler.Orders(0) {
+				scheduler.OrderResult(order, nil, 0)
+				started++
+			}
+			require.Equal(t, test.started, started)
+			require.Empty(t, startDue(scheduler, time.Second), "the worker has no room")
+			scheduler.SetDirectory([]acaciatally.Worker{w}, time.Second)
+			require.Len(t, startDue(scheduler, 2*time.Second), 6-test.started)
+		})
+	}
+}
+
 // TestPlacementOrderUnderOverload guards against a backlog in which all jobs become late: jobs that can still be completed in time go
 // first.
 func TestPlacementOrderUnderOverload(t *testing.T) {
--- a/jobs.go
+++ b/jobs.go
@@ -41,6 +41,11 @@
 	return other.Processors <= r.Processors && other.Memory <= r.Memory && other.Accelerators <= r.Accelerators
 }
 
+// ExceededBy reports whether a resource of which other takes some is overdrawn: r holds less than none of it.
+func (r ResourceVector) ExceededBy(other ResourceVector) bool {
+	return r.Processors < 0 && other.Processors > 0 || r.Memory < 0 && other.Memory > 0 || r.Accelerators < 0 && other.Accelerators > 0
+}
+
 // Step is one step of a job: Count identical tasks that start once all tasks of the steps in After are done.
 type Step struct {
 	Count               int
