--- a/dispatch/runner_workers.go
+++ b/dispatch/runner_workers.go
@@ -53,6 +53,9 @@
 func (r *Runner) applyWorkerRecords(records []acaciatally.Record) (listed []acaciatally.WorkerID) {
 	for _, record := range records {
 		id := acaciatally.WorkerID(record.Key)
+		if record.Partition != "" {
+			continue // workers register in the partition without a name; another may hold the same key
+		}
 		if record.Deleted {
 			delete(r.directory, id)
 			continue
