--- a/dispatch/worker.go
+++ b/dispatch/worker.go
@@ -155,7 +155,8 @@
 	s.confirmCrash(entry.Instance, entry.StartTime)
 }
 
-// loseSuperseded marks workers as lost whose instance runs a worker that started later.
+// loseSuperseded marks workers as lost whose instance runs a worker that started later. A worker that still responds is not superseded,
+// whatever another record says of its instance.
 func (s *Scheduler) loseSuperseded(now time.Duration) {
 	newest := map[acaciatally.InstanceID]*worker{}
 	for _, w := range s.workers {
@@ -168,7 +169,8 @@
 		}
 	}
 	for _, w := range s.workers {
-		if other := newest[w.entry.Instance]; other != nil && other != w && !w.lost && w.entry.StartTime.Before(other.entry.StartTime) {
+		responds := w.listed && w.reported && w.renewalFailures == 0
+		if other := newest[w.entry.Instance]; other != nil && !responds && !w.lost && w.entry.StartTime.Before(other.entry.StartTime) {
 			s.countCrash(s.suspectsOn(w))
 			s.markLost(w, "superseded by a newer worker on its instance", now)
 		}
