--- a/dispatch/crash.go
+++ b/dispatch/crash.go
@@ -16,11 +16,14 @@
 	crashWindow = time.Second
 	// acquittalTime is how long a suspected task has to run for the suspicion to end.
 	acquittalTime = 2 * time.Second
-	// maxCrashes is the number of crashed workers after which a suspected task is given up.
+	// maxCrashes is the number of workers that have to crash under runs of a suspected task for it to be given up.
 	maxCrashes = 3
 	// maxCrashesAlone is the same for a task of which no other job was suspected in the last crash; tasks that run until they are cancelled
 	// are only given up after maxCrashes.
 	maxCrashesAlone = 2
+	// maxAllCrashes is the number of crashes after which a task is given up even if some of its runs may not have started, because the
+	// worker had not confirmed them.
+	maxAllCrashes = 4
 )
 
 // suspectRuns are runs that ended with their worker, of which it is not known yet whether it crashed or could only not be reached.
@@ -30,8 +33,9 @@
 }
 
 type suspectRun struct {
-	task *task
-	run  runKey
+	task      *task
+	run       runKey
+	confirmed bool // the worker had confirmed the start
 }
 
 // suspectsOn returns the runs that were started so late that they may have crashed their worker. A worker that drains ends by itself.
@@ -41,7 +45,7 @@
 	}
 	for t := range w.runs {
 		if t.startedAfter(w.reportedAt - crashWindow) {
-			suspects = append(suspects, suspectRun{t, t.runKey()})
+			suspects = append(suspects, suspectRun{t, t.runKey(), t.stage == stageRunning})
 		}
 	}
 	return suspects
@@ -87,15 +91,33 @@
 		if !t.job.live() || t.phase == job.Done {
 			continue
 		}
-		t.crashes++
+		if suspect.confirmed {
+			t.crashes++
+		} else {
+			t.unconfirmedCrashes++
+		}
 		t.job.dirty = true
-		s.config.EventLog.CrashCounted(t.ref, suspect.run.attempt, t.crashes, len(suspects))
-		if t.crashes >= maxCrashes || (alone && !t.step.LongRunning && t.crashes >= maxCrashesAlone) {
+		s.config.EventLog.CrashCounted(t.ref, suspect.run.attempt, t.crashes, t.unconfirmedCrashes, len(suspects))
+		if t.crashesWorkers(alone) {
 			s.endJob(t.job, acaciatally.JobFailed)
 		}
 	}
 }
 
+// crashesWorkers reports whether the task has to be given up after a crash; alone tells that no other job was suspected of it.
+func (t *task) crashesWorkers(alone bool) bool {
+	switch {
+	case t.crashes >= maxCrashes || t.crashes+t.unconfirmedCrashes >= maxAllCrashes:
+		return true
+	case alone && !t.step.LongRunning:
+		return t.crashes >= maxCrashesAlone
+	}
+	return false
+}
+
+// suspected reports whether workers have crashed under the task since it last ran for some time.
+func (t *task) suspected() bool { return t.crashes > 0 || t.unconfirmedCrashes > 0 }
+
 func ofOneJob(suspects []suspectRun) bool {
 	for _, suspect := range suspects {
 		if suspect.task.job != suspects[0].task.job {
@@ -119,17 +141,17 @@
 
 // acquit ends the suspicion against a task that has run for acquittalTime.
 func (t *task) acquit(now time.Duration) {
-	if t.crashes == 0 || t.stage != stageRunning || now < t.confirmedAt+acquittalTime {
+	if !t.suspected() || t.stage != stageRunning || now < t.confirmedAt+acquittalTime {
 		return
 	}
-	t.crashes = 0
+	t.crashes, t.unconfirmedCrashes = 0, 0
 	t.job.dirty = true
 	t.leaveSuspects()
 }
 
 // joinSuspects adds an assigned task to the suspected runs of its worker.
 func (t *task) joinSuspects() {
-	if t.crashes > 0 {
+	if t.suspected() {
 		t.countedAsSuspect = true
 		t.worker.suspectRuns++
 	}
@@ -146,7 +168,7 @@
 // keepsSuspectsApart reports whether the task may join the worker: a suspected one only if no task of another job is suspected there, so
 // that the next crash tells which it was.
 func (c *candidate) keepsSuspectsApart(t *task) bool {
-	if t.crashes == 0 || c.w.suspectRuns == 0 {
+	if !t.suspected() || c.w.suspectRuns == 0 {
 		return true
 	}
 	for other := range c.w.runs {
--- a/dispatch/crash_test.go
+++ b/dispatch/crash_test.go
@@ -29,6 +29,7 @@
 	starts    map[acaciatally.TaskRef]int
 	downTime  time.Duration
 	keepsID   bool // workers start again under the same ID
+	silent    bool // workers crash before they confirm the start
 }
 
 func newCrashSimulation(workers int, downTime time.Duration, keepsID bool) *crashSimulation {
@@ -57,8 +58,10 @@
 			}
 			c.scheduler.Report(w.ID, c.report(w, now), now, now)
 		}
-		for _, order := range startDue(c.scheduler, now) {
-			c.start(order, now)
+		c.scheduler.Plan(now, time.UnixMilli(0))
+		commitAll(c.scheduler, now)
+		for _, order := range c.scheduler.Orders(now) {
+			c.scheduler.OrderResult(order, c.carryOut(order, now), now)
 		}
 	}
 }
@@ -71,18 +74,26 @@
 	return workers
 }
 
-func (c *crashSimulation) start(order Order, now time.Duration) {
+// carryOut carries out an order and returns its result.
+func (c *crashSimulation) carryOut(order Order, now time.Duration) error {
 	w, task := c.workers[order.Worker.Instance], order.Start.Task
 	if w.ID != order.Worker.ID || now < c.downUntil[w.Instance] {
-		return
+		return acaciatally.ErrUnknownOutcome
+	}
+	if order.Kind != OrderStart {
+		return nil
 	}
 	c.starts[task]++
-	if task.Job == "dd" {
-		c.downUntil[w.Instance] = now + c.downTime
-		delete(c.runs, w.ID)
-		return
+	if task.Job != "dd" {
+		c.runs[w.ID] = append(c.runs[w.ID], simulatedRun{task, order.Start.Attempt, now + time.Second})
+		return nil
+	}
+	c.downUntil[w.Instance] = now + c.downTime
+	delete(c.runs, w.ID)
+	if c.silent {
+		return acaciatally.ErrUnknownOutcome
 	}
-	c.runs[w.ID] = append(c.runs[w.ID], simulatedRun{task, order.Start.Attempt, now + time.Second})
+	return nil
 }
 
 // restart starts the crashed workers whose time is over again.
@@ -125,18 +136,21 @@
 		downTime    time.Duration
 		keepsID     bool
 		longRunning bool
+		silent      bool
 		maxStarts   int
 	}{
-		"new worker on the instance":       {3 * time.Second, false, false, 3},
-		"same worker again":                {3 * time.Second, true, false, 3},
-		"new worker after the lease":       {9 * time.Second, false, false, startLimit},
-		"same worker after the lease":      {9 * time.Second, true, false, startLimit},
-		"task that runs until cancelled":   {3 * time.Second, false, true, 3},
-		"same worker again within a round": {crashStep, true, false, 3},
+		"new worker on the instance":          {3 * time.Second, false, false, false, 3},
+		"same worker again":                   {3 * time.Second, true, false, false, 3},
+		"new worker after the lease":          {9 * time.Second, false, false, false, startLimit},
+		"same worker after the lease":         {9 * time.Second, true, false, false, startLimit},
+		"task that runs until cancelled":      {3 * time.Second, false, true, false, 3},
+		"same worker again within a round":    {crashStep, true, false, false, 3},
+		"crash before the start is confirmed": {3 * time.Second, false, false, true, startLimit},
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
 			c := newCrashSimulation(6, test.downTime, test.keepsID)
+			c.silent = test.silent
 			c.run(0, crashStep)
 			step := testStep(1, 1000)
 			step.LongRunning = test.longRunning
@@ -158,6 +172,31 @@
 	}
 }
 
+// TestCrashBeforeStart guards against giving up a task because workers crashed for other reasons just when they were told to start it: it may
+// not have run on them.
+func TestCrashBeforeStart(t *testing.T) {
+	tests := map[string]struct {
+		confirmed, unconfirmed int
+		state                  acaciatally.JobState
+	}{
+		"one run, one unconfirmed": {1, 1, acaciatally.JobQueued}, "three unconfirmed": {0, 3, acaciatally.JobQueued},
+		"two runs": {2, 0, acaciatally.JobFailed}, "four unconfirmed": {0, 4, acaciatally.JobFailed},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			scheduler, _ := newScheduler()
+			loadJob(scheduler, "aa", 0, testStep(1, 1000))
+			j := scheduler.jobs["aa"]
+			scheduler.openDueOccurrences(j, 0, time.UnixMilli(0))
+			suspect := j.openOccurrences[0].steps[0][0]
+			for i := range test.confirmed + test.unconfirmed {
+				scheduler.countCrash([]suspectRun{{suspect, suspect.runKey(), i < test.confirmed}})
+			}
+			require.Equal(t, test.state, j.state)
+		})
+	}
+}
+
 // TestCrashesRecorded guards against a count of crashes that starts again with each leader.
 func TestCrashesRecorded(t *testing.T) {
 	c := newCrashSimulation(2, 3*time.Second, false)
--- a/dispatch/jobs.go
+++ b/dispatch/jobs.go
@@ -53,7 +53,7 @@
 		for index, recorded := range open.Steps[step] {
 			t := j.newTask(open.Number, step, index)
 			t.phase, t.attempt, t.failures, t.checkpoint = recorded.Phase, recorded.Attempt, recorded.Failures, recorded.Checkpoint
-			t.crashes, t.progressedAt = recorded.Crashes, now
+			t.crashes, t.unconfirmedCrashes, t.progressedAt = recorded.Crashes, recorded.UnconfirmedCrashes, now
 			if t.phase == job.Assigned {
 				t.assign(s.worker(recorded.Worker), stageInherited)
 			}
--- a/dispatch/plan.go
+++ b/dispatch/plan.go
@@ -132,7 +132,7 @@
 		c = s.anyCandidate(t, set.candidates, now)
 	}
 	if c == nil {
-		if len(t.avoidUntil) == 0 && t.crashes == 0 && t.job.accepted.Queue.Advice == nil {
+		if len(t.avoidUntil) == 0 && !t.suspected() && t.job.accepted.Queue.Advice == nil {
 			set.markUnplaceable(t.step)
 		}
 		if t.step.LongRunning && !t.step.Backfill {
@@ -273,7 +273,7 @@
 	if suspectsA, suspectsB := a.w.suspectRuns, b.w.suspectRuns; suspectsA != suspectsB {
 		return suspectsA < suspectsB
 	}
-	if t.crashes > 0 && a.load.runs != b.load.runs {
+	if t.suspected() && a.load.runs != b.load.runs {
 		return a.load.runs < b.load.runs // if it crashes the worker, few others are lost
 	}
 	if near := acaciatally.Rack(t.step.NearRack); near != "" && (a.w.entry.Rack == near) != (b.w.entry.Rack == near) {
--- a/dispatch/scheduler.go
+++ b/dispatch/scheduler.go
@@ -165,7 +165,8 @@
 	attempt             int
 	worker              *worker // worker of the current run; nil without a run
 	failures            int
-	crashes             int  // workers that have crashed under the task since it was last seen to run for some time
+	crashes             int  // workers that have crashed under a run of the task since it last ran for some time
+	unconfirmedCrashes  int  // the same for runs that may not have started
 	countedAsSuspect    bool // it is counted in suspectRuns of its worker
 	checkpoint          string
 	stopReason          stopReason
--- a/dispatch/scheduler_test.go
+++ b/dispatch/scheduler_test.go
@@ -36,7 +36,9 @@
 func (c *countingEventLog) RunOrdered(string, acaciatally.TaskRef, int, acaciatally.WorkerID, error) {
 }
 
-func (c *countingEventLog) CrashCounted(acaciatally.TaskRef, int, int, int) { c.count("CrashCounted") }
+func (c *countingEventLog) CrashCounted(acaciatally.TaskRef, int, int, int, int) {
+	c.count("CrashCounted")
+}
 
 func (c *countingEventLog) StartsHeld(int, StartWindowState) { c.count("StartsHeld") }
 
--- a/eventlog/events.go
+++ b/eventlog/events.go
@@ -40,11 +40,11 @@
 		Str("Worker", string(worker)).Err(err).Msg("")
 }
 
-// CrashCounted logs that a worker has crashed under a run that it had lately been given; crashes is the number of workers that have crashed
-// under the task, suspects the number of runs that may have caused this crash.
-func (l *Logger) CrashCounted(task acaciatally.TaskRef, attempt, crashes, suspects int) {
+// CrashCounted logs that a worker has crashed under a run that it had lately been given, and the number of such crashes of the task, with
+// confirmed runs and others; suspects is the number of runs that may have caused this one.
+func (l *Logger) CrashCounted(task acaciatally.TaskRef, attempt, crashes, unconfirmed, suspects int) {
 	l.line("CrashCounted").Str("Job", string(task.Job)).Str("Task", task.String()).Int("Attempt", attempt).Int("Crashes", crashes).
-		Int("Suspects", suspects).Msg("")
+		Int("Unconfirmed", unconfirmed).Int("Suspects", suspects).Msg("")
 }
 
 // StartsHeld logs that start orders are held back, and the window of those in flight.
--- a/job/codec.go
+++ b/job/codec.go
@@ -30,6 +30,7 @@
 				step.Tasks = append(step.Tasks, &jobpb.Task{
 					Phase: uint32(task.Phase), Attempt: uint32(task.Attempt), Worker: workers.indexOf(task.Worker),
 					Failures: uint32(task.Failures), Checkpoint: task.Checkpoint, Crashes: uint32(task.Crashes),
+					UnconfirmedCrashes: uint32(task.UnconfirmedCrashes),
 				})
 			}
 			occurrence.Steps = append(occurrence.Steps, step)
@@ -92,7 +93,7 @@
 	for _, stored := range step.GetTasks() {
 		task := Task{
 			Phase: Phase(stored.GetPhase()), Attempt: int(stored.GetAttempt()), Failures: int(stored.GetFailures()), Checkpoint: stored.GetCheckpoint(),
-			Crashes: int(stored.GetCrashes()),
+			Crashes: int(stored.GetCrashes()), UnconfirmedCrashes: int(stored.GetUnconfirmedCrashes()),
 		}
 		index := int(stored.GetWorker())
 		if index > len(workers) {
--- a/job/progress.go
+++ b/job/progress.go
@@ -19,7 +19,10 @@
 	Worker     acaciatally.WorkerID `json:",omitempty"`
 	Failures   int                  `json:",omitempty"`
 	Checkpoint string               `json:",omitempty"`
-	Crashes    int                  `json:",omitempty"` // workers that have crashed under the task since it last ran for some time
+	// Crashes is the number of workers that have crashed under a run of the task since it last ran for some time.
+	Crashes int `json:",omitempty"`
+	// UnconfirmedCrashes is the same for runs that may not have started.
+	UnconfirmedCrashes int `json:",omitempty"`
 }
 
 // Occurrence is one execution of a job's steps; a scheduled job has several. Steps holds the tasks of each step.
