--- a/dispatch/jobs.go
+++ b/dispatch/jobs.go
@@ -55,7 +55,7 @@
 			t.phase, t.attempt, t.failures, t.checkpoint = recorded.Phase, recorded.Attempt, recorded.Failures, recorded.Checkpoint
 			t.crashes, t.unconfirmedCrashes, t.progressedAt = recorded.Crashes, recorded.UnconfirmedCrashes, now
 			if t.phase == job.Assigned {
-				t.assign(s.worker(recorded.Worker), stageInherited)
+				s.inherit(t, recorded.Worker)
 			}
 			tasks = append(tasks, t)
 		}
@@ -64,6 +64,17 @@
 	return o
 }
 
+// inherit adds the recorded run of a task to its worker. If the worker is lost already, so is the run.
+func (s *Scheduler) inherit(t *task, id acaciatally.WorkerID) {
+	w := s.worker(id)
+	if w.lost {
+		s.config.EventLog.RunDropped(t.ref, t.attempt, id, "worker was lost before the job was loaded")
+		t.release()
+		return
+	}
+	t.assign(w, stageInherited)
+}
+
 func (j *activeJob) newTask(number, step, index int) *task {
 	return &task{
 		job: j, ref: acaciatally.TaskRef{Job: j.id, Occurrence: number, Step: step, Index: index},
--- a/dispatch/worker_test.go
+++ b/dispatch/worker_test.go
@@ -7,6 +7,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/acaciatally/acaciatally"
+	"github.com/acaciatally/acaciatally/job"
 )
 
 // TestWorkerRestart guards against two faults after a worker restart: starting a run elsewhere although its start order reached the new
@@ -136,3 +137,23 @@
 		})
 	}
 }
+
+// TestInheritedFromLostWorker guards against a task that waits for as long as the record of its lost worker stays, because the new leader
+// read the directory before the task's job: the worker was given up before the task counted as one of its runs.
+func TestInheritedFromLostWorker(t *testing.T) {
+	scheduler, _ := newScheduler()
+	lost, later := testWorker(1), testWorker(1)
+	later.ID, later.StartTime = "i-9", time.UnixMilli(5000)
+	scheduler.SetDirectory([]acaciatally.Worker{lost, later}, 0)
+	scheduler.Report(later.ID, acaciatally.WorkerReport{StartTime: later.StartTime}, 0, 0)
+	step := testStep(1, 1000)
+	step.LongRunning = true
+	accepted := job.Accepted{Spec: acaciatally.JobSpec{Steps: []acaciatally.Step{step}}, Queue: acaciatally.Queue{Name: "quotes", Pool: testPool}}
+	assigned := job.Task{Phase: job.Assigned, Attempt: 1, Worker: lost.ID}
+	scheduler.LoadJob("aa", accepted, job.Progress{
+		State: acaciatally.JobRunning, Next: 1, Open: []job.Occurrence{{Steps: [][]job.Task{{assigned}}}},
+	}, 0, 0)
+	orders := startDue(scheduler, time.Second)
+	require.Len(t, orders, 1)
+	require.Equal(t, later.ID, orders[0].Worker.ID)
+}
