--- a/dispatch/order.go
+++ b/dispatch/order.go
@@ -50,7 +50,11 @@
 	}
 	var starts []*task
 	for _, w := range s.workers {
-		if w.lost || !w.reported || !(w.orderDue || fullScan) {
+		if !w.orderDue && !fullScan {
+			continue
+		}
+		if w.lost || !w.reported {
+			s.releaseUnordered(w)
 			continue
 		}
 		w.orderDue = false
@@ -59,6 +63,16 @@
 	return append(orders, s.startOrders(starts, now)...)
 }
 
+// releaseUnordered releases the recorded runs on a worker that has restarted or is lost for which no start order was sent.
+func (s *Scheduler) releaseUnordered(w *worker) {
+	for t := range w.runs {
+		if t.stage == stageRecorded && t.startAttempts == 0 && !t.step.Gang {
+			s.config.EventLog.RunDropped(t.ref, t.attempt, w.entry.ID, "worker is not schedulable")
+			t.release()
+		}
+	}
+}
+
 // workerOrders appends the start orders due on a worker to starts and its other orders to orders.
 func (s *Scheduler) workerOrders(w *worker, starts []*task, orders []Order, now time.Duration) ([]*task, []Order) {
 	for t := range w.runs {
--- a/dispatch/worker_test.go
+++ b/dispatch/worker_test.go
@@ -157,3 +157,26 @@
 	require.Len(t, orders, 1)
 	require.Equal(t, later.ID, orders[0].Worker.ID)
 }
+
+// TestRestartBeforeStart guards against a run that was never ordered and waits until the longest lease has expired, because its worker
+// restarted before the run was recorded and has not responded since.
+func TestRestartBeforeStart(t *testing.T) {
+	scheduler, _ := newScheduler()
+	first, second := testWorker(1), testWorker(2)
+	reportIdle(scheduler, first, second)
+	loadJob(scheduler, "aa", 0, testStep(1, 1000))
+	scheduler.Plan(0, time.UnixMilli(0))
+	planned := scheduler.jobs["aa"].openOccurrences[0].steps[0][0].worker
+	restarted := planned.entry
+	restarted.StartTime = time.UnixMilli(9000)
+	other := first
+	if planned.entry.ID == first.ID {
+		other = second
+	}
+	scheduler.SetDirectory([]acaciatally.Worker{restarted, other}, 0)
+	commitAll(scheduler, 0)
+	scheduler.Orders(0)
+	orders := startDue(scheduler, time.Second)
+	require.Len(t, orders, 1)
+	require.Equal(t, other.ID, orders[0].Worker.ID)
+}
