--- a/dispatch/order.go
+++ b/dispatch/order.go
@@ -110,6 +110,7 @@
 // startOrders returns the start orders of the recorded runs, as many as the window allows.
 func (s *Scheduler) startOrders(due []*task, now time.Duration) (orders []Order) {
 	s.heldStarts = s.starts.take(len(due))
+	s.startRate.observe(s.heldStarts > 0, now)
 	s.logHeldStarts(now)
 	if s.heldStarts > 0 {
 		slices.SortFunc(due, func(a, b *task) int { return compareJobs(a.job, b.job) })
@@ -239,7 +240,7 @@
 	var rejected *acaciatally.OrderRejectedError
 	switch {
 	case err == nil:
-		s.startRate.started++
+		s.startRate.countStart()
 		t.stage, t.confirmedAt, t.progressedAt = stageRunning, now, now
 		s.markStarted(t)
 	case errors.Is(err, errLeadershipExpired):
--- a/dispatch/start_delay.go
+++ b/dispatch/start_delay.go
@@ -13,39 +13,55 @@
 	startRateInterval = 500 * time.Millisecond
 	// startRateWeight is the weight of the last interval in the moving mean of the rate.
 	startRateWeight = 0.4
-	// atLimitTime is how long start orders must have been held back without a break for the leader to count as at its limit.
-	atLimitTime = time.Second
+	// heldShareTime is the time over which the share of the time is averaged for which start orders are held back.
+	heldShareTime = time.Second
+	// limitShare is the share from which the leader counts as at its limit.
+	limitShare = 0.6
+	// recoveredShare is the share below which it no longer does. It is lower, since a leader at its limit holds no orders back for the moment
+	// between the start of the runs that it has placed and the record of the next ones.
+	recoveredShare = 0.3
 )
 
 // startRate measures how many runs a second the leader starts while it is at its limit; at other times the rate says nothing about it.
 type startRate struct {
 	perSecond  float64
-	started    int // since measuredAt
-	measuredAt time.Duration
-	heldSince  time.Duration // when start orders were first held back without a break; 0 if none are
+	started    int           // runs started while start orders were held back, since the last update of perSecond
+	heldTime   time.Duration // time for which they were held back since then
+	heldShare  float64       // moving share of the time for which they are held back
+	atLimit    bool          // the leader starts as many runs as it can
+	held       bool          // start orders have been held back since observedAt
+	observedAt time.Duration
 }
 
 func newStartRate() startRate { return startRate{perSecond: initialStartRate} }
 
-// observe updates the rate; held tells whether start orders are held back now.
+// countStart counts a started run.
+func (r *startRate) countStart() {
+	if r.held {
+		r.started++
+	}
+}
+
+// observe updates the rate; held tells whether start orders are held back from now on.
 func (r *startRate) observe(held bool, now time.Duration) {
-	if !held {
-		r.heldSince, r.started, r.measuredAt = 0, 0, now
-		return
+	elapsed := now - r.observedAt
+	share := 0.0
+	if r.held {
+		share = 1
+		r.heldTime += elapsed
 	}
-	if r.heldSince == 0 {
-		r.heldSince, r.started, r.measuredAt = max(now, 1), 0, now
-		return
+	r.heldShare += min(1, elapsed.Seconds()/heldShareTime.Seconds()) * (share - r.heldShare)
+	switch {
+	case r.heldShare >= limitShare:
+		r.atLimit = true
+	case r.heldShare < recoveredShare:
+		r.atLimit = false
 	}
-	if elapsed := now - r.measuredAt; elapsed >= startRateInterval {
-		r.perSecond += startRateWeight * (float64(r.started)/elapsed.Seconds() - r.perSecond)
-		r.started, r.measuredAt = 0, now
+	if r.heldTime >= startRateInterval {
+		r.perSecond += startRateWeight * (float64(r.started)/r.heldTime.Seconds() - r.perSecond)
+		r.started, r.heldTime = 0, 0
 	}
-}
-
-// atLimit reports whether the leader starts as many runs as it can.
-func (r *startRate) atLimit(now time.Duration) bool {
-	return r.heldSince > 0 && now >= r.heldSince+atLimitTime
+	r.held, r.observedAt = held, now
 }
 
 // StartDelay returns how long the tasks of a job submitted now would wait for this leader to start them, or 0 while the leader keeps up and
@@ -53,7 +69,7 @@
 // beyond that is late whatever the workers do.
 func (s *Scheduler) StartDelay(now time.Duration) time.Duration {
 	s.startRate.observe(s.heldStarts > 0, now)
-	if !s.startRate.atLimit(now) {
+	if !s.startRate.atLimit {
 		return 0
 	}
 	unstarted := 0
--- a/dispatch/start_delay_test.go
+++ b/dispatch/start_delay_test.go
@@ -51,3 +51,37 @@
 		})
 	}
 }
+
+// TestLimitBetweenPlacements guards against a leader at its limit that counts as keeping up whenever it has started what it had placed, so
+// that entries accept jobs for which there is no time; and against one that keeps up and counts as at its limit.
+func TestLimitBetweenPlacements(t *testing.T) {
+	const (
+		step     = 10 * time.Millisecond
+		settled  = 2 * time.Second
+		duration = 10 * time.Second
+	)
+	tests := map[string]struct {
+		held, free time.Duration // how long orders are held back, and then not
+		atLimit    bool
+	}{
+		"short breaks":    {900 * time.Millisecond, 300 * time.Millisecond, true},
+		"no breaks":       {duration, 0, true},
+		"short bursts":    {100 * time.Millisecond, 900 * time.Millisecond, false},
+		"nothing is held": {0, duration, false},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			rate := newStartRate()
+			for now := step; now < duration; now += step {
+				rate.observe((now-step)%(test.held+test.free) < test.held, now)
+				if now > settled {
+					require.Equal(t, test.atLimit, rate.atLimit, "at %v", now)
+				}
+			}
+			for now := duration; now < duration+settled; now += step {
+				rate.observe(false, now)
+			}
+			require.False(t, rate.atLimit, "the leader keeps up again")
+		})
+	}
+}
