--- a/leadership/lease.go
+++ b/leadership/lease.go
@@ -189,10 +189,11 @@
 func (l *Lease) Proposal(now time.Duration) (row Row, version uint64) {
 	row = l.row
 	if l.row.Holder != l.config.Self || !l.Leads(now) {
-		row = Row{Holder: l.config.Self, Epoch: max(l.row.Epoch, l.minEpoch) + 1, Lag: l.config.TakeoverDelay}
+		// The backlog of the last leader is also that of the next one, which can't tell its own delay before it has read all jobs.
+		row = Row{Holder: l.config.Self, Epoch: max(l.row.Epoch, l.minEpoch) + 1, Lag: l.config.TakeoverDelay, StartDelay: l.row.StartDelay}
 		l.slowAt = now
 	}
-	row.Term, row.StartDelay = l.nextTerm(now), 0
+	row.Term = l.nextTerm(now)
 	l.validUntil = min(l.validUntil, now+row.Term)
 	if !l.unanswered {
 		l.proposedAt, l.unanswered = now, true
@@ -223,7 +224,7 @@
 // ReleaseProposal returns the row that releases the lease and the version that it replaces. With an empty successor any entry may acquire
 // the lease.
 func (l *Lease) ReleaseProposal(successor string) (row Row, version uint64) {
-	return Row{Epoch: l.row.Epoch, Successor: successor}, l.version
+	return Row{Epoch: l.row.Epoch, Successor: successor, StartDelay: l.row.StartDelay}, l.version
 }
 
 // RenewalFailed records that a proposal failed; sent is the send time from which the next renewal is scheduled.
--- a/leadership/lease_test.go
+++ b/leadership/lease_test.go
@@ -237,3 +237,27 @@
 		})
 	}
 }
+
+// TestStartDelayOutlivesLeader guards against a takeover after which entries accept jobs as if there were no backlog.
+func TestStartDelayOutlivesLeader(t *testing.T) {
+	row := leadership.Row{Holder: "a", Epoch: 4, Term: term, StartDelay: 20 * time.Second}
+	tests := map[string]func(holder *leadership.Lease) leadership.Row{
+		"after the term": func(*leadership.Lease) leadership.Row { return row },
+		"released": func(holder *leadership.Lease) leadership.Row {
+			released, _ := holder.ReleaseProposal("")
+			return released
+		},
+	}
+	for name, last := range tests {
+		t.Run(name, func(t *testing.T) {
+			holder, next := newLease("a"), newLease("b")
+			holder.Observe(row, 7, 0)
+			next.Observe(last(holder), 8, 0)
+			proposed, _ := next.Proposal(2 * term)
+			require.Equal(t, "b", proposed.Holder)
+			require.Equal(t, 20*time.Second, proposed.StartDelay)
+			next.Committed(proposed, 9, 2*term, 2*term)
+			require.Equal(t, 20*time.Second, next.StartDelay(2*term))
+		})
+	}
+}
--- a/site/site.go
+++ b/site/site.go
@@ -37,6 +37,8 @@
 	maxWorkerLease = 6 * time.Second
 	// startDelayInterval is the interval at which a leader determines how long jobs wait for it; it is that of the lease's renewals.
 	startDelayInterval = renewInterval
+	// startDelaySettleTime is how long after its first round of decisions a leader goes by the delay of the leader before it as well.
+	startDelaySettleTime = 2 * time.Second
 	// maxCloseDelay is the delay before the listener closes, in which the load balancer notices that this entry is stopping.
 	maxCloseDelay     = 2500 * time.Millisecond
 	readHeaderTimeout = 3 * time.Second
@@ -169,14 +171,14 @@
 	if p.config.Fleet != nil {
 		fleet = newFleetRunner(p, epoch, func(f func()) { runner.Post(ctx, f) })
 	}
-	var nextDelayAt time.Duration
+	delay := startDelay{inherited: p.elector.StartDelay()}
+	p.startDelay.Store(int64(delay.inherited))
 	round := func(scheduler *dispatch.Scheduler, now time.Duration) {
 		if fleet != nil {
 			fleet.round(ctx, scheduler, now)
 		}
-		if now >= nextDelayAt {
-			nextDelayAt = now + startDelayInterval
-			p.startDelay.Store(int64(scheduler.StartDelay(now)))
+		if now >= delay.nextAt {
+			p.startDelay.Store(int64(delay.update(scheduler.StartDelay(now), now)))
 		}
 	}
 	defer p.startDelay.Store(0)
