--- a/dispatch/crash_test.go
+++ b/dispatch/crash_test.go
@@ -133,11 +133,11 @@
 // were lost with it.
 func TestTaskCrashesWorkers(t *testing.T) {
 	tests := map[string]struct {
-		downTime    time.Duration
-		keepsID     bool
-		longRunning bool
-		silent      bool
-		maxStarts   int
+		downTime  time.Duration
+		keepsID   bool
+		endless   bool // the task runs until the job is cancelled
+		silent    bool
+		maxStarts int
 	}{
 		"new worker on the instance":          {3 * time.Second, false, false, false, 3},
 		"same worker again":                   {3 * time.Second, true, false, false, 3},
@@ -153,7 +153,7 @@
 			c.silent = test.silent
 			c.run(0, crashStep)
 			step := testStep(1, 1000)
-			step.LongRunning = test.longRunning
+			step.LongRunning = test.endless
 			loadJob(c.scheduler, "aa", 0, testStep(3, 1000), testStep(1, 1000))
 			loadJob(c.scheduler, "dd", 0, step)
 			loadJob(c.scheduler, "ee", 0, testStep(3, 1000))
--- a/site/odd_entry_test.go
+++ b/site/odd_entry_test.go
@@ -61,9 +61,7 @@
 				}
 				d.addInstances("intake", 4)
 				time.Sleep(3 * time.Second)
-				step := emulator.Step(2, 1000)
-				step["longRunning"], step["antiAffinity"] = true, 1
-				d.submit(d.entries[0], "/quotes/00000000000000aa", emulator.Job(step))
+				d.submit(d.entries[0], "/quotes/00000000000000aa", emulator.Job(emulator.LongRunningStep(2)))
 				time.Sleep(2 * time.Second)
 				row := oddEntry(d)
 				row.Table = platform.WorkerTable
