--- a/dispatch/crash_test.go
+++ b/dispatch/crash_test.go
@@ -281,3 +281,24 @@
 	require.Equal(t, workers["02"], workers["03"])
 	require.NotContains(t, []acaciatally.WorkerID{workers["00"], workers["01"]}, workers["02"])
 }
+
+// TestSuspectsWait guards against two suspected tasks on the only worker: one waits until the other has ended.
+func TestSuspectsWait(t *testing.T) {
+	scheduler, _ := newScheduler()
+	w := testWorker(1)
+	reportIdle(scheduler, w)
+	for _, id := range []acaciatally.JobID{"aa", "bb"} {
+		loadJob(scheduler, id, 0, testStep(1, 1000))
+		scheduler.openDueOccurrences(scheduler.jobs[id], 0, time.UnixMilli(0))
+		scheduler.jobs[id].openOccurrences[0].steps[0][0].crashes = 1
+	}
+	first := startDue(scheduler, 0)
+	require.Len(t, first, 1)
+	require.Empty(t, startDue(scheduler, time.Second))
+	scheduler.Report(w.ID, acaciatally.WorkerReport{Clock: time.Second, StartTime: w.StartTime, Ended: []acaciatally.EndedTask{
+		{Number: 1, Task: first[0].Start.Task, Attempt: first[0].Start.Attempt, End: acaciatally.EndDone},
+	}}, time.Second, time.Second)
+	second := startDue(scheduler, 2*time.Second)
+	require.Len(t, second, 1)
+	require.NotEqual(t, first[0].Start.Task.Job, second[0].Start.Task.Job)
+}
