--- /dev/null
+++ b/dispatch/worker_lease.go
@@ -0,0 +1,66 @@
+package dispatch
+
+import "time"
+
+const (
+	// minClockRate is the rate of the slowest clock of a worker, relative to this leader's clock.
+	minClockRate = 0.98
+	// leaseExpiryMargin covers the delivery time of the last renewal and the resolution of the clocks.
+	leaseExpiryMargin = 250 * time.Millisecond
+	// fenceBumpBits is the number of low bits of a fencing token that are reserved for raising it within one term of leadership.
+	fenceBumpBits = 20
+)
+
+// estimatedClock returns a lower bound of the worker's clock.
+func (w *worker) estimatedClock(now time.Duration) time.Duration {
+	return w.reportClock + time.Duration(float64(now-w.reportedAt)*minClockRate)
+}
+
+// leaseExpired reports whether the worker's lease is certainly over.
+func (s *Scheduler) leaseExpired(w *worker, now time.Duration) bool {
+	if w.reportedAt == 0 && w.restartedAt > 0 {
+		longest := time.Duration(float64(s.config.MaxLease) / minClockRate)
+		return now > w.restartedAt+longest+leaseExpiryMargin
+	}
+	if w.reportedAt == 0 {
+		longest := time.Duration(float64(s.config.WorkerLease) / minClockRate)
+		return now > s.config.LeadershipStart+longest+leaseExpiryMargin
+	}
+	return w.estimatedClock(now) > w.leaseUntil+leaseExpiryMargin
+}
+
+// extendLease returns the lease end for an order sent now, and stores it. The lease of a worker that does not answer is not extended, so
+// that its runs are certain to end.
+func (s *Scheduler) extendLease(w *worker, now time.Duration) time.Duration {
+	if w.reportedAt == 0 || w.renewalFailures > 0 {
+		return w.leaseUntil
+	}
+	w.leaseUntil = max(w.leaseUntil, w.estimatedClock(now)+s.config.WorkerLease)
+	return w.leaseUntil
+}
+
+// expireLeases releases the runs of workers whose lease is certainly over.
+func (s *Scheduler) expireLeases(now time.Duration) {
+	for _, w := range s.workers {
+		if w.lost || !s.leaseExpired(w, now) {
+			continue
+		}
+		if (w.renewalFailures > 0 || w.reportedAt == 0) && len(w.runs) > 0 {
+			s.holdSuspects(w)
+			s.markLost(w, "lease expired", now)
+			w.lost = !w.listed // a listed worker may answer again
+			s.raiseFence(w)
+		}
+	}
+}
+
+func (s *Scheduler) fence(w *worker) uint64 {
+	return s.config.Epoch<<fenceBumpBits + w.fenceBump
+}
+
+// raiseFence makes the worker reject orders that were sent before. The counter is shared by all workers, so that no worker's token ever
+// decreases.
+func (s *Scheduler) raiseFence(w *worker) {
+	s.fenceBumps++
+	w.fenceBump = s.fenceBumps
+}
--- a/experiment/slopes_group.go
+++ b/experiment/slopes_group.go
@@ -107,13 +107,13 @@
 		return err
 	}
 	defer g.stop()
-	if !sleep(s.ctx, helloWarmUp) {
+	if !acaciatally.Sleep(s.ctx, helloWarmUp) {
 		return s.ctx.Err()
 	}
 	memory := (memoryInUse() - before) / float64(entries)
 	tableCalls, helloBytesBefore, helloMessagesBefore, start := g.table.counts(), g.counterSum(helloBytes), g.counterSum(helloMessages), time.Now()
 	micros, err := cpuTimePerRun(1, func(int) error {
-		sleep(s.ctx, helloMeasureTime)
+		acaciatally.Sleep(s.ctx, helloMeasureTime)
 		return s.ctx.Err()
 	})
 	if err != nil {
--- a/experiment/slopes_table.go
+++ b/experiment/slopes_table.go
@@ -161,7 +161,7 @@
 		start := time.Now()
 		count := rate * int(slopeClaimTime/time.Second)
 		for n := range count {
-			if !sleep(ctx, time.Until(start.Add(time.Duration(n)*time.Second/time.Duration(rate)))) {
+			if !acaciatally.Sleep(ctx, time.Until(start.Add(time.Duration(n)*time.Second/time.Duration(rate)))) {
 				break
 			}
 			requests.Go(func() { claimOnce(ctx, runner, fmt.Sprintf("%d-%d", rate, n)) })
--- a/experiment/slot_grant.go
+++ b/experiment/slot_grant.go
@@ -147,7 +147,7 @@
 		if complete {
 			return nil
 		}
-		if !sleep(limited, 50*time.Millisecond) {
+		if !acaciatally.Sleep(limited, 50*time.Millisecond) {
 			g.stop()
 			if ctx.Err() != nil {
 				return ctx.Err()
@@ -162,17 +162,6 @@
 	g.running.Wait()
 }
 
-func sleep(ctx context.Context, duration time.Duration) (finished bool) {
-	timer := time.NewTimer(duration)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
-}
-
 func measureGrants(ctx context.Context, seed uint64) (figures []Figure, err error) {
 	g, err := startGroup(ctx, seed, 3, workersPerPool)
 	if err != nil {
@@ -223,7 +212,7 @@
 		if found {
 			return requester, pool, nil
 		}
-		if !sleep(ctx, 50*time.Millisecond) {
+		if !acaciatally.Sleep(ctx, 50*time.Millisecond) {
 			return nil, "", fmt.Errorf("no pool has its slot home in another entry: %w", ctx.Err())
 		}
 	}
@@ -250,11 +239,11 @@
 		return 0, err
 	}
 	defer g.stop()
-	if !sleep(ctx, helloWarmUp) {
+	if !acaciatally.Sleep(ctx, helloWarmUp) {
 		return 0, ctx.Err()
 	}
 	before, start := g.counterSum(helloBytes), time.Now()
-	if !sleep(ctx, helloMeasureTime) {
+	if !acaciatally.Sleep(ctx, helloMeasureTime) {
 		return 0, ctx.Err()
 	}
 	return float64(g.counterSum(helloBytes)-before) / time.Since(start).Seconds() / float64(entries), nil
--- a/membership/tracker.go
+++ b/membership/tracker.go
@@ -221,7 +221,7 @@
 			return nil
 		case <-ticker.C:
 		case <-t.helloNow:
-			if !sleep(ctx, minHelloInterval) {
+			if !acaciatally.Sleep(ctx, minHelloInterval) {
 				return nil
 			}
 		}
@@ -230,15 +230,3 @@
 
 // minHelloInterval bounds the rate of Hellos before the next interval.
 const minHelloInterval = 20 * time.Millisecond
-
-// sleep waits for the duration and reports whether it elapsed before ctx ended.
-func sleep(ctx context.Context, wait time.Duration) (finished bool) {
-	timer := time.NewTimer(wait)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
-}
--- a/peer/connector.go
+++ b/peer/connector.go
@@ -73,7 +73,7 @@
 // maintainSession dials the entry whenever a session is needed and none is open, with exponential backoff and full jitter.
 func (n *Node) maintainSession(ctx context.Context, c *connector) {
 	attempt := 0
-	if n.config.Entry > c.address.Entry && !sleep(ctx, higherIDDialDelay) {
+	if n.config.Entry > c.address.Entry && !acaciatally.Sleep(ctx, higherIDDialDelay) {
 		return
 	}
 	for ctx.Err() == nil {
@@ -84,7 +84,7 @@
 				return
 			case <-s.CloseChan():
 			}
-			if !sleep(ctx, n.backoff(0)) {
+			if !acaciatally.Sleep(ctx, n.backoff(0)) {
 				return
 			}
 			continue
@@ -101,7 +101,7 @@
 		}
 		if err := n.dial(ctx, c.address); err != nil {
 			n.counters.countRejection("Dial")
-			if !sleep(ctx, n.backoff(attempt)) {
+			if !acaciatally.Sleep(ctx, n.backoff(attempt)) {
 				return
 			}
 			attempt++
@@ -147,14 +147,3 @@
 	defer n.mu.Unlock()
 	return n.ctx
 }
-
-func sleep(ctx context.Context, wait time.Duration) (finished bool) {
-	timer := time.NewTimer(wait)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
-}
--- a/peer/node.go
+++ b/peer/node.go
@@ -66,7 +66,7 @@
 		}
 		if err != nil {
 			n.counters.countRejection("Accept")
-			if !sleep(ctx, n.config.ReconnectBase) { // the error may be temporary, such as too many open files
+			if !acaciatally.Sleep(ctx, n.config.ReconnectBase) { // the error may be temporary, such as too many open files
 				return nil
 			}
 			continue
--- a/sleep.go
+++ b/sleep.go
@@ -5,12 +5,14 @@
 	"time"
 )
 
-// Sleep blocks for the duration wait or until ctx is done, whichever comes first.
-func Sleep(ctx context.Context, wait time.Duration) {
+// Sleep waits for the duration and reports whether it elapsed before ctx ended.
+func Sleep(ctx context.Context, wait time.Duration) (finished bool) {
 	timer := time.NewTimer(wait)
 	defer timer.Stop()
 	select {
 	case <-ctx.Done():
+		return false
 	case <-timer.C:
+		return true
 	}
 }
--- a/slot/client.go
+++ b/slot/client.go
@@ -92,7 +92,7 @@
 		return grant, nil
 	}
 	a.request.exclude = append(a.request.exclude, worker)
-	sleep(ctx, unusableGrantDelay)
+	acaciatally.Sleep(ctx, unusableGrantDelay)
 	return nil, ctx.Err()
 }
 
@@ -112,9 +112,9 @@
 		a.lostSince = time.Time{}
 	case a.lostSince.IsZero():
 		a.lostSince = time.Now()
-		sleep(ctx, reconnectDelay)
+		acaciatally.Sleep(ctx, reconnectDelay)
 	case time.Since(a.lostSince) < a.service.config.ReplyTimeout:
-		sleep(ctx, reconnectDelay)
+		acaciatally.Sleep(ctx, reconnectDelay)
 	default:
 		a.skipHome(to)
 	}
@@ -278,15 +278,3 @@
 	s.service.mu.Unlock()
 	s.service.endUse(s.worker)
 }
-
-// sleep waits for the duration and reports whether it elapsed before ctx ended.
-func sleep(ctx context.Context, wait time.Duration) (finished bool) {
-	timer := time.NewTimer(wait)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
-}
--- a/slot/fallback.go
+++ b/slot/fallback.go
@@ -55,7 +55,7 @@
 		if serving == 0 {
 			return nil, &acaciatally.Refusal{Outcome: acaciatally.NotRun, Status: http.StatusServiceUnavailable, Reason: "no worker serves the pool"}
 		}
-		if !sleep(ctx, delay) {
+		if !acaciatally.Sleep(ctx, delay) {
 			return nil, ctx.Err()
 		}
 	}
