--- a/dispatch/crash_test.go
+++ b/dispatch/crash_test.go
@@ -230,6 +230,14 @@
 			later.ID, later.StartTime = "i-9", time.UnixMilli(5000)
 			s.SetDirectory([]acaciatally.Worker{later}, 3*time.Second)
 		},
+		"not reached, then taken away by an order": func(s *Scheduler, w acaciatally.Worker) {
+			s.RenewalFailed(w.ID, acaciatally.ErrUnavailable, time.Second)
+			s.Plan(10*time.Second, time.UnixMilli(0))
+			s.InstanceRemoved(w.ID, 11*time.Second)
+			later := w
+			later.ID, later.StartTime = "i-9", time.UnixMilli(13_000)
+			s.SetDirectory([]acaciatally.Worker{later}, 13*time.Second)
+		},
 		"drained": func(s *Scheduler, w acaciatally.Worker) {
 			w.Draining = true
 			s.SetDirectory([]acaciatally.Worker{w}, time.Second)
--- a/dispatch/view.go
+++ b/dispatch/view.go
@@ -130,6 +130,7 @@
 // InstanceRemoved handles that a worker's instance was taken away by an order, which ended all of its runs.
 func (s *Scheduler) InstanceRemoved(id acaciatally.WorkerID, now time.Duration) {
 	if w := s.workers[id]; w != nil {
+		delete(s.suspects, w.entry.Instance) // the next worker there says nothing about a crash
 		s.markLost(w, "instance removed by an order", now)
 	}
 }
