--- a/dispatch/crash.go
+++ b/dispatch/crash.go
@@ -14,8 +14,8 @@
 	// crashWindow is how long before the last report of a crashed worker a run may have been started to be suspected of the crash. A run
 	// that has gone on for longer has not crashed the worker by its start.
 	crashWindow = time.Second
-	// acquittalTime is how long a suspected task has to run for the suspicion to end.
-	acquittalTime = 2 * time.Second
+	// suspicionTime is how long a suspected task has to run for the suspicion to end.
+	suspicionTime = 2 * time.Second
 	// maxCrashes is the number of workers that have to crash under runs of a suspected task for it to be given up.
 	maxCrashes = 3
 	// maxCrashesAlone is the same for a task of which no other job was suspected in the last crash; tasks that run until they are cancelled
@@ -139,9 +139,9 @@
 	s.countCrash(lost)
 }
 
-// acquit ends the suspicion against a task that has run for acquittalTime.
-func (t *task) acquit(now time.Duration) {
-	if !t.suspected() || t.stage != stageRunning || now < t.confirmedAt+acquittalTime {
+// endSuspicion ends the suspicion against a task that has run for suspicionTime.
+func (t *task) endSuspicion(now time.Duration) {
+	if !t.suspected() || t.stage != stageRunning || now < t.confirmedAt+suspicionTime {
 		return
 	}
 	t.crashes, t.unconfirmedCrashes = 0, 0
--- a/dispatch/crash_test.go
+++ b/dispatch/crash_test.go
@@ -157,12 +157,12 @@
 			loadJob(c.scheduler, "aa", 0, testStep(3, 1000), testStep(1, 1000))
 			loadJob(c.scheduler, "dd", 0, step)
 			loadJob(c.scheduler, "ee", 0, testStep(3, 1000))
-			deadly := c.scheduler.jobs["dd"]
-			innocent := []*activeJob{c.scheduler.jobs["aa"], c.scheduler.jobs["ee"]}
+			crashing := c.scheduler.jobs["dd"]
+			others := []*activeJob{c.scheduler.jobs["aa"], c.scheduler.jobs["ee"]}
 			c.run(crashStep, time.Minute)
-			require.Equal(t, acaciatally.JobFailed, deadly.state)
+			require.Equal(t, acaciatally.JobFailed, crashing.state)
 			require.LessOrEqual(t, c.starts[acaciatally.TaskRef{Job: "dd"}], test.maxStarts)
-			for _, j := range innocent {
+			for _, j := range others {
 				require.Equal(t, acaciatally.JobCompleted, j.state, "job %s", j.id)
 			}
 			for _, w := range c.scheduler.workers {
@@ -202,15 +202,15 @@
 	c := newCrashSimulation(2, 3*time.Second, false)
 	c.run(0, crashStep)
 	loadJob(c.scheduler, "dd", 0, testStep(1, 1000))
-	deadly := c.scheduler.jobs["dd"]
-	for now := crashStep; deadly.openOccurrences == nil || deadly.openOccurrences[0].steps[0][0].crashes == 0; now += crashStep {
+	crashing := c.scheduler.jobs["dd"]
+	for now := crashStep; crashing.openOccurrences == nil || crashing.openOccurrences[0].steps[0][0].crashes == 0; now += crashStep {
 		require.Less(t, now, time.Minute)
 		c.run(now, now+crashStep)
 	}
-	progress := deadly.progress()
+	progress := crashing.progress()
 	require.Equal(t, 1, progress.Open[0].Steps[0][0].Crashes)
 	next, _ := newScheduler()
-	next.LoadJob("dd", deadly.accepted, progress, 0, 0)
+	next.LoadJob("dd", crashing.accepted, progress, 0, 0)
 	require.Equal(t, 1, next.jobs["dd"].openOccurrences[0].steps[0][0].crashes)
 }
 
--- a/dispatch/report.go
+++ b/dispatch/report.go
@@ -72,7 +72,7 @@
 	if run.Checkpoint != "" {
 		t.checkpoint = run.Checkpoint
 	}
-	t.acquit(now)
+	t.endSuspicion(now)
 	return true
 }
 
--- a/jobs.go
+++ b/jobs.go
@@ -41,7 +41,7 @@
 	return other.Processors <= r.Processors && other.Memory <= r.Memory && other.Accelerators <= r.Accelerators
 }
 
-// ExceededBy reports whether a resource of which other takes some is overdrawn: r holds less than none of it.
+// ExceededBy reports whether r is negative in a resource of which other takes some.
 func (r ResourceVector) ExceededBy(other ResourceVector) bool {
 	return r.Processors < 0 && other.Processors > 0 || r.Memory < 0 && other.Memory > 0 || r.Accelerators < 0 && other.Accelerators > 0
 }
--- a/site/odd_entry_test.go
+++ b/site/invalid_record_test.go
@@ -15,9 +15,9 @@
 	"github.com/acaciatally/acaciatally/platform/emulator"
 )
 
-// TestOddEntries guards against a leader that ends, stops following the workers or gives up one of them because another writer left an odd
+// TestInvalidRecords guards against a leader that ends, stops following the workers or gives up one of them because another writer left an invalid
 // entry among theirs.
-func TestOddEntries(t *testing.T) {
+func TestInvalidRecords(t *testing.T) {
 	// valid returns the entry of a worker with a run, with some fields changed.
 	valid := func(d *deployment, changes map[string]any) []byte {
 		entry := map[string]any{}
@@ -32,24 +32,24 @@
 	later := time.Now().Add(time.Hour).UnixMilli()
 	tests := map[string]func(d *deployment) emulator.Row{
 		"nested deeply": func(*deployment) emulator.Row {
-			return emulator.Row{Key: "odd", Value: []byte(strings.Repeat(`{"labels":[`, 6000) + strings.Repeat("]}", 6000))}
+			return emulator.Row{Key: "other", Value: []byte(strings.Repeat(`{"labels":[`, 6000) + strings.Repeat("]}", 6000))}
 		},
 		"number too large": func(d *deployment) emulator.Row {
-			return emulator.Row{Key: "odd", Value: valid(d, map[string]any{"capacity": map[string]any{"cpu": math.MaxInt64, "memMb": 1e300}})}
+			return emulator.Row{Key: "other", Value: valid(d, map[string]any{"capacity": map[string]any{"cpu": math.MaxInt64, "memMb": 1e300}})}
 		},
 		"port out of range": func(d *deployment) emulator.Row {
-			return emulator.Row{Key: "odd", Value: valid(d, map[string]any{"address": "10.1.0.1:80800"})}
+			return emulator.Row{Key: "other", Value: valid(d, map[string]any{"address": "10.1.0.1:80800"})}
 		},
 		"started later on the instance of a worker": func(d *deployment) emulator.Row {
-			return emulator.Row{Key: "odd", Value: valid(d, map[string]any{"address": "10.66.0.1:8080", "born": later, "service": "nobody"})}
+			return emulator.Row{Key: "other", Value: valid(d, map[string]any{"address": "10.66.0.1:8080", "born": later, "service": "nobody"})}
 		},
 		"key of a worker in another part": func(d *deployment) emulator.Row {
 			return emulator.Row{Part: "other", Key: d.runLog.Runs()[0].Worker, Value: valid(d, map[string]any{"state": "draining"})}
 		},
-		"not text": func(*deployment) emulator.Row { return emulator.Row{Key: "odd", Value: []byte{0xff, 0xfe, 0}} },
-		"empty":    func(*deployment) emulator.Row { return emulator.Row{Key: "odd"} },
+		"not text": func(*deployment) emulator.Row { return emulator.Row{Key: "other", Value: []byte{0xff, 0xfe, 0}} },
+		"empty":    func(*deployment) emulator.Row { return emulator.Row{Key: "other"} },
 	}
-	for name, oddEntry := range tests {
+	for name, invalidRecord := range tests {
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				d := newDeployment(t, 2)
@@ -63,7 +63,7 @@
 				time.Sleep(3 * time.Second)
 				d.submit(d.entries[0], "/quotes/00000000000000aa", emulator.Job(emulator.LongRunningStep(2)))
 				time.Sleep(2 * time.Second)
-				row := oddEntry(d)
+				row := invalidRecord(d)
 				row.Table = platform.WorkerTable
 				d.store.PutRaw(row)
 				time.Sleep(4 * time.Second)
