--- a/eventlog/buffered_output.go
+++ b/eventlog/buffered_output.go
@@ -25,10 +25,15 @@
 	return &bufferedOutput{buffer: bufio.NewWriterSize(output, outputBufferBytes)}
 }
 
-// Write adds a line to the buffer.
+// Write adds a line to the buffer. What is written at once ends with a whole line.
 func (o *bufferedOutput) Write(line []byte) (n int, err error) {
 	o.mutex.Lock()
 	defer o.mutex.Unlock()
+	if len(line) > o.buffer.Available() {
+		if err = o.buffer.Flush(); err != nil {
+			return 0, err
+		}
+	}
 	n, err = o.buffer.Write(line)
 	if !o.scheduled {
 		o.scheduled = true
--- a/eventlog/logger_test.go
+++ b/eventlog/logger_test.go
@@ -78,25 +78,34 @@
 	}
 }
 
-// countingWriter counts the calls of Write.
-type countingWriter struct{ calls int }
+// writeRecorder keeps what each call of Write was given.
+type writeRecorder struct{ writes []string }
 
-func (c *countingWriter) Write(p []byte) (int, error) {
-	c.calls++
+func (w *writeRecorder) Write(p []byte) (int, error) {
+	w.writes = append(w.writes, string(p))
 	return len(p), nil
 }
 
-// TestWritesBatched guards against a leader that makes one system call for each of some thousand lines a second, and against lines that
-// stay in the buffer.
+// TestWritesBatched guards against a leader that makes one system call for each of some thousand lines a second, against lines that stay in
+// the buffer, and against writes that end within a line, behind which a collector may put that of another process.
 func TestWritesBatched(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		output := &countingWriter{}
-		logger := eventlog.New(output, "entry-1")
-		for range 50 {
-			logger.JobEnded("job", "queue", acaciatally.JobCompleted)
-		}
-		time.Sleep(time.Second)
-		require.Equal(t, 1, output.calls)
-		require.NoError(t, logger.Close())
-	})
+	tests := map[string]struct{ lines, maxWrites int }{"few lines": {50, 1}, "more than the buffer takes": {1000, 10}}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				output := &writeRecorder{}
+				logger := eventlog.New(output, "entry-1")
+				for range test.lines {
+					logger.JobEnded("job", "queue", acaciatally.JobCompleted)
+				}
+				time.Sleep(time.Second)
+				require.LessOrEqual(t, len(output.writes), test.maxWrites)
+				require.Equal(t, test.lines, strings.Count(strings.Join(output.writes, ""), "\n"))
+				for _, written := range output.writes {
+					require.True(t, strings.HasSuffix(written, "\n"), "%q", written)
+				}
+				require.NoError(t, logger.Close())
+			})
+		})
+	}
 }
