--- a/eventlog/buffered_output.go
+++ b/eventlog/buffered_output.go
@@ -16,13 +16,14 @@
 
 // bufferedOutput writes lines in batches, because each write is a system call.
 type bufferedOutput struct {
+	output    io.Writer
 	mutex     sync.Mutex
 	buffer    *bufio.Writer
 	scheduled bool // a flush is scheduled
 }
 
 func newBufferedOutput(output io.Writer) *bufferedOutput {
-	return &bufferedOutput{buffer: bufio.NewWriterSize(output, outputBufferBytes)}
+	return &bufferedOutput{output: output, buffer: bufio.NewWriterSize(output, outputBufferBytes)}
 }
 
 // Write adds a line to the buffer. What is written at once ends with a whole line.
@@ -30,16 +31,13 @@
 	o.mutex.Lock()
 	defer o.mutex.Unlock()
 	if len(line) > o.buffer.Available() {
-		if err = o.buffer.Flush(); err != nil {
-			return 0, err
-		}
+		_ = o.flush() // the lines that could not be written are lost
 	}
-	n, err = o.buffer.Write(line)
 	if !o.scheduled {
 		o.scheduled = true
-		time.AfterFunc(flushDelay, func() { _ = o.Flush() }) // the error is returned by the next write
+		time.AfterFunc(flushDelay, func() { _ = o.Flush() })
 	}
-	return n, err
+	return o.buffer.Write(line)
 }
 
 // Flush writes the buffered lines.
@@ -47,5 +45,14 @@
 	o.mutex.Lock()
 	defer o.mutex.Unlock()
 	o.scheduled = false
-	return o.buffer.Flush()
+	return o.flush()
+}
+
+// flush writes the buffered lines. After a write that failed the buffer is emptied, since it would take no more lines.
+func (o *bufferedOutput) flush() error {
+	err := o.buffer.Flush()
+	if err != nil {
+		o.buffer.Reset(o.output)
+	}
+	return err
 }
--- a/eventlog/logger_test.go
+++ b/eventlog/logger_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"io"
 	"strings"
 	"sync"
 	"testing"
@@ -109,3 +110,28 @@
 		})
 	}
 }
+
+// failingOnce is an output whose first write fails.
+type failingOnce struct{ writeRecorder }
+
+func (f *failingOnce) Write(p []byte) (int, error) {
+	if len(f.writes) == 0 {
+		f.writes = append(f.writes, "")
+		return 0, io.ErrShortWrite
+	}
+	return f.writeRecorder.Write(p)
+}
+
+// TestFailedWrite guards against a log that ends with the first write that fails.
+func TestFailedWrite(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		output := &failingOnce{}
+		logger := eventlog.New(output, "entry-1")
+		for range 3 {
+			logger.JobEnded("job", "queue", acaciatally.JobCompleted)
+			time.Sleep(time.Second)
+		}
+		require.Equal(t, 2, strings.Count(strings.Join(output.writes, ""), "\n"))
+		require.NoError(t, logger.Close())
+	})
+}
