--- a/eventlog/logger_test.go
+++ b/eventlog/logger_test.go
@@ -3,8 +3,10 @@
 import (
 	"bytes"
 	"io"
+	"slices"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -79,14 +81,26 @@
 	}
 }
 
-// writeRecorder keeps what each call of Write was given.
-type writeRecorder struct{ writes []string }
+// writeRecorder keeps what each call of Write was given, for concurrent writers.
+type writeRecorder struct {
+	mu     sync.Mutex
+	writes []string
+}
 
 func (w *writeRecorder) Write(p []byte) (int, error) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
 	w.writes = append(w.writes, string(p))
 	return len(p), nil
 }
 
+// recorded returns what was written so far.
+func (w *writeRecorder) recorded() []string {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return slices.Clone(w.writes)
+}
+
 // TestWritesBatched guards against a leader that makes one system call for each of some thousand lines a second, against lines that stay in
 // the buffer, and against writes that end within a line, behind which a collector may put that of another process.
 func TestWritesBatched(t *testing.T) {
@@ -100,9 +114,10 @@
 					logger.JobEnded("job", "queue", acaciatally.JobCompleted)
 				}
 				time.Sleep(time.Second)
-				require.LessOrEqual(t, len(output.writes), test.maxWrites)
-				require.Equal(t, test.lines, strings.Count(strings.Join(output.writes, ""), "\n"))
-				for _, written := range output.writes {
+				writes := output.recorded()
+				require.LessOrEqual(t, len(writes), test.maxWrites)
+				require.Equal(t, test.lines, strings.Count(strings.Join(writes, ""), "\n"))
+				for _, written := range writes {
 					require.True(t, strings.HasSuffix(written, "\n"), "%q", written)
 				}
 				require.NoError(t, logger.Close())
@@ -112,11 +127,13 @@
 }
 
 // failingOnce is an output whose first write fails.
-type failingOnce struct{ writeRecorder }
+type failingOnce struct {
+	writeRecorder
+	failed atomic.Bool
+}
 
 func (f *failingOnce) Write(p []byte) (int, error) {
-	if len(f.writes) == 0 {
-		f.writes = append(f.writes, "")
+	if f.failed.CompareAndSwap(false, true) {
 		return 0, io.ErrShortWrite
 	}
 	return f.writeRecorder.Write(p)
@@ -131,7 +148,7 @@
 			logger.JobEnded("job", "queue", acaciatally.JobCompleted)
 			time.Sleep(time.Second)
 		}
-		require.Equal(t, 2, strings.Count(strings.Join(output.writes, ""), "\n"))
+		require.Equal(t, 2, strings.Count(strings.Join(output.recorded(), ""), "\n"))
 		require.NoError(t, logger.Close())
 	})
 }
--- a/site/deployment_test.go
+++ b/site/deployment_test.go
@@ -149,8 +149,8 @@
 		instance := &emulator.Instance{
 			ID: fmt.Sprintf("m-%02d", d.instanceCount), Pool: pool, Zone: "hall-a", Rack: fmt.Sprintf("r-%d", d.instanceCount/4), CPU: 8000, Memory: 65536,
 		}
-		d.instanceControl.AddInstance(instance)
 		instance.Worker = d.startWorker(instance)
+		d.instanceControl.AddInstance(instance)
 	}
 }
 
