--- a/review/harness/cases.go
+++ b/review/harness/cases.go
@@ -8,7 +8,8 @@
 
 func scenarios() map[string]scenario {
 	return map[string]scenario{
-		"many-ends": manyEnds(),
+		"many-ends":      manyEnds(),
+		"first-in-queue": firstInQueue(),
 	}
 }
 
@@ -28,15 +29,7 @@
 	return scenario{
 		entries: 2,
 		routes:  []route{{"quotes", "/quotes/", "intake"}},
-		workers: func(b *bench) (list []*worker) {
-			for i := range 6 {
-				number := strconv.Itoa(i)
-				list = append(list, newWorker(b.log, workerConfig{
-					id: "i-0" + number, machine: "m-0" + number, service: "intake", rack: "r-0", cpu: 64000, memMB: 262144, duration: duration,
-				}))
-			}
-			return list
-		},
+		workers: sixWorkers(duration),
 		play: func(b *bench) error {
 			time.Sleep(2 * time.Second)
 			if err := b.submit(job, map[string]any{"spec": "work", "steps": []any{
@@ -68,3 +61,16 @@
 		check: checkTwice,
 	}
 }
+
+// sixWorkers returns six workers of one service, like those of the site.
+func sixWorkers(duration func(task string) time.Duration) func(b *bench) []*worker {
+	return func(b *bench) (list []*worker) {
+		for i := range 6 {
+			number := strconv.Itoa(i)
+			list = append(list, newWorker(b.log, workerConfig{
+				id: "i-0" + number, machine: "m-0" + number, service: "intake", rack: "r-" + strconv.Itoa(i/4), cpu: 64000, memMB: 262144, duration: duration,
+			}))
+		}
+		return list
+	}
+}
--- a/review/harness/recorder.go
+++ b/review/harness/recorder.go
@@ -67,7 +67,9 @@
 }
 
 // since returns the time of an event since the start of the case, for texts.
-func (r *recorder) since(at time.Time) string { return fmt.Sprintf("%.3f s", at.Sub(r.began).Seconds()) }
+func (r *recorder) since(at time.Time) string {
+	return fmt.Sprintf("%.3f s", at.Sub(r.began).Seconds())
+}
 
 func (r *recorder) write(path string) error {
 	r.mutex.Lock()
