--- a/review/harness/bench.go
+++ b/review/harness/bench.go
@@ -272,6 +272,32 @@
 	<-e.exited
 }
 
+// powerOff kills all entries at once and starts them again after a time.
+func (b *bench) powerOff(duration time.Duration) {
+	for _, e := range b.entries {
+		_ = e.process.Process.Signal(syscall.SIGKILL)
+	}
+	b.log.note("all entries lose power")
+	time.Sleep(duration)
+	for _, e := range b.entries {
+		<-e.exited
+		if err := b.startEntry(e); err != nil {
+			b.log.note("entry %s does not start: %v", e.name, err)
+		}
+	}
+}
+
+// busiest returns the worker that runs the most subtasks.
+func (b *bench) busiest() *worker {
+	busiest := b.workers[0]
+	for _, w := range b.workers {
+		if w.runs() > busiest.runs() {
+			busiest = w
+		}
+	}
+	return busiest
+}
+
 // waitReady waits until all entries are ready.
 func (b *bench) waitReady() error {
 	end := time.Now().Add(startupTimeout)
--- a/review/harness/cases.go
+++ b/review/harness/cases.go
@@ -10,6 +10,10 @@
 	return map[string]scenario{
 		"many-ends":      manyEnds(),
 		"first-in-queue": firstInQueue(),
+		"timed-backlog":  timedBacklog(),
+		"crash-loop":     crashLoop(),
+		"other-kind":     otherKind(),
+		"odd-entry":      oddEntry(),
 	}
 }
 
@@ -38,12 +42,7 @@
 				return err
 			}
 			time.Sleep(2500 * time.Millisecond)
-			busiest := b.workers[0]
-			for _, w := range b.workers {
-				if w.runs() > busiest.runs() {
-					busiest = w
-				}
-			}
+			busiest := b.busiest()
 			b.log.note("worker %s runs %d subtasks", busiest.id, busiest.runs())
 			if b.trouble {
 				busiest.setCut(true)
--- a/review/harness/worker.go
+++ b/review/harness/worker.go
@@ -36,6 +36,7 @@
 	life     int
 	cut      bool // no packet reaches it or leaves it
 	down     bool // its process does not run
+	dark     bool // its machine does not answer at all while it is down
 	draining bool
 	drops    func(path, task string) bool // whether a call is left unanswered; nil for none
 	sequence int
@@ -125,6 +126,14 @@
 	w.crashLocked()
 }
 
+// goDark crashes the worker so that nothing answers at its address until it boots again.
+func (w *worker) goDark() {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	w.dark = true
+	w.crashLocked()
+}
+
 func (w *worker) crashLocked() {
 	if w.down {
 		return
@@ -149,7 +158,7 @@
 	defer w.mutex.Unlock()
 	w.life++
 	w.kind, w.cpu = kind, cpu
-	w.down, w.draining, w.sequence, w.lives = false, false, 0, newLife()
+	w.down, w.dark, w.draining, w.sequence, w.lives = false, false, false, 0, newLife()
 	w.log.add(event{kind: eventBoot, worker: w.id, life: w.life, how: w.describe()})
 }
 
@@ -173,7 +182,7 @@
 func (w *worker) ServeHTTP(writer http.ResponseWriter, request *http.Request) {
 	content, err := io.ReadAll(request.Body)
 	w.mutex.Lock()
-	cut, down, drops := w.cut, w.down, w.drops
+	cut, down, drops := w.cut || w.dark, w.down, w.drops
 	w.mutex.Unlock()
 	if cut {
 		<-request.Context().Done() // the packets are lost
