--- a/review/harness/cases.go
+++ b/review/harness/cases.go
@@ -8,12 +8,13 @@
 
 func scenarios() map[string]scenario {
 	return map[string]scenario{
-		"many-ends":      manyEnds(),
+		"stuck-cursor":   stuckCursor(),
 		"first-in-queue": firstInQueue(),
+		"many-ends":      manyEnds(),
+		"odd-entry":      oddEntry(),
 		"timed-backlog":  timedBacklog(),
-		"crash-loop":     crashLoop(),
 		"other-kind":     otherKind(),
-		"odd-entry":      oddEntry(),
+		"crash-loop":     crashLoop(),
 	}
 }
 
--- a/review/harness/worker.go
+++ b/review/harness/worker.go
@@ -119,13 +119,6 @@
 	return w.cut || w.down
 }
 
-// crash ends the worker's process with all that it runs.
-func (w *worker) crash() {
-	w.mutex.Lock()
-	defer w.mutex.Unlock()
-	w.crashLocked()
-}
-
 // goDark crashes the worker so that nothing answers at its address until it boots again.
 func (w *worker) goDark() {
 	w.mutex.Lock()
@@ -134,6 +127,7 @@
 	w.crashLocked()
 }
 
+// crashLocked ends the worker's process with all that it runs.
 func (w *worker) crashLocked() {
 	if w.down {
 		return
