--- a/review/harness/cases.go
+++ b/review/harness/cases.go
@@ -13,6 +13,7 @@
 		"many-ends":      manyEnds(),
 		"odd-entry":      oddEntry(),
 		"timed-backlog":  timedBacklog(),
+		"probing":        probingForever(),
 		"other-kind":     otherKind(),
 		"crash-loop":     crashLoop(),
 	}
--- a/review/harness/worker.go
+++ b/review/harness/worker.go
@@ -23,7 +23,8 @@
 	duration func(task string) time.Duration
 	// crashAfter returns how long after its start a run brings the worker down; 0 if it does not.
 	crashAfter func(task string) time.Duration
-	checkpoint bool // runs report a checkpoint
+	fails      func() bool // whether what the worker starts now ends as failed; nil for never
+	checkpoint bool        // runs report a checkpoint
 }
 
 // worker is a stand-in for a worker of the platform, which runs subtasks under a lease.
@@ -270,8 +271,11 @@
 	if duration < 0 {
 		duration = time.Hour
 	}
-	life := w.life
-	run.timer = time.AfterFunc(duration, func() { w.finish(run, life) })
+	life, how := w.life, "done"
+	if w.fails != nil && w.fails() {
+		duration, how = 200*time.Millisecond, "failed"
+	}
+	run.timer = time.AfterFunc(duration, func() { w.finish(run, life, how) })
 	if w.crashAfter != nil {
 		if after := w.crashAfter(call.Task); after > 0 {
 			time.AfterFunc(after, func() { w.crashUnder(run, life) })
@@ -279,11 +283,11 @@
 	}
 }
 
-func (w *worker) finish(run *runState, life int) {
+func (w *worker) finish(run *runState, life int, how string) {
 	w.mutex.Lock()
 	defer w.mutex.Unlock()
 	if w.life == life && w.running[run.task] == run {
-		w.end(run, "done")
+		w.end(run, how)
 	}
 }
 
