--- a/review/harness/main.go
+++ b/review/harness/main.go
@@ -7,7 +7,9 @@
 	"fmt"
 	"math/rand/v2"
 	"os"
+	"os/signal"
 	"path/filepath"
+	"syscall"
 	"time"
 )
 
@@ -79,6 +81,13 @@
 		os.Exit(exitNotRun)
 	})
 	defer timer.Stop()
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGTERM, os.Interrupt)
+	go func() {
+		<-signals
+		b.close()
+		os.Exit(exitNotRun)
+	}()
 	b.log.note("trouble: %v", b.trouble)
 	if err := b.start(s); err != nil {
 		b.log.note("the case could not run: %v", err)
