--- a/review/2/run.sh
+++ b/review/2/run.sh
@@ -1,4 +1,4 @@
 #!/usr/bin/env bash
 # Plays the case first-in-queue; exits with 1 if the rule was broken, 0 if it held, 2 if the case could not run.
 cd "$(dirname "$0")/../.." || exit 2
-exec review/bin/harness -case first-in-queue -record review/2/record.txt
+exec review/harness -case first-in-queue -record review/2/record.txt
