--- a/review/standins-2/deployment.go
+++ b/review/standins-2/deployment.go
@@ -60,6 +60,8 @@
 	servers []*http.Server
 	version int
 	closed  chan struct{}
+
+	closeOnce sync.Once
 }
 
 // life is the server and the liveness reports of a worker.
@@ -79,6 +81,7 @@
 	d.control = &machineControl{record: record, downtime: upkeepTime, end: func(w *worker) { d.endWorker(w, "machine order", true) }, up: d.startWorker}
 	d.advice = &advisor{record: record, allows: func(string) bool { return true }, machineOf: d.machineOf, tickets: map[string]ticket{}}
 	d.subnet, err = freeSubnet()
+	played.Store(d)
 	return d, err
 }
 
@@ -318,8 +321,10 @@
 	return nil
 }
 
-// close ends the entries and the platform.
-func (d *deployment) close() {
+// close ends the entries and the platform, once.
+func (d *deployment) close() { d.closeOnce.Do(d.end) }
+
+func (d *deployment) end() {
 	for _, e := range d.entries {
 		e.end()
 	}
--- a/review/standins-2/main.go
+++ b/review/standins-2/main.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"os"
 	"os/signal"
+	"sync/atomic"
 	"syscall"
 	"time"
 )
@@ -62,7 +63,10 @@
 	return exitHeld
 }
 
-// stopEarly ends the program on a signal or after maxTime; the entries end with it.
+// played is the deployment of the case; nil before it exists.
+var played atomic.Pointer[deployment]
+
+// stopEarly ends the deployment and the program on a signal or after maxTime.
 func stopEarly(record *recorder) {
 	signals := make(chan os.Signal, 1)
 	signal.Notify(signals, syscall.SIGINT, syscall.SIGTERM)
@@ -72,6 +76,9 @@
 		case <-time.After(maxTime):
 		}
 		record.printf("the case was ended early")
+		if d := played.Load(); d != nil {
+			d.close()
+		}
 		os.Exit(exitNotRun)
 	}()
 }
