--- a/review/standins-2/late_pace.go
+++ b/review/standins-2/late_pace.go
@@ -8,7 +8,7 @@
 	"time"
 )
 
-// Case 10: an order on the pace of a subtask that fills is carried out late, after a newer one. The leader goes on with the newer share, and the
+// Case 12, not among the five: an order on the pace of a subtask that fills is carried out late, after a newer one. The leader goes on with the newer share, and the
 // subtask that serves beside it stays over its target.
 
 const (
--- a/review/standins-2/late_upkeep.go
+++ b/review/standins-2/late_upkeep.go
@@ -9,7 +9,7 @@
 	"time"
 )
 
-// Case 9: the leader is killed while its order for an upkeep has no answer. The next leader goes on with another machine, and the first order is
+// Case 10: the leader is killed while its order for an upkeep has no answer. The next leader goes on with another machine, and the first order is
 // carried out while that machine is down.
 
 const (
--- a/review/standins-2/main.go
+++ b/review/standins-2/main.go
@@ -23,7 +23,7 @@
 // playCase plays one case and returns whether the rule was broken.
 type playCase func(record *recorder, trouble bool) (broken bool, err error)
 
-var cases = map[int]playCase{6: playLongRun, 7: playAllowedWorker, 8: playLateCancel, 9: playLateUpkeep, 10: playLatePace, 11: playLateCrash}
+var cases = map[int]playCase{6: playLongRun, 7: playAllowedWorker, 8: playLateCancel, 9: playWaveStop, 10: playLateUpkeep, 11: playLateCrash, 12: playLatePace}
 
 func main() {
 	number := flag.Int("case", 0, "number of the case")
