Log the outcome of submissions whose caller no longer waits

Cause: a caller that got 504 has no answer, and no log line says whether and when its job was accepted.

Change: the batcher logs SubmissionResolved when it learns the result of a submission whose caller has stopped waiting.

Measured: intake.TestAbandonedSubmissionLogged passes in its three cases; the event did not exist before.

--- a/eventlog/logger.go
+++ b/eventlog/logger.go
@@ -140,6 +140,11 @@
 		Bool("Accepted", err == nil).Err(err).Msg("")
 }
 
+// SubmissionResolved logs the outcome of a submission whose caller no longer waits for it.
+func (l *Logger) SubmissionResolved(queue acaciatally.QueueName, id acaciatally.JobID, err error) {
+	l.line("SubmissionResolved").Str("Job", string(id)).Str("Queue", string(queue)).Bool("Accepted", err == nil).Err(err).Msg("")
+}
+
 // StateRead logs that a caller has read the final state of a job, or that reading the state failed.
 func (l *Logger) StateRead(queue acaciatally.Queue, id acaciatally.JobID, state acaciatally.JobState, err error) {
 	if err == nil && !state.Ended() {
--- a/intake/batch.go
+++ b/intake/batch.go
@@ -31,6 +31,7 @@
 	transaction acaciatally.RecordTransaction
 	digest      uint64
 	result      chan error
+	abandoned   bool // its caller no longer waits for the result
 }
 
 // size returns the size of the records that the submission writes, in bytes.
@@ -44,11 +45,12 @@
 // batcher records the submissions of one queue in batches. Only one transaction is in progress at a time, so that a slow partition is
 // not overloaded.
 type batcher struct {
-	store   acaciatally.RecordStore
-	queue   acaciatally.QueueName
-	mutex   sync.Mutex
-	waiting []*submission
-	running bool
+	store    acaciatally.RecordStore
+	queue    acaciatally.QueueName
+	eventLog EventLog
+	mutex    sync.Mutex
+	waiting  []*submission
+	running  bool
 }
 
 // add puts a submission into a batch and returns its result. Once ctx has ended, it withdraws the submission.
@@ -74,6 +76,7 @@
 func (b *batcher) withdraw(s *submission) error {
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
+	s.abandoned = true
 	for index, other := range b.waiting {
 		if other == s {
 			b.waiting = append(b.waiting[:index], b.waiting[index+1:]...)
@@ -124,7 +127,7 @@
 		var conflict *acaciatally.RecordConflictError
 		switch {
 		case err == nil:
-			sendResult(batch, nil)
+			b.finishAll(batch, nil)
 			return
 		case errors.As(err, &conflict):
 			batch = b.resolveConflict(batch, conflict)
@@ -134,12 +137,12 @@
 		default:
 			refusals++
 			if !outcomeUnknown && refusals >= maxRefusals {
-				sendResult(batch, &acaciatally.NotAcceptedError{Reason: "the record store refuses", RetryAfter: storeRetryAfter})
+				b.finishAll(batch, &acaciatally.NotAcceptedError{Reason: "the record store refuses", RetryAfter: storeRetryAfter})
 				return
 			}
 		}
 		if ctx.Err() != nil {
-			sendResult(batch, acaciatally.ErrUnknownOutcome)
+			b.finishAll(batch, acaciatally.ErrUnknownOutcome)
 			return
 		}
 		time.Sleep(batchRetryDelay)
@@ -154,12 +157,23 @@
 	return transaction
 }
 
-func sendResult(batch []*submission, err error) {
+// finishAll finishes each submission of a batch with the same result.
+func (b *batcher) finishAll(batch []*submission, err error) {
 	for _, s := range batch {
-		s.result <- err
+		b.finish(s, err)
 	}
 }
 
+// finish sends the result of a submission to its caller, or logs it if the caller no longer waits.
+func (b *batcher) finish(s *submission, err error) {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	if s.abandoned {
+		b.eventLog.SubmissionResolved(b.queue, s.id, err)
+	}
+	s.result <- err
+}
+
 // resolveConflict sends the results of the submissions that are already recorded and returns the others.
 func (b *batcher) resolveConflict(batch []*submission, conflict *acaciatally.RecordConflictError) (unrecorded []*submission) {
 	for _, s := range batch {
@@ -168,10 +182,10 @@
 			unrecorded = append(unrecorded, s)
 			continue
 		}
-		s.result <- s.compareRecorded(current)
+		b.finish(s, s.compareRecorded(current))
 	}
 	if len(unrecorded) == len(batch) {
-		sendResult(batch, acaciatally.ErrUnknownOutcome) // the conflict names none of these submissions
+		b.finishAll(batch, acaciatally.ErrUnknownOutcome) // the conflict names none of these submissions
 		return nil
 	}
 	return unrecorded
--- a/intake/batch_test.go
+++ b/intake/batch_test.go
@@ -83,6 +83,8 @@
 
 func (nopEventLog) JobSubmitted(acaciatally.Queue, acaciatally.JobID, time.Duration, error) {}
 
+func (nopEventLog) SubmissionResolved(acaciatally.QueueName, acaciatally.JobID, error) {}
+
 func (nopEventLog) StateRead(acaciatally.Queue, acaciatally.JobID, acaciatally.JobState, error) {}
 
 func (nopEventLog) JobCancelled(acaciatally.Queue, acaciatally.JobID, error) {}
@@ -212,3 +214,43 @@
 		})
 	}
 }
+
+// resolutionLog counts the submissions that were resolved after their caller had stopped waiting, by result.
+type resolutionLog struct {
+	nopEventLog
+	mutex    sync.Mutex
+	resolved map[error]int
+}
+
+func (l *resolutionLog) SubmissionResolved(_ acaciatally.QueueName, _ acaciatally.JobID, err error) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	l.resolved[err]++
+}
+
+// TestAbandonedSubmissionLogged guards against a job of which no log line says whether it was accepted, because its caller had stopped waiting.
+func TestAbandonedSubmissionLogged(t *testing.T) {
+	tests := map[string]struct {
+		deadline time.Duration
+		script   []error
+		resolved map[error]int
+	}{
+		"caller waits":       {time.Second, nil, map[error]int{}},
+		"accepted later":     {100 * time.Millisecond, nil, map[error]int{nil: 1}},
+		"repeated and taken": {100 * time.Millisecond, []error{acaciatally.ErrUnknownCommit}, map[error]int{nil: 1}},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				store := &fakeStore{rows: map[acaciatally.RecordKey]acaciatally.Record{}, delay: 300 * time.Millisecond, script: test.script}
+				eventLog := &resolutionLog{resolved: map[error]int{}}
+				service := intake.New(intake.Config{Store: store, EventLog: eventLog})
+				ctx, stop := context.WithTimeout(t.Context(), test.deadline)
+				defer stop()
+				_ = service.Submit(ctx, queue, "a", spec("x")) // the outcome is in the log
+				time.Sleep(5 * time.Second)
+				require.Equal(t, test.resolved, eventLog.resolved)
+			})
+		})
+	}
+}
--- a/intake/service.go
+++ b/intake/service.go
@@ -53,7 +53,7 @@
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	if s.batchers[queue] == nil {
-		s.batchers[queue] = &batcher{store: s.config.Store, queue: queue}
+		s.batchers[queue] = &batcher{store: s.config.Store, queue: queue, eventLog: s.config.EventLog}
 	}
 	return s.batchers[queue]
 }
