Start a cancellation over when the job was accepted between its reads

A cancellation could be answered 200 while the job runs on.

Cause: a cancellation reads the accepted record, then the progress record. A job accepted between the two reads has a progress record, as an ended job has, and was taken for one.

Change: a progress record whose state is not final makes the cancellation start over.

Measured: intake.TestCancelDuringAcceptance failed before (no cancel record) and passes.

--- a/intake/cancel.go
+++ b/intake/cancel.go
@@ -25,14 +25,17 @@
 	}()
 	for {
 		err = s.cancelByRecords(ctx, queue, id)
-		var conflict *acaciatally.RecordConflictError
-		if !errors.As(err, &conflict) {
+		if !errors.Is(err, errRecordsChanged) {
 			return err
 		}
+		acaciatally.Sleep(ctx, commitRetryDelay)
 	}
 }
 
-// cancelByRecords cancels a job according to the records that it has. It fails with *RecordConflictError if they have changed meanwhile, and
+// errRecordsChanged reports that a job was accepted or withdrawn while its cancellation read its records.
+var errRecordsChanged = errors.New("the job's records have changed")
+
+// cancelByRecords cancels a job according to the records that it has. It fails with errRecordsChanged if they have changed meanwhile, and
 // otherwise like Cancel.
 func (s *Service) cancelByRecords(ctx context.Context, queue acaciatally.Queue, id acaciatally.JobID) error {
 	accepted, err := s.read(ctx, job.AcceptedKey(queue.Name, id))
@@ -50,6 +53,8 @@
 		return err
 	case state == acaciatally.JobWithdrawn:
 		return acaciatally.ErrJobNotFound
+	case !state.Ended():
+		return errRecordsChanged
 	}
 	return nil // an ended job has only a progress record, and nothing is left to cancel
 }
@@ -68,7 +73,7 @@
 }
 
 // withdraw takes the ID of a job without records, so that a submission of the job whose outcome is unknown can't be accepted later. The
-// cancel record tells the leader, which deletes both records. withdraw returns ErrJobNotFound, or *RecordConflictError if the job has been
+// cancel record tells the leader, which deletes both records. withdraw returns ErrJobNotFound, or errRecordsChanged if the job has been
 // accepted or withdrawn meanwhile.
 func (s *Service) withdraw(ctx context.Context, queue acaciatally.Queue, id acaciatally.JobID) error {
 	if !s.withdrawals.Allow() {
@@ -85,8 +90,12 @@
 			{RecordKey: job.CancelKey(queue.Name, id), Value: job.MarkerValue},
 		},
 	})
-	if err != nil {
-		return err
+	var conflict *acaciatally.RecordConflictError
+	switch {
+	case err == nil:
+		return acaciatally.ErrJobNotFound
+	case errors.As(err, &conflict):
+		return errRecordsChanged
 	}
-	return acaciatally.ErrJobNotFound
+	return err
 }
--- a/intake/cancel_test.go
+++ b/intake/cancel_test.go
@@ -67,6 +67,33 @@
 	}
 }
 
+// midwayStore is a store in which a job is accepted right after its accepted record was looked for.
+type midwayStore struct {
+	*fakeStore
+	accept func()
+}
+
+func (s *midwayStore) Read(ctx context.Context, selection acaciatally.RecordRange) (page acaciatally.RecordPage, err error) {
+	page, err = s.fakeStore.Read(ctx, selection)
+	if accept := s.accept; selection.Table == job.AcceptedTable && accept != nil {
+		s.accept = nil
+		accept()
+	}
+	return page, err
+}
+
+// TestCancelDuringAcceptance guards against a cancellation that is confirmed without a record of it, so that the job runs on: the job was accepted
+// between the two reads of the cancellation.
+func TestCancelDuringAcceptance(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := &midwayStore{fakeStore: &fakeStore{rows: map[acaciatally.RecordKey]acaciatally.Record{}}}
+		store.accept = func() { require.NoError(t, newService(store.fakeStore).Submit(t.Context(), queue, "a", spec("x"))) }
+		service := intake.New(intake.Config{Store: store, EventLog: nopEventLog{}})
+		require.NoError(t, service.Cancel(t.Context(), queue, "a"))
+		require.Contains(t, store.rows, job.CancelKey(queue.Name, "a"))
+	})
+}
+
 // TestCancelOfUnknownJobs guards against callers who fill the store by cancelling jobs that do not exist.
 func TestCancelOfUnknownJobs(t *testing.T) {
 	const (
