Stop long-running tasks without another place last when a worker is drained

Cause: drainWorkers stopped the long-running tasks of a worker to drain as soon as the disruption budgets of their steps allowed it, wherever they could run next and whatever else kept the worker in service.

Change: such a task is stopped if another worker can take it, or once nothing but such tasks keeps the worker from being drained and the budgets allow stopping all of them.

--- /dev/null
+++ b/dispatch/drain_test.go
@@ -0,0 +1,94 @@
+package dispatch
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/acaciatally/acaciatally"
+)
+
+// reportRunning reports that the started runs are in progress, each at the given percentage, and nothing else.
+func reportRunning(scheduler *Scheduler, orders []Order, percent int, now time.Duration) {
+	reports := map[acaciatally.WorkerID]acaciatally.WorkerReport{}
+	for _, order := range orders {
+		report := reports[order.Worker.ID]
+		report.Clock, report.StartTime = now, order.Worker.StartTime
+		report.Running = append(report.Running, acaciatally.RunningTask{Task: order.Start.Task, Attempt: order.Start.Attempt, Percent: percent})
+		reports[order.Worker.ID] = report
+	}
+	for id, report := range reports {
+		scheduler.Report(id, report, now, now)
+	}
+}
+
+// stopsOf returns how many stop orders for runs of the job are due.
+func stopsOf(scheduler *Scheduler, id acaciatally.JobID, now time.Duration) (count int) {
+	scheduler.Plan(now, time.UnixMilli(0))
+	for _, order := range scheduler.Orders(now) {
+		if order.Kind == OrderStop && order.Start.Task.Job == id {
+			count++
+		}
+	}
+	return count
+}
+
+// TestDrainStopsLongRunningLast guards against stopping a long-running task that no other worker can take while other runs keep its worker from
+// being drained: it had no run until they had ended and the instance was back.
+func TestDrainStopsLongRunningLast(t *testing.T) {
+	const labelOfFirst = "first"
+	tests := map[string]struct {
+		tasks     int // of the long-running step
+		perWorker int
+		otherWork bool // a run of another job on the worker to drain, which has no checkpoints
+		third     bool // an idle worker that could take the long-running task
+		thirdFull bool // the third worker is full of work that may be preempted
+		announced bool // the worker says itself that it will leave
+		stops     int
+	}{
+		"other work goes on":                       {tasks: 2, perWorker: 1, otherWork: true, stops: 0},
+		"nothing else runs":                        {tasks: 2, perWorker: 1, stops: 1},
+		"other work goes on, another worker":       {tasks: 2, perWorker: 1, otherWork: true, third: true, stops: 1},
+		"other work goes on, another worker, full": {tasks: 2, perWorker: 1, otherWork: true, third: true, thirdFull: true, stops: 1},
+		"two of one step, of which one may stop":   {tasks: 4, perWorker: 2, stops: 0},
+		"two of one step, one can go elsewhere":    {tasks: 4, perWorker: 2, third: true, stops: 1},
+		"worker leaves by itself":                  {tasks: 2, perWorker: 1, announced: true, stops: 0},
+		"worker leaves by itself, another worker":  {tasks: 2, perWorker: 1, announced: true, third: true, stops: 1},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			scheduler, _ := newScheduler()
+			first, second := testWorker(1), testWorker(2)
+			first.Labels = append(first.Labels, labelOfFirst)
+			reportIdle(scheduler, first, second)
+			longRunning := testStep(test.tasks, 1000)
+			longRunning.LongRunning, longRunning.PerWorker = true, test.perWorker
+			longRunning.DisruptionBudget, longRunning.HasDisruptionBudget = 1, true
+			loadJob(scheduler, "aa", 0, longRunning)
+			other := testStep(1, 1000)
+			other.Label = labelOfFirst
+			if test.otherWork {
+				loadJob(scheduler, "bb", 0, other)
+			}
+			reportRunning(scheduler, startDue(scheduler, 0), fullPercent, time.Second)
+			workers := []acaciatally.Worker{first, second}
+			if test.third {
+				workers = append(workers, testWorker(3))
+			}
+			scheduler.SetDirectory(workers, time.Second)
+			if test.third {
+				scheduler.Report("i-3", acaciatally.WorkerReport{Clock: time.Second, StartTime: first.StartTime}, time.Second, time.Second)
+			}
+			if test.thirdFull {
+				loadJob(scheduler, "cc", time.Second, testStep(1, 8000))
+				reportRunning(scheduler, startDue(scheduler, time.Second), 0, time.Second)
+			}
+			if workers[0].Draining = test.announced; !test.announced {
+				scheduler.SetWorkersToDrain(map[acaciatally.WorkerID]string{"i-1": "maintenance"})
+			}
+			scheduler.SetDirectory(workers, time.Second)
+			require.Equal(t, test.stops, stopsOf(scheduler, "aa", 1200*time.Millisecond))
+		})
+	}
+}
--- a/dispatch/plan.go
+++ b/dispatch/plan.go
@@ -26,7 +26,7 @@
 		s.stopStalledRuns(now)
 		s.endProbations(now)
 		s.stopBrokenGangs()
-		s.drainWorkers()
+		s.drainWorkers(now)
 	}
 	pools := s.takeChangedPools()
 	if now >= s.nextPlacementAt {
@@ -305,14 +305,9 @@
 	if c.trial != nil {
 		return c.trial.racks[c.w.entry.Rack]
 	}
-	for _, o := range t.job.openOccurrences {
-		if o.number != t.ref.Occurrence {
-			continue
-		}
-		for _, sibling := range o.steps[t.ref.Step] {
-			if sibling.worker != nil && sibling.worker.entry.Rack == c.w.entry.Rack {
-				count++
-			}
+	for _, sibling := range t.members() {
+		if sibling.worker != nil && sibling.worker.entry.Rack == c.w.entry.Rack {
+			count++
 		}
 	}
 	return count
