Stop runs with checkpoints without another place last when a worker is drained

A task could wait without a run until its instance was back, while other work kept the maintenance from beginning.

Cause: a run with checkpoints was stopped as soon as its worker was to be drained, also where no other worker can take it.

Change: it is stopped if another worker can take it, or once only stoppable runs are left on its worker, as long-running tasks are.

Measured: dispatch.TestDrainKeepsCheckpointedRun failed before in one of three cases (a stop where none is due) and passes.

--- a/dispatch/drain.go
+++ b/dispatch/drain.go
@@ -10,8 +10,8 @@
 // letFinishPercent is the progress from which a run is left to finish on a worker to drain.
 const letFinishPercent = 75
 
-// drainWorkers stops runs on workers that are to be drained or announce that they drain: those that can resume elsewhere from a checkpoint, and
-// long-running ones within the disruption budgets of their steps.
+// drainWorkers stops runs on workers that are to be drained or announce that they drain: those that can resume from a checkpoint, and long-running
+// ones within the disruption budgets of their steps.
 func (s *Scheduler) drainWorkers(now time.Duration) {
 	places := drainPlaces{scheduler: s, now: now, pools: map[acaciatally.PoolName][]*candidate{}}
 	for _, w := range s.workers {
@@ -32,20 +32,20 @@
 		if t.stopReason != "" || t.stage != stageRunning {
 			continue
 		}
-		if t.movableByCheckpoint() || withinDisruptionBudget(t) && places.take(t) {
+		if (t.movableByCheckpoint() || withinDisruptionBudget(t)) && places.take(t) {
 			s.stopTask(t, stopDraining)
 		}
 	}
 }
 
-// onlyStoppable reports whether all that keeps the worker from being drained are long-running tasks, and the disruption budgets of their steps
-// allow stopping all of them now.
+// onlyStoppable reports whether all that keeps the worker from being drained are runs with checkpoints and long-running tasks, and the disruption
+// budgets allow stopping all of them now.
 func (w *worker) onlyStoppable() bool {
 	if len(w.orphans) > 0 {
 		return false
 	}
 	for t := range w.runs {
-		if t.stopReason != "" {
+		if t.stopReason != "" || t.stage == stageRunning && t.movableByCheckpoint() {
 			continue
 		}
 		if !t.step.LongRunning || t.stage != stageRunning || t.unavailableSiblings(w) > t.disruptionBudget() {
@@ -55,8 +55,8 @@
 	return true
 }
 
-// stopRemaining stops the long-running tasks of a worker that have no other place to run. They wait until the instance is back, so they are
-// stopped only once nothing else keeps it in service.
+// stopRemaining stops the runs of a worker that have no other place. Their tasks wait until the instance is back, so they are stopped only once
+// nothing else keeps it in service.
 func (s *Scheduler) stopRemaining(w *worker) {
 	for t := range w.runs {
 		if t.stopReason == "" {
@@ -65,21 +65,22 @@
 	}
 }
 
-// drainPlaces finds places for the long-running tasks that are stopped in one pass over the workers to drain.
+// drainPlaces finds places for the tasks that are stopped in one pass over the workers to drain.
 type drainPlaces struct {
 	scheduler *Scheduler
 	now       time.Duration
 	pools     map[acaciatally.PoolName][]*candidate // those that were needed so far, less what the tasks of this pass take
 }
 
-// take reports whether another worker can take the task, if need be in place of runs that it may preempt, and reserves its free capacity.
+// take reports whether another worker can take the task, and reserves its free capacity. For a long-running task, it may do so in place of runs
+// that the task may preempt.
 func (p *drainPlaces) take(t *task) bool {
 	candidates := p.candidates(t.job.accepted.Queue.Pool)
-	if c := p.scheduler.anyCandidate(t, candidates, p.now); c != nil {
+	if c := p.scheduler.candidateFor(t, candidates, p.now); c != nil {
 		c.reserve(t)
 		return true
 	}
-	return !t.step.Backfill && slices.ContainsFunc(candidates, func(c *candidate) bool {
+	return t.step.LongRunning && !t.step.Backfill && slices.ContainsFunc(candidates, func(c *candidate) bool {
 		_, enough := c.victims(t)
 		return enough
 	})
--- a/dispatch/drain_test.go
+++ b/dispatch/drain_test.go
@@ -92,3 +92,39 @@
 		})
 	}
 }
+
+// TestDrainKeepsCheckpointedRun guards against stopping a run with checkpoints that no other worker can take while another run keeps its worker
+// from being drained: it waited until that had ended and the instance was back.
+func TestDrainKeepsCheckpointedRun(t *testing.T) {
+	const label = "special"
+	tests := map[string]struct {
+		otherWork bool // a run without checkpoints on the worker to drain
+		elsewhere bool // another worker has the label
+		stops     int
+	}{
+		"other work goes on":                 {otherWork: true, stops: 0},
+		"other work goes on, another worker": {otherWork: true, elsewhere: true, stops: 1},
+		"nothing else runs":                  {stops: 1},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			scheduler, _ := newScheduler()
+			first, second := testWorker(1), testWorker(2)
+			first.Labels = append(first.Labels, label)
+			reportIdle(scheduler, first, second)
+			step := testStep(1, 1000)
+			step.Label, step.Checkpoints = label, true
+			loadJob(scheduler, "aa", 0, step)
+			if step.Checkpoints = false; test.otherWork {
+				loadJob(scheduler, "bb", 0, step)
+			}
+			reportRunning(scheduler, startDue(scheduler, 0), 10, time.Second)
+			if test.elsewhere {
+				second.Labels = first.Labels
+			}
+			scheduler.SetDirectory([]acaciatally.Worker{first, second}, time.Second)
+			scheduler.SetWorkersToDrain(map[acaciatally.WorkerID]string{"i-1": "maintenance"})
+			require.Equal(t, test.stops, stopsOf(scheduler, "aa", 1200*time.Millisecond))
+		})
+	}
+}
--- a/dispatch/plan.go
+++ b/dispatch/plan.go
@@ -128,10 +128,7 @@
 
 // placeTask places a task and returns whether it was placed. For a long-running task that fits no candidate, it may stop other runs.
 func (s *Scheduler) placeTask(t *task, set *candidateSet, now time.Duration) bool {
-	c := s.bestCandidate(t, set.candidates, now)
-	if c == nil && t.step.LongRunning {
-		c = s.anyCandidate(t, set.candidates, now)
-	}
+	c := s.candidateFor(t, set.candidates, now)
 	if c == nil {
 		if len(t.avoidUntil) == 0 && !t.suspected() && t.job.accepted.Queue.Advice == nil {
 			set.markUnplaceable(t.step)
@@ -244,6 +241,15 @@
 	c.reserve(t)
 }
 
+// candidateFor returns the candidate on which the task is to be placed, or nil.
+func (s *Scheduler) candidateFor(t *task, candidates []*candidate, now time.Duration) *candidate {
+	c := s.bestCandidate(t, candidates, now)
+	if c == nil && t.step.LongRunning {
+		return s.anyCandidate(t, candidates, now)
+	}
+	return c
+}
+
 // bestCandidate returns the best candidate for the task, or nil. Workers on which the task has failed are skipped if there are others,
 // because another failure may use up the last attempt.
 func (s *Scheduler) bestCandidate(t *task, candidates []*candidate, now time.Duration) (chosen *candidate) {
