Let a long-running task run on a worker to drain that other runs keep in service

A long-running task that ends by itself on such a worker, with no other worker that can take it, had no run until the instance was back.

Cause: a worker to drain got no new run at all.

Change: after preemptAfter without a place, the task goes to a worker to drain as long as a run that is left to finish keeps that one in service. Other runs are preempted only if there is no such worker.

Measured: dispatch.TestRestartOnWorkerKeptInService failed before in one of two cases (no start order) and passes.

--- a/dispatch/drain.go
+++ b/dispatch/drain.go
@@ -65,6 +65,38 @@
 	}
 }
 
+// drainingCandidate returns a worker to drain that can take a long-running task for as long as other runs keep the worker in service, or nil.
+func (s *Scheduler) drainingCandidate(t *task, now time.Duration) *candidate {
+	var candidates []*candidate
+	for id := range s.toDrain {
+		if w := s.workers[id]; w != nil && w.entry.Pool == t.job.accepted.Queue.Pool && s.mayGet(w, t, now) {
+			candidates = append(candidates, newCandidate(w))
+		}
+	}
+	return s.anyCandidate(t, candidates, now)
+}
+
+// mayGet reports whether the worker may get a run of the task.
+func (s *Scheduler) mayGet(w *worker, t *task, now time.Duration) bool {
+	return w.usable(now) && !s.closedTo(t, w)
+}
+
+// closedTo reports whether the worker is to be drained and gets no run of the task. It may get long-running tasks while other runs keep it in
+// service.
+func (s *Scheduler) closedTo(t *task, w *worker) bool {
+	return s.toDrain[w.entry.ID] != "" && (!t.step.LongRunning || !w.keptInService())
+}
+
+// keptInService reports whether a run that is left to finish keeps the worker from being drained.
+func (w *worker) keptInService() bool {
+	for t := range w.runs {
+		if !t.step.LongRunning && t.stopReason == "" && !t.movableByCheckpoint() {
+			return true
+		}
+	}
+	return false
+}
+
 // drainPlaces finds places for the tasks that are stopped in one pass over the workers to drain.
 type drainPlaces struct {
 	scheduler *Scheduler
--- a/dispatch/drain_test.go
+++ b/dispatch/drain_test.go
@@ -9,8 +9,9 @@
 	"github.com/acaciatally/acaciatally"
 )
 
-// reportRunning reports that the started runs are in progress, each at the given percentage, and nothing else.
-func reportRunning(scheduler *Scheduler, orders []Order, percent int, now time.Duration) {
+// reportRunning reports at one second that the started runs are in progress, each at the given percentage, and nothing else.
+func reportRunning(scheduler *Scheduler, orders []Order, percent int) {
+	const now = time.Second
 	reports := map[acaciatally.WorkerID]acaciatally.WorkerReport{}
 	for _, order := range orders {
 		report := reports[order.Worker.ID]
@@ -71,7 +72,7 @@
 			if test.otherWork {
 				loadJob(scheduler, "bb", 0, other)
 			}
-			reportRunning(scheduler, startDue(scheduler, 0), fullPercent, time.Second)
+			reportRunning(scheduler, startDue(scheduler, 0), fullPercent)
 			workers := []acaciatally.Worker{first, second}
 			if test.third {
 				workers = append(workers, testWorker(3))
@@ -82,7 +83,7 @@
 			}
 			if test.thirdFull {
 				loadJob(scheduler, "cc", time.Second, testStep(1, 8000))
-				reportRunning(scheduler, startDue(scheduler, time.Second), 0, time.Second)
+				reportRunning(scheduler, startDue(scheduler, time.Second), 0)
 			}
 			if workers[0].Draining = test.announced; !test.announced {
 				scheduler.SetWorkersToDrain(map[acaciatally.WorkerID]string{"i-1": "maintenance"})
@@ -118,7 +119,7 @@
 			if step.Checkpoints = false; test.otherWork {
 				loadJob(scheduler, "bb", 0, step)
 			}
-			reportRunning(scheduler, startDue(scheduler, 0), 10, time.Second)
+			reportRunning(scheduler, startDue(scheduler, 0), 10)
 			if test.elsewhere {
 				second.Labels = first.Labels
 			}
@@ -128,3 +129,47 @@
 		})
 	}
 }
+
+// TestRestartOnWorkerKeptInService guards against a long-running task without a run for as long as other runs keep its worker from being drained: it
+// had ended by itself, and no other worker could take it.
+func TestRestartOnWorkerKeptInService(t *testing.T) {
+	for name, otherWork := range map[string]bool{"other work goes on": true, "nothing else runs": false} {
+		t.Run(name, func(t *testing.T) {
+			const label = "first"
+			scheduler, _ := newScheduler()
+			first, second := testWorker(1), testWorker(2)
+			first.Labels = append(first.Labels, label)
+			reportIdle(scheduler, first, second)
+			longRunning, other := testStep(2, 1000), testStep(1, 1000)
+			longRunning.LongRunning, longRunning.PerWorker = true, 1
+			other.Label = label
+			loadJob(scheduler, "aa", 0, longRunning)
+			if otherWork {
+				loadJob(scheduler, "bb", 0, other)
+			}
+			orders := startDue(scheduler, 0)
+			reportRunning(scheduler, orders, 50)
+			scheduler.SetWorkersToDrain(map[acaciatally.WorkerID]string{"i-1": "maintenance"})
+			report := acaciatally.WorkerReport{Clock: 2 * time.Second, StartTime: first.StartTime}
+			for _, order := range orders {
+				switch {
+				case order.Worker.ID != "i-1":
+				case order.Start.Task.Job == "aa":
+					report.Ended = []acaciatally.EndedTask{{Number: 1, Task: order.Start.Task, Attempt: 1, End: acaciatally.EndFailed}}
+				default:
+					report.Running = []acaciatally.RunningTask{{Task: order.Start.Task, Attempt: 1, Percent: 50}}
+				}
+			}
+			scheduler.Report("i-1", report, 2*time.Second, 2*time.Second)
+			require.Empty(t, startDue(scheduler, 2*time.Second))
+			restarted := startDue(scheduler, 2*time.Second+preemptAfter)
+			if !otherWork {
+				require.Empty(t, restarted)
+				return
+			}
+			require.Len(t, restarted, 1)
+			require.Equal(t, acaciatally.WorkerID("i-1"), restarted[0].Worker.ID)
+			require.Equal(t, acaciatally.JobID("aa"), restarted[0].Start.Task.Job)
+		})
+	}
+}
--- a/dispatch/order.go
+++ b/dispatch/order.go
@@ -225,7 +225,7 @@
 // restarted.
 func (s *Scheduler) mayRepeatStart(t *task, now time.Duration) bool {
 	w := t.worker
-	if w.entry.Draining || s.toDrain[w.entry.ID] != "" || !s.suits(t, now) {
+	if w.entry.Draining || s.closedTo(t, w) || !s.suits(t, now) {
 		s.stopTask(t, stopUnconfirmed)
 		return false
 	}
@@ -239,7 +239,7 @@
 // startable reports whether a recorded run may be started for the first time: since it was placed, its worker may have begun to drain or
 // changed.
 func (s *Scheduler) startable(t *task, now time.Duration) bool {
-	return s.schedulable(t.worker, now) && s.suits(t, now)
+	return s.mayGet(t.worker, t, now) && s.suits(t, now)
 }
 
 // suits reports whether the task's worker, as it is now, may have the run: its label and capacity may have changed since it was placed.
--- a/dispatch/plan.go
+++ b/dispatch/plan.go
@@ -126,17 +126,14 @@
 	}
 }
 
-// placeTask places a task and returns whether it was placed. For a long-running task that fits no candidate, it may stop other runs.
+// placeTask places a task and returns whether it was placed.
 func (s *Scheduler) placeTask(t *task, set *candidateSet, now time.Duration) bool {
 	c := s.candidateFor(t, set.candidates, now)
 	if c == nil {
 		if len(t.avoidUntil) == 0 && !t.suspected() && t.job.accepted.Queue.Advice == nil {
 			set.markUnplaceable(t.step)
 		}
-		if t.step.LongRunning && !t.step.Backfill {
-			s.preempt(t, set.candidates, now)
-		}
-		return false
+		return t.step.LongRunning && s.placeUrgently(t, set.candidates, now)
 	}
 	s.assign(t, c, t.attempt+1)
 	return true
@@ -217,10 +214,15 @@
 	return count
 }
 
-// schedulable reports whether the worker may get new runs.
+// schedulable reports whether the worker may get new runs of any task.
 func (s *Scheduler) schedulable(w *worker, now time.Duration) bool {
+	return w.usable(now) && s.toDrain[w.entry.ID] == ""
+}
+
+// usable reports whether the worker's state allows new runs.
+func (w *worker) usable(now time.Duration) bool {
 	return w.listed && w.reported && !w.lost && !w.entry.Draining && w.renewalFailures == 0 && now-w.reportedAt < maxReportAge &&
-		len(w.orphans) == 0 && s.toDrain[w.entry.ID] == "" && !w.entryOutdated()
+		len(w.orphans) == 0 && !w.entryOutdated()
 }
 
 // fits reports whether the candidate has room for the task and the health to run one more.
--- a/dispatch/preempt.go
+++ b/dispatch/preempt.go
@@ -11,15 +11,28 @@
 // preemptAfter is how long a long-running task waits for free capacity before other runs are preempted for it. Usually runs end sooner.
 const preemptAfter = 700 * time.Millisecond
 
-// preempt frees capacity for a long-running task once the task has waited for preemptAfter. It stops runs of other tasks, none of them
-// long-running, on the worker where the fewest have to be stopped.
-func (s *Scheduler) preempt(t *task, candidates []*candidate, now time.Duration) {
+// placeUrgently places a long-running task that fits no candidate, once it has waited for preemptAfter, on a worker to drain that other runs keep in
+// service, and returns whether it was placed. If there is none, it preempts other runs.
+func (s *Scheduler) placeUrgently(t *task, candidates []*candidate, now time.Duration) (placed bool) {
 	if t.unplacedSince == 0 {
 		t.unplacedSince = now
 	}
 	if now < t.unplacedSince+preemptAfter {
-		return
+		return false
+	}
+	if c := s.drainingCandidate(t, now); c != nil {
+		s.assign(t, c, t.attempt+1)
+		return true
+	}
+	if !t.step.Backfill {
+		s.preempt(t, candidates, now)
 	}
+	return false
+}
+
+// preempt frees capacity for a long-running task. It stops runs of other tasks, none of them long-running, on the worker where the fewest have
+// to be stopped.
+func (s *Scheduler) preempt(t *task, candidates []*candidate, now time.Duration) {
 	var victims []*task
 	for _, c := range candidates {
 		found, enough := c.victims(t)
