Judge whether a run stands still by the time that its progress takes

Cause: a run whose percentage had not risen for 1.6 s counted as stalled. Percentages are whole numbers; a run of 200 s rises by one every 2 s.

Change: a run may go without progress for as long as four percent of it take by its estimate or by the last percent seen, at least 1.6 s, and twice as long after each stalled run of the task. Only the first stalled run of a task is held against its worker. The check has a file of its own.

--- a/dispatch/health.go
+++ b/dispatch/health.go
@@ -13,8 +13,6 @@
 	probationTime = 5 * time.Second
 	// failuresToQuarantine is the number of different jobs that must fail on a worker, without a success in between, to quarantine it.
 	failuresToQuarantine = 2
-	// stallTimeout is how long a run may make no progress; it spans several reports.
-	stallTimeout = 1600 * time.Millisecond
 )
 
 // health is the health of a worker as derived from the results of its runs.
@@ -80,18 +78,3 @@
 	}
 	return !h.probing || runs == 0
 }
-
-// stopStalledRuns stops the runs that make no progress, so that they are started again on other workers.
-func (s *Scheduler) stopStalledRuns(now time.Duration) {
-	for _, w := range s.workers {
-		for t := range w.runs {
-			if t.stage != stageRunning || t.step.LongRunning || t.step.Gang || t.step.Backfill || t.cpuShare < fullPercent || t.stopReason != "" {
-				continue
-			}
-			if t.percentReportedAt-t.progressedAt > stallTimeout && t.percent < 100 {
-				s.quarantine(w, "quarantined: run makes no progress", now)
-				s.stopTask(t, stopStalled)
-			}
-		}
-	}
-}
--- a/dispatch/report.go
+++ b/dispatch/report.go
@@ -85,10 +85,8 @@
 		t.startOutcomeUnknown = false
 		s.markStarted(t)
 	}
-	if run.Percent > t.percent || t.percentReportedAt == 0 {
-		t.progressedAt = now
-	}
-	t.percent, t.percentReportedAt, t.tailLatency = run.Percent, now, 0
+	t.observeProgress(run.Percent, now)
+	t.tailLatency = 0
 	if t.step.TailObjective > 0 {
 		t.tailLatency = run.TailLatency
 	}
--- a/dispatch/scheduler.go
+++ b/dispatch/scheduler.go
@@ -187,6 +187,8 @@
 	percent             int
 	percentReportedAt   time.Duration
 	progressedAt        time.Duration // when the percentage last increased
+	timePerPercent      time.Duration // time that the last increase took, by percent; 0 before the first one
+	stalls              int           // runs of the task that were stopped as stalled
 	runTime             time.Duration // run time of the completed run; 0 if unknown
 	tailLatency         time.Duration
 	cpuShare            int // in percent, as confirmed by the worker; 100 is unthrottled
@@ -224,7 +226,7 @@
 	}
 	t.phase, t.stage, t.worker = job.Waiting, stagePlanned, nil
 	t.stopReason, t.stopInFlight, t.stoppedAt, t.startOutcomeUnknown, t.startAttempts = "", false, 0, false, 0
-	t.startSentAt, t.confirmedAt, t.percent, t.percentReportedAt, t.tailLatency = 0, 0, 0, 0, 0
+	t.startSentAt, t.confirmedAt, t.percent, t.percentReportedAt, t.timePerPercent, t.tailLatency = 0, 0, 0, 0, 0, 0
 	t.cpuShare, t.cpuShareWanted = fullPercent, fullPercent
 	t.unplacedSince = 0
 	t.job.dirty, t.job.placementDue = true, true
