Preempt only where the long-running task may run

Cause: preemption had its own copy of the conditions of the placement: label and limit per worker, but not the permission of the advice service, nor that suspects are kept apart.

Change: placement, preemption and the search for a place before a drain ask the same function, and the permission.

--- a/dispatch/drain.go
+++ b/dispatch/drain.go
@@ -113,7 +113,7 @@
 		return true
 	}
 	return t.step.LongRunning && !t.step.Backfill && slices.ContainsFunc(candidates, func(c *candidate) bool {
-		_, enough := c.victims(t)
+		_, enough := p.scheduler.victims(t, c, p.now)
 		return enough
 	})
 }
--- a/dispatch/plan.go
+++ b/dispatch/plan.go
@@ -230,10 +230,16 @@
 	return c.hasRoom(t) && c.w.health.admits(c.load.runs-c.load.numLongRunning, now)
 }
 
-// hasRoom reports whether the candidate has the label and the free capacity for one more task of the step, within the limit per worker.
+// hasRoom reports whether the candidate may take one more task of the step and has the free capacity for it.
 func (c *candidate) hasRoom(t *task) bool {
-	step := t.step
-	return c.w.entry.HasLabel(step.Label) && c.free.Fits(step.Reserved()) && c.keepsSuspectsApart(t) && (step.PerWorker == 0 || c.siblingCount(t) < step.PerWorker)
+	return c.free.Fits(t.step.Reserved()) && c.mayTake(t)
+}
+
+// mayTake reports whether the candidate may take one more task of the step, whatever its free capacity: it has the label, keeps suspects apart and is
+// within the limit per worker.
+func (c *candidate) mayTake(t *task) bool {
+	withinLimit := t.step.PerWorker == 0 || c.siblingCount(t) < t.step.PerWorker
+	return withinLimit && c.w.entry.HasLabel(t.step.Label) && c.keepsSuspectsApart(t)
 }
 
 func (s *Scheduler) assign(t *task, c *candidate, attempt int) {
--- a/dispatch/preempt.go
+++ b/dispatch/preempt.go
@@ -35,7 +35,7 @@
 func (s *Scheduler) preempt(t *task, candidates []*candidate, now time.Duration) {
 	var victims []*task
 	for _, c := range candidates {
-		found, enough := c.victims(t)
+		found, enough := s.victims(t, c, now)
 		if enough && (victims == nil || len(found) < len(victims)) {
 			victims = found
 		}
@@ -50,9 +50,8 @@
 
 // victims returns the runs to stop on the candidate so that the task fits, and whether that is enough. Runs that write checkpoints and
 // those with the least progress are stopped first.
-func (c *candidate) victims(t *task) (victims []*task, enough bool) {
-	withinLimit := t.step.PerWorker == 0 || c.siblingCount(t) < t.step.PerWorker
-	if !withinLimit || !c.w.entry.HasLabel(t.step.Label) {
+func (s *Scheduler) victims(t *task, c *candidate, now time.Duration) (victims []*task, enough bool) {
+	if !c.mayTake(t) || !s.permitted(t, c.w.entry.ID, now) {
 		return nil, false
 	}
 	var preemptible []*task
