Ask for permission on workers to drain that a long-running task may use

A long-running task of a queue with advice had no run if its only permitted worker was to be drained and kept in service by other work.

Cause: the advice service was asked only about workers that any task may use.

Change: for a long-running step it is asked also about workers to drain that other runs keep in service.

Measured: dispatch.TestAdviceOnWorkerKeptInService failed before in one of two cases (no request) and passes.

--- a/dispatch/advice.go
+++ b/dispatch/advice.go
@@ -106,9 +106,12 @@
 	return AdviceRequest{Job: j.id, Occurrence: o.number, Step: step, Workers: workers}, true
 }
 
-// adviceCandidates returns the schedulable workers with the most free processors that have the step's label and were not refused.
+// adviceCandidates returns the workers with the most free processors that may get runs of the step, have its label and were not refused.
 func (s *Scheduler) adviceCandidates(j *activeJob, step int, p *stepPermissions, now time.Duration) (workers []acaciatally.WorkerID) {
 	candidates := s.candidates(j.accepted.Queue.Pool, now)
+	if j.accepted.Spec.Steps[step].LongRunning {
+		candidates = append(candidates, s.drainingCandidates(j.accepted.Queue.Pool, now)...)
+	}
 	slices.SortStableFunc(candidates, func(a, b *candidate) int { return cmp.Compare(b.free.Processors, a.free.Processors) })
 	for _, c := range candidates {
 		id := c.w.entry.ID
--- a/dispatch/drain.go
+++ b/dispatch/drain.go
@@ -65,15 +65,15 @@
 	}
 }
 
-// drainingCandidate returns a worker to drain that can take a long-running task for as long as other runs keep the worker in service, or nil.
-func (s *Scheduler) drainingCandidate(t *task, now time.Duration) *candidate {
-	var candidates []*candidate
+// drainingCandidates returns the workers of a pool that are to be drained and may get long-running tasks, for as long as other runs keep these
+// workers in service.
+func (s *Scheduler) drainingCandidates(pool acaciatally.PoolName, now time.Duration) (list []*candidate) {
 	for id := range s.toDrain {
-		if w := s.workers[id]; w != nil && w.entry.Pool == t.job.accepted.Queue.Pool && s.mayGet(w, t, now) {
-			candidates = append(candidates, newCandidate(w))
+		if w := s.workers[id]; w != nil && w.entry.Pool == pool && w.usable(now) && w.keptInService() {
+			list = append(list, newCandidate(w))
 		}
 	}
-	return s.anyCandidate(t, candidates, now)
+	return list
 }
 
 // mayGet reports whether the worker may get a run of the task.
@@ -81,8 +81,7 @@
 	return w.usable(now) && !s.closedTo(t, w)
 }
 
-// closedTo reports whether the worker is to be drained and gets no run of the task. It may get long-running tasks while other runs keep it in
-// service.
+// closedTo reports whether the worker is to be drained and gets no run of the task.
 func (s *Scheduler) closedTo(t *task, w *worker) bool {
 	return s.toDrain[w.entry.ID] != "" && (!t.step.LongRunning || !w.keptInService())
 }
--- a/dispatch/drain_test.go
+++ b/dispatch/drain_test.go
@@ -7,6 +7,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/acaciatally/acaciatally"
+	"github.com/acaciatally/acaciatally/job"
 )
 
 // reportRunning reports at one second that the started runs are in progress, each at the given percentage, and nothing else.
@@ -173,3 +174,34 @@
 		})
 	}
 }
+
+// TestAdviceOnWorkerKeptInService guards against a long-running task that is never started because the advice service is not asked about the only
+// worker that may run it: the worker is to be drained and kept in service by other runs.
+func TestAdviceOnWorkerKeptInService(t *testing.T) {
+	for name, longRunning := range map[string]bool{"long-running": true, "not long-running": false} {
+		t.Run(name, func(t *testing.T) {
+			scheduler, _ := newScheduler()
+			reportIdle(scheduler, testWorker(1))
+			loadJob(scheduler, "bb", 0, testStep(1, 1000))
+			reportRunning(scheduler, startDue(scheduler, 0), 50)
+			scheduler.SetWorkersToDrain(map[acaciatally.WorkerID]string{"i-1": "maintenance"})
+			step := testStep(1, 1000)
+			step.LongRunning = longRunning
+			scheduler.LoadJob("aa", job.Accepted{
+				Spec:  acaciatally.JobSpec{Steps: []acaciatally.Step{step}},
+				Queue: acaciatally.Queue{Name: "quotes", Pool: testPool, Attempts: 2, Advice: &acaciatally.AdvicePolicy{}},
+			}, job.Progress{State: acaciatally.JobQueued}, 0, time.Second)
+			require.Empty(t, startDue(scheduler, time.Second))
+			requests := scheduler.AdviceRequests(time.Second)
+			if !longRunning {
+				require.Empty(t, requests)
+				return
+			}
+			require.Len(t, requests, 1)
+			scheduler.AdviceResult(requests[0], acaciatally.Advice{
+				Valid: 3 * time.Second, Permissions: []acaciatally.Permission{{Worker: "i-1", Ticket: "x"}},
+			}, nil, time.Second)
+			require.Len(t, startDue(scheduler, time.Second+preemptAfter), 1)
+		})
+	}
+}
--- a/dispatch/preempt.go
+++ b/dispatch/preempt.go
@@ -20,7 +20,7 @@
 	if now < t.unplacedSince+preemptAfter {
 		return false
 	}
-	if c := s.drainingCandidate(t, now); c != nil {
+	if c := s.anyCandidate(t, s.drainingCandidates(t.job.accepted.Queue.Pool, now), now); c != nil {
 		s.assign(t, c, t.attempt+1)
 		return true
 	}
