Record a maintenance before it is ordered, and let the next leader take it over

Cause: only the leader that had sent an order knew of it. The record of the wave was written after an order had been answered, and nobody had used a higher fencing token for the instance.

Change: the record of the wave names the instances whose maintenance has begun, and a maintenance is ordered only once that is stored. The next leader counts such an instance as down, drains it and orders it first, under a higher token, so that the late order is refused.

The tests of the roster store the progress of waves after a plan now, as a leader does; what they require is unchanged.

--- a/roster/order.go
+++ b/roster/order.go
@@ -22,7 +22,8 @@
 	operation *operation
 }
 
-// Orders returns the orders to send now, for the operations whose workers are drained, oldest first. Only few orders are in flight at a
+// Orders returns the orders to send now, for the operations whose workers are drained, oldest first. A maintenance is ordered only once the stored
+// progress of its wave names the instance, so that the next leader knows of an order that is executed late. Only few orders are in flight at a
 // time: more would queue at the instance control until they time out, and their outcomes would be unknown.
 func (r *Roster) Orders(scheduler *dispatch.Scheduler, now time.Duration) (orders []Order) {
 	inFlight := 0
@@ -56,10 +57,10 @@
 
 // orderDue reports whether the order for an instance may be sent now.
 func (r *Roster) orderDue(id acaciatally.InstanceID, op *operation, scheduler *dispatch.Scheduler, now time.Duration) bool {
-	if op.done || now < op.retryAt {
+	if op.done || now < op.retryAt || op.purpose == purposeMaintenance && !op.recorded {
 		return false
 	}
-	if op.outcomeUnknown {
+	if op.outcomeUnknown && !op.inherited {
 		return true
 	}
 	instance := r.instances[id]
@@ -70,7 +71,7 @@
 
 func (r *Roster) order(id acaciatally.InstanceID) Order {
 	op := r.operations[id]
-	op.inFlight = true
+	op.inFlight, op.inherited = true, false
 	if !op.ordered {
 		op.ordered, op.oldWorker = true, r.instances[id].Worker
 	}
@@ -124,6 +125,7 @@
 // WaveRecord is the stored progress of a wave.
 type WaveRecord struct {
 	Number    int
+	Begun     []acaciatally.InstanceID // their maintenance may have been ordered and is not known to be finished
 	Finished  []acaciatally.InstanceID
 	Completed bool
 }
@@ -132,10 +134,11 @@
 func (r *Roster) UnsavedWaves() (records []WaveRecord) {
 	for number, w := range r.waves {
 		completed := r.listed && r.complete(w)
-		if w.progressStored && (w.completionStored || !completed) {
+		begun, recorded := r.begun(number)
+		if recorded && w.progressStored && (w.completionStored || !completed) {
 			continue
 		}
-		record := WaveRecord{Number: number, Completed: completed}
+		record := WaveRecord{Number: number, Begun: begun, Completed: completed}
 		for id := range w.finished {
 			record.Finished = append(record.Finished, id)
 		}
@@ -144,6 +147,18 @@
 	return records
 }
 
+// begun returns the instances whose maintenance in a wave is planned and not done, and whether the stored record of the wave names all of them.
+func (r *Roster) begun(number int) (list []acaciatally.InstanceID, recorded bool) {
+	recorded = true
+	for id, op := range r.operations {
+		if op.purpose == purposeMaintenance && op.wave == number && !op.done {
+			list = append(list, id)
+			recorded = recorded && op.recorded
+		}
+	}
+	return list, recorded
+}
+
 // complete reports whether the maintenance of all instances of the wave that still exist is finished.
 func (r *Roster) complete(w *wave) bool {
 	for _, id := range w.request.Instances {
@@ -160,6 +175,11 @@
 	if w == nil {
 		return
 	}
+	for _, id := range record.Begun {
+		if op := r.operations[id]; op != nil && op.purpose == purposeMaintenance && op.wave == record.Number {
+			op.recorded = true
+		}
+	}
 	w.progressStored = len(w.finished) == len(record.Finished)
 	if record.Completed && !w.completionStored {
 		w.completionStored = true
--- a/roster/roster.go
+++ b/roster/roster.go
@@ -73,6 +73,8 @@
 	plannedAt      time.Duration
 	fence          uint64 // fencing token of all orders of the operation
 	inFlight       bool   // an order was sent and has no result yet
+	recorded       bool   // the stored progress of its wave names the instance as begun
+	inherited      bool   // an earlier leader may have sent an order; this one has sent none
 	outcomeUnknown bool   // an order may have been executed, or may be executed later
 	retryAt        time.Duration
 	done           bool // the order was executed
@@ -148,15 +150,31 @@
 }
 
 // AddWave adds a wave that was first seen at the given time, with the progress that earlier leaders stored. A known wave stays unchanged.
-func (r *Roster) AddWave(request acaciatally.MaintenanceWave, seen time.Duration, finished []acaciatally.InstanceID, completed bool) {
+func (r *Roster) AddWave(request acaciatally.MaintenanceWave, seen time.Duration, stored WaveRecord) {
 	if r.waves[request.Number] != nil {
 		return
 	}
-	w := &wave{request: request, seenAt: seen, finished: map[acaciatally.InstanceID]bool{}, progressStored: true, completionStored: completed}
-	for _, id := range finished {
+	w := &wave{
+		request: request, seenAt: seen, finished: map[acaciatally.InstanceID]bool{}, progressStored: true, completionStored: stored.Completed,
+	}
+	for _, id := range stored.Finished {
 		w.finished[id] = true
 	}
 	r.waves[request.Number] = w
+	for _, id := range stored.Begun {
+		if !w.finished[id] {
+			r.inheritMaintenance(id, request.Number, seen)
+		}
+	}
+}
+
+// inheritMaintenance continues the maintenance that an earlier leader has begun. Its order may still be executed, so the instance counts as down
+// until an order of this leader has a result, which fences off the earlier one.
+func (r *Roster) inheritMaintenance(id acaciatally.InstanceID, number int, now time.Duration) {
+	if op := r.operations[id]; op != nil && op.ordered {
+		return // the order of this leader has fenced off the earlier one
+	}
+	r.addOperation(id, &operation{purpose: purposeMaintenance, wave: number, plannedAt: now, recorded: true, inherited: true, outcomeUnknown: true})
 }
 
 // HasWave reports whether the wave was added.
--- a/roster/roster_test.go
+++ b/roster/roster_test.go
@@ -34,6 +34,15 @@
 	}
 }
 
+// planAndSave plans and stores the progress of the waves, without which no maintenance is ordered. It returns the workers to drain.
+func planAndSave(r *Roster, scheduler *dispatch.Scheduler, now time.Duration) map[acaciatally.WorkerID]string {
+	toDrain := r.Plan(scheduler, configuration, now)
+	for _, record := range r.UnsavedWaves() {
+		r.WaveSaved(record)
+	}
+	return toDrain
+}
+
 // newRoster returns a roster with one instance and a wave over it, and a scheduler; if reported is true, the worker has reported to the
 // scheduler.
 func newRoster(t *testing.T, reported bool) (*Roster, *dispatch.Scheduler) {
@@ -49,8 +58,8 @@
 		scheduler.Report("i-1", acaciatally.WorkerReport{StartTime: w.StartTime}, time.Second, time.Second)
 	}
 	r.SetFleet([]acaciatally.FleetInstance{instance("m-1", "i-1")}, time.Second)
-	r.AddWave(acaciatally.MaintenanceWave{Number: 1, Instances: []acaciatally.InstanceID{"m-1"}, Duration: 4 * time.Second, MaxConcurrent: 1}, 0, nil, false)
-	require.NotEmpty(t, r.Plan(scheduler, configuration, 2*time.Second))
+	r.AddWave(acaciatally.MaintenanceWave{Number: 1, Instances: []acaciatally.InstanceID{"m-1"}, Duration: 4 * time.Second, MaxConcurrent: 1}, 0, WaveRecord{})
+	require.NotEmpty(t, planAndSave(r, scheduler, 2*time.Second))
 	return r, scheduler
 }
 
@@ -107,7 +116,7 @@
 		wave = append(wave, acaciatally.InstanceID(id))
 	}
 	r.SetFleet(fleet, time.Second)
-	r.AddWave(acaciatally.MaintenanceWave{Number: 1, Instances: wave, Duration: 4 * time.Second, MaxConcurrent: count}, 0, nil, false)
+	r.AddWave(acaciatally.MaintenanceWave{Number: 1, Instances: wave, Duration: 4 * time.Second, MaxConcurrent: count}, 0, WaveRecord{})
 }
 
 // TestOrdersInFlight guards against so many concurrent orders that they queue at the instance control until all time out: no order had
@@ -116,7 +125,7 @@
 	r := New(Config{Epoch: 3, Holder: "entry-1", MaintenanceTime: time.Second, Capacity: capacity.Defaults(), EventLog: nopEventLog{}})
 	scheduler := dispatch.New(dispatch.Config{EventLog: nopEventLog{}, WorkerLease: 6 * time.Second})
 	addWave(r, 100)
-	r.Plan(scheduler, configuration, 2*time.Second)
+	planAndSave(r, scheduler, 2*time.Second)
 	first := r.Orders(scheduler, 2*time.Second)
 	require.Len(t, first, maxOrdersInFlight)
 	require.Empty(t, r.Orders(scheduler, 2*time.Second), "no order has a result yet")
@@ -131,7 +140,7 @@
 	r := New(Config{Epoch: 3, Holder: "entry-1", MaintenanceTime: time.Second, Capacity: capacity.Defaults(), OrdersPerSecond: perSecond, EventLog: nopEventLog{}})
 	scheduler := dispatch.New(dispatch.Config{EventLog: nopEventLog{}, WorkerLease: 6 * time.Second})
 	addWave(r, 400)
-	r.Plan(scheduler, configuration, 2*time.Second)
+	planAndSave(r, scheduler, 2*time.Second)
 	sent := 0
 	for now := 2 * time.Second; now < 3*time.Second; now += 10 * time.Millisecond {
 		for _, order := range r.Orders(scheduler, now) {
@@ -153,11 +162,11 @@
 	r.SetFleet([]acaciatally.FleetInstance{maintained, idle}, time.Second)
 	r.AddWave(acaciatally.MaintenanceWave{
 		Number: 1, Instances: []acaciatally.InstanceID{"m-1", "m-2"}, Duration: 4 * time.Second, MaxConcurrent: 1,
-	}, 0, nil, false)
-	r.Plan(scheduler, configuration, 2*time.Second)
+	}, 0, WaveRecord{})
+	planAndSave(r, scheduler, 2*time.Second)
 	require.Empty(t, r.Orders(scheduler, 2*time.Second))
 	r.SetFleet([]acaciatally.FleetInstance{instance("m-1", ""), idle}, 3*time.Second)
-	r.Plan(scheduler, configuration, 3*time.Second)
+	planAndSave(r, scheduler, 3*time.Second)
 	require.Len(t, r.Orders(scheduler, 3*time.Second), 1)
 }
 
--- a/site/fleet.go
+++ b/site/fleet.go
@@ -64,8 +64,8 @@
 	f.refreshInstances(ctx, now)
 	f.loadWaves(ctx)
 	scheduler.SetWorkersToDrain(f.roster.Plan(scheduler, f.process.watcher.configuration.Load(), now))
+	f.storeWaves(ctx, scheduler)
 	f.sendOrders(ctx, scheduler, now)
-	f.storeWaves(ctx)
 }
 
 // sendOrders sends the orders that are due.
@@ -112,7 +112,7 @@
 			f.post(func() {
 				f.waveCallInFlight = false
 				if err == nil {
-					f.roster.AddWave(observed.wave, observed.firstSeen, record.Finished, record.Completed)
+					f.roster.AddWave(observed.wave, observed.firstSeen, record)
 				}
 			})
 		}()
@@ -155,8 +155,8 @@
 	return f.process.config.Fleet.Move(ctx, order.Lease, order.Instance, order.To)
 }
 
-// storeWaves stores the progress of waves, for operators and for the next leader, one wave at a time.
-func (f *fleetRunner) storeWaves(ctx context.Context) {
+// storeWaves stores the progress of waves, for operators and for the next leader, one wave at a time, and sends the orders that wait for it.
+func (f *fleetRunner) storeWaves(ctx context.Context, scheduler *dispatch.Scheduler) {
 	records := f.roster.UnsavedWaves()
 	if f.waveCallInFlight || len(records) == 0 {
 		return
@@ -169,6 +169,7 @@
 			f.waveCallInFlight = false
 			if err == nil {
 				f.roster.WaveSaved(record)
+				f.sendOrders(ctx, scheduler, f.process.config.Now())
 			}
 		})
 	}()
