Count crashes that come after a similar time in each run of a task

Cause: only runs started within 10 s before a crash counted against a task, and a run of 10 s ended the count. A longer window alone would give up long-running tasks for crashes that have nothing to do with them.

Change: a crash up to a minute after the start counts if the one before came after a similar time in its run, and begins a new count otherwise. The count ends when a run has gone on for clearly longer than the last one that crashed.

Measured: dispatch.TestTaskCrashesWorkersLater failed before in its three new cases (the task is still running) and passes; dispatch.TestUnrelatedLateCrashes passes.

--- a/dispatch/crash.go
+++ b/dispatch/crash.go
@@ -22,10 +22,13 @@
 	// maxCrashesAlone is the same for a task of which no other job was suspected in the last crash; tasks that run until they are cancelled
 	// are only given up after maxCrashes.
 	maxCrashesAlone = 2
-	// crashStreakWindow is how long a run must have gone on for a crash of its worker to say nothing about its task.
+	// crashStreakWindow is how long after the start of a run a crash of its worker counts in a streak, whenever in the run it comes.
 	crashStreakWindow = 10 * time.Second
-	// streakToSuspect is the number of runs in a row that ended with their worker within crashStreakWindow from which their task is suspected,
-	// whenever in these runs the crashes came.
+	// maxCrashDelay is the same for crashes that come after a similar time in each run; those after different times are unrelated to the task.
+	maxCrashDelay = time.Minute
+	// similarDelays is the largest ratio of two times from the start of a run to the crash that are similar.
+	similarDelays = 1.25
+	// streakToSuspect is the number of runs in a row that ended with their worker and count in a streak from which their task is suspected.
 	streakToSuspect = 3
 	// maxCrashStreak is the number of such runs after which the task is given up. Others that were lost with it are kept apart from it by then. The
 	// next run may have started when the last crash is known.
@@ -46,18 +49,21 @@
 	run       runKey
 	confirmed bool // the worker had confirmed the start
 	late      bool // it had run for longer than crashWindow
+	ranFor    time.Duration
 }
 
 // suspectsOn returns the runs that may have crashed their worker: those that were started lately, and as late ones those that were started within
-// crashStreakWindow. A worker that drains ends by itself.
+// maxCrashDelay. A worker that drains ends by itself.
 func (s *Scheduler) suspectsOn(w *worker) (suspects []suspectRun) {
 	if w.entry.Draining {
 		return nil
 	}
 	for t := range w.runs {
 		early := t.startedAfter(w.reportedAt - crashWindow)
-		if early || t.startedAfter(w.reportedAt-crashStreakWindow) {
-			suspects = append(suspects, suspectRun{task: t, run: t.runKey(), confirmed: t.stage == stageRunning, late: !early})
+		if early || t.startedAfter(w.reportedAt-maxCrashDelay) {
+			suspects = append(suspects, suspectRun{
+				task: t, run: t.runKey(), confirmed: t.stage == stageRunning, late: !early, ranFor: t.ranFor(w.reportedAt),
+			})
 		}
 	}
 	return suspects
@@ -72,6 +78,32 @@
 	return t.startAttempts > 0 && t.startSentAt > at
 }
 
+// ranFor returns how long the run had gone on at the given time; 0 if it was started by an earlier leader.
+func (t *task) ranFor(at time.Duration) time.Duration {
+	if t.startSentAt == 0 {
+		return 0
+	}
+	return max(0, at-t.startSentAt)
+}
+
+// extendCrashStreak counts a run that ended with its worker after the given time. A late crash begins a new streak unless the one before came after
+// a similar time.
+func (t *task) extendCrashStreak(ranFor time.Duration) {
+	shorter, longer := min(ranFor, t.crashDelay), max(ranFor, t.crashDelay)
+	similar := t.crashDelay == 0 || longer <= crashStreakWindow || longer.Seconds() <= similarDelays*shorter.Seconds()
+	if !similar {
+		t.crashStreak = 0
+	}
+	t.crashStreak++
+	t.crashDelay = ranFor
+	t.job.dirty = true
+}
+
+// crashStreakOver reports whether a run has gone on for longer than those of the streak.
+func (t *task) crashStreakOver(ranFor time.Duration) bool {
+	return t.crashStreak > 0 && ranFor >= crashStreakWindow && ranFor.Seconds() > similarDelays*t.crashDelay.Seconds()
+}
+
 // holdSuspects keeps the suspects of a worker that could not be reached until its lease had expired. If a later worker reports from
 // its instance, the worker has crashed.
 func (s *Scheduler) holdSuspects(w *worker) {
@@ -101,8 +133,7 @@
 		if !t.job.live() || t.phase == job.Done {
 			continue
 		}
-		t.crashStreak++
-		t.job.dirty = true
+		t.extendCrashStreak(suspect.ranFor)
 		if suspect.late && !t.suspected() {
 			continue // by itself, a crash some time after the start says nothing
 		}
@@ -162,8 +193,8 @@
 	s.countCrash(lost)
 }
 
-// endSuspicion ends the suspicion against a task that has run for long enough: suspicionTime after crashes right after its start, and
-// crashStreakWindow after others.
+// endSuspicion ends the suspicion against a task that has run for long enough: suspicionTime after crashes right after its start, and longer than
+// the runs that ended with their worker after others.
 func (t *task) endSuspicion(now time.Duration) {
 	if t.stage != stageRunning {
 		return
@@ -173,8 +204,8 @@
 		t.crashes, t.unconfirmedCrashes = 0, 0
 		t.job.dirty = true
 	}
-	if ranFor >= crashStreakWindow && t.crashStreak > 0 {
-		t.crashStreak = 0
+	if t.crashStreakOver(ranFor) {
+		t.crashStreak, t.crashDelay = 0, 0
 		t.job.dirty = true
 	}
 	if !t.suspected() {
--- a/dispatch/crash_test.go
+++ b/dispatch/crash_test.go
@@ -73,6 +73,9 @@
 		"after 1.5 s":                  {1500 * time.Millisecond, 3 * time.Second, false, false},
 		"after 2.5 s":                  {2500 * time.Millisecond, 3 * time.Second, false, false},
 		"after 7 s":                    {7 * time.Second, 3 * time.Second, false, false},
+		"after 11.5 s":                 {11500 * time.Millisecond, 3 * time.Second, false, false},
+		"after 30 s":                   {30 * time.Second, 3 * time.Second, false, false},
+		"until stopped, after 11.5 s":  {11500 * time.Millisecond, 3 * time.Second, false, true},
 		"same worker again":            {2500 * time.Millisecond, 4 * time.Second, true, false},
 		"new worker after the lease":   {2500 * time.Millisecond, 9 * time.Second, false, false},
 		"task that runs until stopped": {2500 * time.Millisecond, 3 * time.Second, false, true},
@@ -106,6 +109,40 @@
 	}
 }
 
+// TestUnrelatedLateCrashes guards against giving up a task because workers crash under it for other reasons, some time after the start of its runs.
+func TestUnrelatedLateCrashes(t *testing.T) {
+	seconds := func(list ...int) (times []time.Duration) {
+		for _, s := range list {
+			times = append(times, time.Duration(s)*time.Second)
+		}
+		return times
+	}
+	tests := map[string]struct {
+		ranFor []time.Duration // of the runs under which workers crash
+		state  acaciatally.JobState
+	}{
+		"different times":              {seconds(12, 25, 50, 20, 40, 12, 30), acaciatally.JobQueued},
+		"similar, different, similar":  {seconds(20, 21, 22, 45, 44, 46), acaciatally.JobQueued},
+		"soon, then late":              {seconds(3, 5, 4, 30), acaciatally.JobQueued},
+		"similar times":                {seconds(20, 21, 19, 22), acaciatally.JobFailed},
+		"soon":                         {seconds(3, 9, 2, 7), acaciatally.JobFailed},
+		"around the end of the window": {seconds(9, 11, 10, 11), acaciatally.JobFailed},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			scheduler, _ := newScheduler()
+			loadJob(scheduler, "aa", 0, testStep(1, 1000))
+			j := scheduler.jobs["aa"]
+			scheduler.openDueOccurrences(j, 0, time.UnixMilli(0))
+			suspect := j.openOccurrences[0].steps[0][0]
+			for _, ranFor := range test.ranFor {
+				scheduler.countCrash([]suspectRun{{task: suspect, run: suspect.runKey(), confirmed: true, late: true, ranFor: ranFor}})
+			}
+			require.Equal(t, test.state, j.state)
+		})
+	}
+}
+
 // TestCrashBeforeStart guards against giving up a task because workers crashed for other reasons just when they were told to start it: it may
 // not have run on them.
 func TestCrashBeforeStart(t *testing.T) {
--- a/dispatch/scheduler.go
+++ b/dispatch/scheduler.go
@@ -171,10 +171,11 @@
 	attempt             int
 	worker              *worker // worker of the current run; nil without a run
 	failures            int
-	crashes             int  // workers that have crashed under a run of the task since it last ran for some time
-	unconfirmedCrashes  int  // the same for runs that may not have started
-	crashStreak         int  // latest runs in a row under which workers have crashed within crashStreakWindow
-	countedAsSuspect    bool // it is counted in suspectRuns of its worker
+	crashes             int           // workers that have crashed under a run of the task since it last ran for some time
+	unconfirmedCrashes  int           // the same for runs that may not have started
+	crashStreak         int           // latest runs in a row under which workers have crashed within crashStreakWindow, or after similar times
+	crashDelay          time.Duration // how long the last of these runs had gone on; 0 if an earlier leader counted it
+	countedAsSuspect    bool          // it is counted in suspectRuns of its worker
 	checkpoint          string
 	stopReason          stopReason
 	stopInFlight        bool          // a stop order is in flight
