Fence off an order on the CPU share of a run that got no answer

Cause: an order without an answer was repeated under the same fencing token. The late one is valid then, and the leader orders only what changes.

Change: such an order raises the fencing token of the worker, so that the repetition carries a higher one and the late order is refused.

Measured: dispatch.TestLateThrottleOrder failed before in one of three cases (the same token) and passes.

--- a/dispatch/order_result.go
+++ b/dispatch/order_result.go
@@ -41,9 +41,18 @@
 			t.retryAt = now + orderRetry
 		}
 	case OrderThrottle:
-		if err == nil {
-			t.cpuShare = order.Percent
-		}
+		s.handleThrottleResult(t, order.Percent, err)
+	}
+}
+
+// handleThrottleResult handles the result of an order on the CPU share of a run. One without an answer may be executed after newer ones, so it is
+// fenced off.
+func (s *Scheduler) handleThrottleResult(t *task, percent int, err error) {
+	switch {
+	case err == nil:
+		t.cpuShare = percent
+	case errors.Is(err, acaciatally.ErrUnknownOutcome):
+		s.raiseFence(t.worker)
 	}
 }
 
--- /dev/null
+++ b/dispatch/throttle_test.go
@@ -0,0 +1,61 @@
+package dispatch
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/acaciatally/acaciatally"
+)
+
+// throttledWorker returns a scheduler with a worker that runs a task with a latency objective and a backfill task, and the reports of the worker
+// at a tail latency.
+func throttledWorker(t *testing.T) (scheduler *Scheduler, report func(tail, now time.Duration) []Order) {
+	t.Helper()
+	scheduler, _ = newScheduler()
+	reportIdle(scheduler, testWorker(1))
+	latencyBound, backfill := testStep(1, 1000), testStep(1, 1000)
+	latencyBound.LongRunning, latencyBound.TailObjective = true, 100*time.Millisecond
+	backfill.LongRunning, backfill.Backfill = true, true
+	loadJob(scheduler, "aa", 0, latencyBound, backfill)
+	started := startDue(scheduler, 0)
+	require.Len(t, started, 2)
+	return scheduler, func(tail, now time.Duration) (throttles []Order) {
+		content := acaciatally.WorkerReport{Clock: now, StartTime: time.UnixMilli(1000)}
+		for _, order := range started {
+			content.Running = append(content.Running, acaciatally.RunningTask{Task: order.Start.Task, Attempt: 1, Percent: fullPercent, TailLatency: tail})
+		}
+		scheduler.Report("i-1", content, now, now)
+		for _, order := range scheduler.Orders(now) {
+			if order.Kind == OrderThrottle {
+				throttles = append(throttles, order)
+			}
+		}
+		return throttles
+	}
+}
+
+// TestLateThrottleOrder guards against an order on the CPU share of a run that is executed late, after newer ones: the share in force was not the
+// one that the leader believed, and no further order came.
+func TestLateThrottleOrder(t *testing.T) {
+	tests := map[string]struct {
+		err    error
+		fenced bool
+	}{
+		"no answer": {acaciatally.ErrUnknownOutcome, true},
+		"not sent":  {acaciatally.ErrNotSent, false},
+		"refused":   {acaciatally.ErrUnavailable, false},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			scheduler, report := throttledWorker(t)
+			first := report(150*time.Millisecond, time.Second)
+			require.Len(t, first, 1)
+			scheduler.OrderResult(first[0], test.err, time.Second)
+			second := report(150*time.Millisecond, 2*time.Second)
+			require.Len(t, second, 1, "the order is repeated")
+			require.Equal(t, test.fenced, second[0].Start.Fence > first[0].Start.Fence)
+		})
+	}
+}
