Order the CPU share of inherited backfill runs

After a change of the leader, backfill could stay throttled for good.

Cause: a new leader took each inherited run for unthrottled, and orders a share only where it differs from the one that it believes.

Change: the share of an inherited backfill run counts as not known, so one is ordered after the worker's first report.

Measured: dispatch.TestInheritedCPUShare failed before in one of two cases (no order) and passes.

--- a/dispatch/jobs.go
+++ b/dispatch/jobs.go
@@ -74,6 +74,9 @@
 		return
 	}
 	t.assign(w, stageInherited)
+	if t.step.Backfill {
+		t.cpuShare = unknownCPUShare
+	}
 }
 
 func (j *activeJob) newTask(number, step, index int) *task {
--- a/dispatch/scheduler.go
+++ b/dispatch/scheduler.go
@@ -236,6 +236,9 @@
 // fullPercent is the CPU share of an unthrottled run and the progress of a long-running task that is up, in percent.
 const fullPercent = 100
 
+// unknownCPUShare is the CPU share of a backfill run that an earlier leader may have throttled; it differs from every share that is ordered.
+const unknownCPUShare = -1
+
 // eachTask calls visit for each task of the open occurrences.
 func (j *activeJob) eachTask(visit func(t *task)) {
 	for _, o := range j.openOccurrences {
--- a/dispatch/throttle_test.go
+++ b/dispatch/throttle_test.go
@@ -7,6 +7,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/acaciatally/acaciatally"
+	"github.com/acaciatally/acaciatally/job"
 )
 
 // throttledWorker returns a scheduler with a worker that runs a task with a latency objective and a backfill task, and the reports of the worker
@@ -59,3 +60,40 @@
 		})
 	}
 }
+
+// TestInheritedCPUShare guards against a backfill run that an earlier leader throttled and that stays throttled for good: the new leader took it for
+// unthrottled and sent no order.
+func TestInheritedCPUShare(t *testing.T) {
+	tests := map[string]struct {
+		tail    time.Duration
+		percent int
+	}{
+		"low latency":  {20 * time.Millisecond, fullPercent},
+		"high latency": {150 * time.Millisecond, 0},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			scheduler, _ := newScheduler()
+			reportIdle(scheduler, testWorker(1))
+			latencyBound, backfill := testStep(1, 1000), testStep(1, 1000)
+			latencyBound.LongRunning, latencyBound.TailObjective = true, 100*time.Millisecond
+			backfill.LongRunning, backfill.Backfill = true, true
+			assigned := [][]job.Task{{{Phase: job.Assigned, Attempt: 1, Worker: "i-1"}}, {{Phase: job.Assigned, Attempt: 1, Worker: "i-1"}}}
+			scheduler.LoadJob("aa", job.Accepted{
+				Spec:  acaciatally.JobSpec{Steps: []acaciatally.Step{latencyBound, backfill}},
+				Queue: acaciatally.Queue{Name: "quotes", Pool: testPool, Attempts: 2},
+			}, job.Progress{State: acaciatally.JobRunning, Next: 1, Open: []job.Occurrence{{Steps: assigned}}}, 0, 0)
+			report := acaciatally.WorkerReport{Clock: time.Second, StartTime: time.UnixMilli(1000)}
+			for step := range assigned {
+				report.Running = append(report.Running, acaciatally.RunningTask{
+					Task: acaciatally.TaskRef{Job: "aa", Step: step}, Attempt: 1, Percent: fullPercent, TailLatency: test.tail,
+				})
+			}
+			scheduler.Report("i-1", report, time.Second, time.Second)
+			orders := scheduler.Orders(time.Second)
+			require.Len(t, orders, 1)
+			require.Equal(t, OrderThrottle, orders[0].Kind)
+			require.Equal(t, test.percent, orders[0].Percent)
+		})
+	}
+}
