--- a/scripts/fleet.sh
+++ b/scripts/fleet.sh
@@ -2,6 +2,7 @@
 # Starts an example deployment as processes on loopback (platform, nine entries, 49 workers), prints the CPU usage and memory of each
 # idle entry, runs a maintenance wave over the fleet and fails unless it completes. Usage: scripts/fleet.sh authority|cavalcanti
 set -euo pipefail
+source "$(dirname "$0")/lib.sh"
 cd "$(dirname "$0")/.."
 settings=examples/${1:-authority}.yaml
 idle_seconds=20
@@ -38,7 +39,7 @@
   bin/acaciatally do -address "$operator" "$1"
 }
 shows() {
-  order "$1" | grep -q "$2"
+  order "$1" | matches "$2"
 }
 ticks() { # ticks PID: prints the CPU time of a process in clock ticks of 10 ms
   awk '{print $14 + $15}' "/proc/$1/stat"
--- a/scripts/run.sh
+++ b/scripts/run.sh
@@ -2,6 +2,7 @@
 # Starts the simulated platform, three entries and four workers as processes on loopback, sends requests and commands to the entries,
 # prints the responses and stops every process that it started. With KEEP=1 the processes run until the script is interrupted.
 set -euo pipefail
+source "$(dirname "$0")/lib.sh"
 cd "$(dirname "$0")/.."
 logs=$(mktemp -d)
 pids=()
@@ -32,7 +33,7 @@
   bin/acaciatally do -address "127.0.0.1:1720$1" -token run-token "$2"
 }
 shows() { # shows ENTRY STATEMENT PATTERN: succeeds if the result of the statement matches the pattern
-  order "$1" "$2" | grep -q "$3"
+  order "$1" "$2" | matches "$3"
 }
 call() { # call ENTRY PATH [CURL ARGUMENTS]: sends a request and prints the status, headers and body of the response
   local entry=$1 path=$2
--- a/scripts/snapshot.sh
+++ b/scripts/snapshot.sh
@@ -2,6 +2,7 @@
 # Checks that entries restarted from a snapshot show the state that it was taken of: three entries of one build commit changes until a
 # snapshot is stored, are stopped, and are replaced by entries of a second build. Usage: scripts/snapshot.sh FIRST-BUILD-FOLDER SECOND-BUILD-FOLDER
 set -euo pipefail
+source "$(dirname "$0")/lib.sh"
 cd "$(dirname "$0")/.."
 first=$(realpath "${1:?}") second=$(realpath "${2:?}")
 logs=$(mktemp -d)
@@ -36,7 +37,7 @@
 run() { "$first/acaciatally" do -address "127.0.0.1:1720$1" -token run-token "${@:2}"; } # run ENTRY [STATEMENT]: or statements from input
 show_state() { for what in pools instances teams waves options; do run "$1" "show $what"; done; }
 snapshot_stored() {
-  curl -s -H 'Content-Type: application/json' -d '{"Name":"Snapshot/"}' http://127.0.0.1:17000/objects/list | grep -q 'Snapshot/'
+  curl -s -H 'Content-Type: application/json' -d '{"Name":"Snapshot/"}' http://127.0.0.1:17000/objects/list | matches 'Snapshot/'
 }
 
 start platform "$first/standin" platform -listen 127.0.0.1:17000
--- a/scripts/upgrade.sh
+++ b/scripts/upgrade.sh
@@ -3,6 +3,7 @@
 # back. After each replacement it sends requests, repeated requests, a task and a command to entries of both builds and compares the results.
 # The platform and the workers are of the first build. Usage: scripts/upgrade.sh FIRST-BUILD-FOLDER SECOND-BUILD-FOLDER [SETTINGS]
 set -euo pipefail
+source "$(dirname "$0")/lib.sh"
 first=$(realpath "${1:?}") second=$(realpath "${2:?}")
 settings=$(realpath "${3:-examples/authority.yaml}")
 export ACACIATALLY_TOKEN=replace-this-token
@@ -39,7 +40,7 @@
 do_at() { # do_at ENTRY STATEMENT: runs one statement on entry-ENTRY with the client of the first build
   "$first/acaciatally" do -address "${operators[$1]}" "$2"
 }
-shows() { do_at "$1" "$2" | grep -qE "$3"; }
+shows() { do_at "$1" "$2" | matches -E "$3"; }
 repeated() { # repeated ROUND FROM TO ID: repeats a request that entry-FROM has answered at entry-TO, which must return the recorded answer
   local answer
   for _ in $(seq 30); do # the answer is recorded shortly after it was sent; until then, status 409 is correct
@@ -98,16 +99,16 @@
 check() { # check ROUND REPLACED: sends requests, repeated requests, a task and a command and compares the results at all entries
   local round=$1 other=$2 i id
   for i in "${numbers[@]}"; do
-    call "$i" "/${pools[$((i % ${#pools[@]}))]}/slots" -H 'Acaciatally-Idempotent: true' | grep -q '^HTTP/1.1 200' ||
+    call "$i" "/${pools[$((i % ${#pools[@]}))]}/slots" -H 'Acaciatally-Idempotent: true' | matches '^HTTP/1.1 200' ||
       fail "$round: idempotent request through entry-$i"
   done
   for i in "${numbers[@]}"; do # at the replaced entry first and repeated at another one, then the other way round
     [ "$i" != "$other" ] || continue
     id=$(request_id)
-    call "$other" "/${pools[0]}/strip" -H "Acaciatally-Request-Id: $id" -d 'mirror' | grep -q '^HTTP/1.1 200' || fail "$round: request through entry-$other"
+    call "$other" "/${pools[0]}/strip" -H "Acaciatally-Request-Id: $id" -d 'mirror' | matches '^HTTP/1.1 200' || fail "$round: request through entry-$other"
     repeated "$round" "$other" "$i" "$id"
     id=$(request_id)
-    call "$i" "/${pools[0]}/strip" -H "Acaciatally-Request-Id: $id" -d 'mirror' | grep -q '^HTTP/1.1 200' || fail "$round: request through entry-$i"
+    call "$i" "/${pools[0]}/strip" -H "Acaciatally-Request-Id: $id" -d 'mirror' | matches '^HTTP/1.1 200' || fail "$round: request through entry-$i"
     repeated "$round" "$i" "$other" "$id"
   done
   recorded+=("$id")
