Write the progress of a wave in place of the version that the leader has seen

A write of an earlier leader that is applied late could replace newer progress of a wave, so that the next leader would not know of a maintenance that has begun.

Cause: the record of a wave was the only one of a leader that was written without a condition.

Change: it is written under the version that the leader has read or written, and names the epoch of its writer. A leader that finds a later one's record resigns.

--- a/site/fleet.go
+++ b/site/fleet.go
@@ -2,8 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
-	"strconv"
 	"time"
 
 	"github.com/acaciatally/acaciatally"
@@ -13,8 +11,6 @@
 )
 
 const (
-	// waveTable is the table with the progress of each maintenance wave.
-	waveTable = "Wave"
 	// minListInterval is the shortest interval at which the list of instances is refreshed.
 	minListInterval = 400 * time.Millisecond
 	// maxListInterval bounds how late a change of an instance is noticed.
@@ -37,15 +33,21 @@
 	nextPlanAt       time.Duration
 	listInFlight     bool
 	nextListAt       time.Duration
+	waves            *waveStore
+	waveVersions     map[int]uint64 // versions of the records of waves as this leader has seen them
 	waveCallInFlight bool
 }
 
 func newFleetRunner(p *Process, epoch uint64, post func(f func())) *fleetRunner {
 	leads := func() bool { return p.elector.Leads(epoch) }
-	return &fleetRunner{process: p, post: post, leads: leads, roster: roster.New(roster.Config{
-		Epoch: epoch, Holder: p.config.Name, MoveTime: p.config.MoveTime, MaintenanceTime: p.config.MaintenanceTime,
-		Capacity: capacityConfig(p.config.OrdersPerSecond), OrdersPerSecond: p.config.OrdersPerSecond, EventLog: p.config.EventLog,
-	})}
+	return &fleetRunner{
+		process: p, post: post, leads: leads,
+		roster: roster.New(roster.Config{
+			Epoch: epoch, Holder: p.config.Name, MoveTime: p.config.MoveTime, MaintenanceTime: p.config.MaintenanceTime,
+			Capacity: capacityConfig(p.config.OrdersPerSecond), OrdersPerSecond: p.config.OrdersPerSecond, EventLog: p.config.EventLog,
+		}),
+		waves: &waveStore{store: p.config.Store, epoch: epoch, status: p.config.WaveStatus}, waveVersions: map[int]uint64{},
+	}
 }
 
 // capacityConfig lets one plan start as many moves as the platform's rate limit allows orders until the next plan.
@@ -108,10 +110,11 @@
 		}
 		f.waveCallInFlight = true
 		go func() {
-			record, err := f.readWaveRecord(ctx, observed.wave.Number)
+			record, version, err := f.waves.read(ctx, observed.wave.Number)
 			f.post(func() {
 				f.waveCallInFlight = false
 				if err == nil {
+					f.waveVersions[observed.wave.Number] = version
 					f.roster.AddWave(observed.wave, observed.firstSeen, record)
 				}
 			})
@@ -119,20 +122,6 @@
 	}
 }
 
-func waveKey(number int) acaciatally.RecordKey {
-	return acaciatally.RecordKey{Table: waveTable, Key: strconv.Itoa(number)}
-}
-
-func (f *fleetRunner) readWaveRecord(ctx context.Context, number int) (record roster.WaveRecord, err error) {
-	key := waveKey(number)
-	page, err := f.process.config.Store.Read(ctx, acaciatally.RecordRange{Table: key.Table, From: key.Key, To: key.Key + "\x00"})
-	if err != nil || len(page.Records) == 0 {
-		return record, err
-	}
-	err = json.Unmarshal(page.Records[0].Value, &record)
-	return record, err
-}
-
 func (f *fleetRunner) sendOrder(ctx context.Context, scheduler *dispatch.Scheduler, order roster.Order) {
 	err := f.callFleet(ctx, order)
 	f.post(func() {
@@ -163,26 +152,21 @@
 	}
 	f.waveCallInFlight = true
 	record := records[0]
+	seen := f.waveVersions[record.Number]
 	go func() {
-		err := f.storeWaveRecord(ctx, record)
+		result := f.waves.write(ctx, record, seen)
 		f.post(func() {
 			f.waveCallInFlight = false
-			if err == nil {
+			if result.version > 0 {
+				f.waveVersions[record.Number] = result.version
+			}
+			if result.newerEpoch > 0 {
+				f.process.elector.Resign(result.newerEpoch)
+			}
+			if result.stored {
 				f.roster.WaveSaved(record)
 				f.sendOrders(ctx, scheduler, f.process.config.Now())
 			}
 		})
 	}()
 }
-
-func (f *fleetRunner) storeWaveRecord(ctx context.Context, record roster.WaveRecord) error {
-	value, err := json.Marshal(record)
-	if err != nil {
-		return err
-	}
-	_, err = f.process.config.Store.Commit(ctx, acaciatally.RecordTransaction{Writes: []acaciatally.RecordWrite{
-		{RecordKey: waveKey(record.Number), Value: value},
-		f.process.config.WaveStatus(record.Number, record.Completed),
-	}})
-	return err
-}
