Tidy what stood twice: scripts, throttle tests, waves of the roster

Cause: four scripts had their own copies of the same functions, two test files those of throttling, and the roster had grown to 374 lines.

No behaviour and no check changes.

--- a/dispatch/drain_test.go
+++ b/dispatch/drain_test.go
@@ -64,10 +64,10 @@
 			first, second := testWorker(1), testWorker(2)
 			first.Labels = append(first.Labels, labelOfFirst)
 			reportIdle(scheduler, first, second)
-			longRunning := testStep(test.tasks, 1000)
-			longRunning.LongRunning, longRunning.PerWorker = true, test.perWorker
-			longRunning.DisruptionBudget, longRunning.HasDisruptionBudget = 1, true
-			loadJob(scheduler, "aa", 0, longRunning)
+			service := testStep(test.tasks, 1000)
+			service.LongRunning, service.PerWorker = true, test.perWorker
+			service.DisruptionBudget, service.HasDisruptionBudget = 1, true
+			loadJob(scheduler, "aa", 0, service)
 			other := testStep(1, 1000)
 			other.Label = labelOfFirst
 			if test.otherWork {
@@ -141,10 +141,10 @@
 			first, second := testWorker(1), testWorker(2)
 			first.Labels = append(first.Labels, label)
 			reportIdle(scheduler, first, second)
-			longRunning, other := testStep(2, 1000), testStep(1, 1000)
-			longRunning.LongRunning, longRunning.PerWorker = true, 1
+			service, other := testStep(2, 1000), testStep(1, 1000)
+			service.LongRunning, service.PerWorker = true, 1
 			other.Label = label
-			loadJob(scheduler, "aa", 0, longRunning)
+			loadJob(scheduler, "aa", 0, service)
 			if otherWork {
 				loadJob(scheduler, "bb", 0, other)
 			}
@@ -178,7 +178,7 @@
 // TestAdviceOnWorkerKeptInService guards against a long-running task that is never started because the advice service is not asked about the only
 // worker that may run it: the worker is to be drained and kept in service by other runs.
 func TestAdviceOnWorkerKeptInService(t *testing.T) {
-	for name, longRunning := range map[string]bool{"long-running": true, "not long-running": false} {
+	for name, isLongRunning := range map[string]bool{"long-running": true, "not long-running": false} {
 		t.Run(name, func(t *testing.T) {
 			scheduler, _ := newScheduler()
 			reportIdle(scheduler, testWorker(1))
@@ -186,14 +186,14 @@
 			reportRunning(scheduler, startDue(scheduler, 0), 50)
 			scheduler.SetWorkersToDrain(map[acaciatally.WorkerID]string{"i-1": "maintenance"})
 			step := testStep(1, 1000)
-			step.LongRunning = longRunning
+			step.LongRunning = isLongRunning
 			scheduler.LoadJob("aa", job.Accepted{
 				Spec:  acaciatally.JobSpec{Steps: []acaciatally.Step{step}},
 				Queue: acaciatally.Queue{Name: "quotes", Pool: testPool, Attempts: 2, Advice: &acaciatally.AdvicePolicy{}},
 			}, job.Progress{State: acaciatally.JobQueued}, 0, time.Second)
 			require.Empty(t, startDue(scheduler, time.Second))
 			requests := scheduler.AdviceRequests(time.Second)
-			if !longRunning {
+			if !isLongRunning {
 				require.Empty(t, requests)
 				return
 			}
--- a/dispatch/preempt_test.go
+++ b/dispatch/preempt_test.go
@@ -10,6 +10,31 @@
 	"github.com/acaciatally/acaciatally/job"
 )
 
+// TestPreemptForLongRunningTask guards against a long-running task that keeps waiting while other tasks fill its pool, and against stopping
+// more runs than necessary.
+func TestPreemptForLongRunningTask(t *testing.T) {
+	scheduler, _ := newScheduler()
+	reportIdle(scheduler, testWorker(1))
+	now := time.Second
+	loadJob(scheduler, "aa", now, testStep(4, 2000))
+	orders := startDue(scheduler, now)
+	require.Len(t, orders, 4)
+	serviceStep := testStep(1, 3000)
+	serviceStep.LongRunning = true
+	loadJob(scheduler, "bb", now, serviceStep)
+	require.Empty(t, startDue(scheduler, now))
+	require.Empty(t, scheduler.Orders(now))
+	now += preemptAfter + time.Millisecond
+	scheduler.Plan(now, time.UnixMilli(0))
+	stops := 0
+	for _, order := range scheduler.Orders(now) {
+		if order.Kind == OrderStop {
+			stops++
+		}
+	}
+	require.Equal(t, 2, stops)
+}
+
 // TestPreemptWhereTaskMayRun guards against stopping other runs for a long-running task on a worker that it may not use: the task was never
 // started, and the other work never got done.
 func TestPreemptWhereTaskMayRun(t *testing.T) {
--- a/dispatch/throttle_test.go
+++ b/dispatch/throttle_test.go
@@ -37,6 +37,35 @@
 	}
 }
 
+// TestNextCPUShare guards against backfill that keeps a long-running task over its latency objective, and against backfill that stays
+// throttled without need.
+func TestNextCPUShare(t *testing.T) {
+	tests := map[string]struct {
+		current int
+		worst   float64
+		next    int
+	}{
+		"over objective":       {100, 1.2, 0},
+		"near objective":       {100, 0.9, 50},
+		"between thresholds":   {50, 0.7, 50},
+		"low latency":          {50, 0.3, 65},
+		"low latency, capped":  {95, 0.1, 100},
+		"no latency objective": {0, 0, 15},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) { require.Equal(t, test.next, nextCPUShare(test.current, test.worst)) })
+	}
+}
+
+// TestThrottleBackfill guards against ignoring reported latencies that exceed the objective.
+func TestThrottleBackfill(t *testing.T) {
+	_, report := throttledWorker(t)
+	throttled := report(150*time.Millisecond, time.Second)
+	require.Len(t, throttled, 1)
+	require.Equal(t, 1, throttled[0].Start.Task.Step)
+	require.Zero(t, throttled[0].Percent)
+}
+
 // TestLateThrottleOrder guards against an order on the CPU share of a run that is executed late, after newer ones: the share in force was not the
 // one that the leader believed, and no further order came.
 func TestLateThrottleOrder(t *testing.T) {
--- a/roster/roster.go
+++ b/roster/roster.go
@@ -10,7 +10,6 @@
 	"github.com/acaciatally/acaciatally"
 	"github.com/acaciatally/acaciatally/capacity"
 	"github.com/acaciatally/acaciatally/dispatch"
-	"github.com/acaciatally/acaciatally/maintenance"
 )
 
 const (
@@ -83,15 +82,6 @@
 	oldWorker      acaciatally.WorkerID // worker on the instance when the first order was sent, which the order ends
 }
 
-// wave is the progress of a maintenance wave.
-type wave struct {
-	request          acaciatally.MaintenanceWave
-	seenAt           time.Duration
-	finished         map[acaciatally.InstanceID]bool
-	progressStored   bool // the finished instances are stored
-	completionStored bool // the completion is stored
-}
-
 // Roster is the state of all instances, with their planned operations and maintenance waves.
 type Roster struct {
 	config         Config
@@ -149,37 +139,6 @@
 	return r.config.MaintenanceTime
 }
 
-// AddWave adds a wave that was first seen at the given time, with the progress that earlier leaders stored. A known wave stays unchanged.
-func (r *Roster) AddWave(request acaciatally.MaintenanceWave, seen time.Duration, stored WaveRecord) {
-	if r.waves[request.Number] != nil {
-		return
-	}
-	w := &wave{
-		request: request, seenAt: seen, finished: map[acaciatally.InstanceID]bool{}, progressStored: true, completionStored: stored.Completed,
-	}
-	for _, id := range stored.Finished {
-		w.finished[id] = true
-	}
-	r.waves[request.Number] = w
-	for _, id := range stored.Begun {
-		if !w.finished[id] {
-			r.inheritMaintenance(id, request.Number, seen)
-		}
-	}
-}
-
-// inheritMaintenance continues the maintenance that an earlier leader has begun. Its order may still be executed, so the instance counts as down
-// until an order of this leader has a result, which fences off the earlier one.
-func (r *Roster) inheritMaintenance(id acaciatally.InstanceID, number int, now time.Duration) {
-	if op := r.operations[id]; op != nil && op.ordered {
-		return // the order of this leader has fenced off the earlier one
-	}
-	r.addOperation(id, &operation{purpose: purposeMaintenance, wave: number, plannedAt: now, recorded: true, inherited: true, outcomeUnknown: true})
-}
-
-// HasWave reports whether the wave was added.
-func (r *Roster) HasWave(number int) bool { return r.waves[number] != nil }
-
 // Plan plans moves and maintenance, and returns the workers that get no new tasks because they are to be drained, with the reasons.
 func (r *Roster) Plan(scheduler *dispatch.Scheduler, configuration *acaciatally.Configuration, now time.Duration) (workersToDrain map[acaciatally.WorkerID]string) {
 	if !r.listed || configuration == nil {
@@ -296,37 +255,6 @@
 	return view
 }
 
-// planWaves starts the maintenance of the next instances of each wave.
-func (r *Roster) planWaves(pools []capacity.Pool, workers map[acaciatally.WorkerID]dispatch.WorkerView, now time.Duration) {
-	spare := r.spare(pools)
-	planner := maintenance.Config{PerInstance: drainTime + r.config.MaintenanceTime + listDelay}
-	for number, w := range r.waves {
-		if w.completionStored {
-			continue
-		}
-		view := r.waveView(w, pools, workers, spare, now)
-		for _, id := range planner.Next(view) {
-			r.addOperation(id, &operation{purpose: purposeMaintenance, wave: number, plannedAt: now})
-		}
-	}
-}
-
-// dueWorkers returns the workers whose instances still need maintenance in a wave.
-func (r *Roster) dueWorkers() map[acaciatally.WorkerID]bool {
-	due := map[acaciatally.WorkerID]bool{}
-	for _, w := range r.waves {
-		if w.completionStored {
-			continue
-		}
-		for _, id := range w.request.Instances {
-			if worker := r.instances[id].Worker; worker != "" && !w.finished[id] {
-				due[worker] = true
-			}
-		}
-	}
-	return due
-}
-
 // spare returns how many instances each pool has above its target.
 func (r *Roster) spare(pools []capacity.Pool) map[acaciatally.PoolName]int {
 	up := map[acaciatally.PoolName]int{}
@@ -337,38 +265,3 @@
 	}
 	return r.config.Capacity.Spares(pools, up)
 }
-
-func (r *Roster) waveView(
-	w *wave, pools []capacity.Pool, workers map[acaciatally.WorkerID]dispatch.WorkerView,
-	spare map[acaciatally.PoolName]int, now time.Duration,
-) maintenance.Wave {
-	standby := map[acaciatally.PoolName]bool{}
-	for _, pool := range pools {
-		standby[pool.Name] = pool.Standby
-	}
-	view := maintenance.Wave{Number: w.request.Number, MaxDown: w.request.MaxConcurrent, Remaining: w.seenAt + w.request.Duration - now}
-	for _, id := range w.request.Instances {
-		instance, exists := r.instances[id]
-		op, reserved := r.operations[id]
-		member := maintenance.Instance{
-			ID: id, Pool: instance.Pool, Up: instance.State == acaciatally.InstanceUp, Standby: standby[instance.Pool],
-			Runs: workers[instance.Worker].Runs, LongRunning: workers[instance.Worker].LongRunning, Spare: spare[instance.Pool] > 0,
-		}
-		switch {
-		case reserved && op.purpose == purposeMaintenance && (op.done || op.outcomeUnknown):
-			member.Phase = maintenance.Down
-		case reserved && op.purpose == purposeMaintenance:
-			member.Phase = maintenance.Draining
-		case instance.State == acaciatally.InstanceMaintenance: // ordered by an earlier leader that may not have stored it
-			member.Phase = maintenance.Down
-		case w.finished[id]:
-			member.Phase = maintenance.Finished
-		case !exists:
-			member.Phase = maintenance.Missing
-		default:
-			member.Reserved = reserved
-		}
-		view.Instances = append(view.Instances, member)
-	}
-	return view
-}
--- a/scripts/fleet.sh
+++ b/scripts/fleet.sh
@@ -8,22 +8,14 @@
 idle_seconds=20
 export ACACIATALLY_TOKEN=replace-this-token
 logs=$(mktemp -d)
-pids=()
 entries=()
 stop() {
   trap - EXIT INT TERM
-  for pid in "${pids[@]}"; do kill -TERM "$pid" 2>/dev/null || true; done
-  for pid in "${pids[@]}"; do wait "$pid" 2>/dev/null || true; done
+  stop_all
   rm -rf "$logs"
 }
 trap stop EXIT
 trap 'exit 1' INT TERM
-start() {
-  local name=$1
-  shift
-  "$@" >"$logs/$name" 2>&1 &
-  pids+=($!)
-}
 wait_for() {
   for _ in $(seq 1200); do
     if "$@" >/dev/null 2>&1; then return 0; fi
@@ -32,9 +24,6 @@
   echo "timed out waiting for: $*" >&2
   return 1
 }
-field() { # field KEY LINE: prints the value of a key in a YAML flow mapping
-  sed -E "s/.*[{ ]$1: \"?([^,\"}]*).*/\1/" <<<"$2"
-}
 order() {
   bin/acaciatally do -address "$operator" "$1"
 }
@@ -54,7 +43,7 @@
 done < <(grep 'Slots:' "$settings")
 while read -r line; do
   start "$(field ID "$line")" bin/acaciatally serve -settings "$settings" -entry "$(field ID "$line")"
-  entries+=("${pids[-1]}")
+  entries+=("${pids[$(field ID "$line")]}")
   operator=$(field OperatorAddress "$line")
   wait_for curl -sf "http://$operator/readyz"
 done < <(grep 'PeerAddress:' "$settings")
--- a/scripts/run.sh
+++ b/scripts/run.sh
@@ -5,21 +5,13 @@
 source "$(dirname "$0")/lib.sh"
 cd "$(dirname "$0")/.."
 logs=$(mktemp -d)
-pids=()
 stop() {
   trap - EXIT INT TERM
-  for pid in "${pids[@]}"; do kill -TERM "$pid" 2>/dev/null || true; done
-  for pid in "${pids[@]}"; do wait "$pid" 2>/dev/null || true; done
+  stop_all
   rm -rf "$logs"
 }
 trap stop EXIT
 trap 'exit 0' INT TERM
-start() {
-  local name=$1
-  shift
-  "$@" >"$logs/$name" 2>&1 &
-  pids+=($!)
-}
 wait_for() {
   for _ in $(seq 150); do
     if "$@" >/dev/null 2>&1; then return 0; fi
--- a/scripts/snapshot.sh
+++ b/scripts/snapshot.sh
@@ -6,21 +6,13 @@
 cd "$(dirname "$0")/.."
 first=$(realpath "${1:?}") second=$(realpath "${2:?}")
 logs=$(mktemp -d)
-declare -A pids
 stop() {
   trap - EXIT INT TERM
-  for pid in "${pids[@]}"; do kill -TERM "$pid" 2>/dev/null || true; done
-  for pid in "${pids[@]}"; do wait "$pid" 2>/dev/null || true; done
+  stop_all
   rm -rf "$logs"
 }
 trap stop EXIT
 trap 'exit 1' INT TERM
-start() { # start NAME COMMAND...
-  local name=$1
-  shift
-  "$@" >>"$logs/$name" 2>&1 &
-  pids[$name]=$!
-}
 wait_for() {
   for _ in $(seq 900); do
     if "$@" >/dev/null 2>&1; then return 0; fi
--- a/scripts/upgrade.sh
+++ b/scripts/upgrade.sh
@@ -8,21 +8,13 @@
 settings=$(realpath "${3:-examples/authority.yaml}")
 export ACACIATALLY_TOKEN=replace-this-token
 logs=$(mktemp -d)
-declare -A pids
 failures=0
 stop() {
   trap - EXIT INT TERM
-  for pid in "${pids[@]}"; do kill -TERM "$pid" 2>/dev/null || true; done
-  for pid in "${pids[@]}"; do wait "$pid" 2>/dev/null || true; done
+  stop_all
 }
 trap stop EXIT
 trap 'exit 1' INT TERM
-start() { # start NAME COMMAND...
-  local name=$1
-  shift
-  "$@" >>"$logs/$name" 2>&1 &
-  pids[$name]=$!
-}
 wait_for() {
   for _ in $(seq 300); do
     if "$@" >/dev/null 2>&1; then return 0; fi
@@ -34,9 +26,6 @@
   echo "FAIL  $*"
   failures=$((failures + 1))
 }
-field() { # field KEY LINE: prints the value of a key in a YAML flow mapping
-  sed -E "s/.*[{ ]$1: \"?([^,\"}]*).*/\1/" <<<"$2"
-}
 do_at() { # do_at ENTRY STATEMENT: runs one statement on entry-ENTRY with the client of the first build
   "$first/acaciatally" do -address "${operators[$1]}" "$2"
 }
