Avoid a worker after a failure only while another one may take the task

A task that had failed on the only worker with its label had no run for 10 s, though that worker had room.

Cause: a task avoids the worker on which it failed for 10 s if its pool has others, whether or not one of them may ever take it.

Change: it does so only while another worker may take it, now or later.

--- a/dispatch/plan.go
+++ b/dispatch/plan.go
@@ -258,11 +258,12 @@
 	return c
 }
 
-// bestCandidate returns the best candidate for the task, or nil. Workers on which the task has failed are skipped if there are others,
-// because another failure may use up the last attempt.
+// bestCandidate returns the best candidate for the task, or nil. Workers on which the task has failed are skipped if another one may take it,
+// now or later, because another failure may use up the last attempt.
 func (s *Scheduler) bestCandidate(t *task, candidates []*candidate, now time.Duration) (chosen *candidate) {
+	avoids := len(t.avoidUntil) > 0 && s.hasAlternative(t, candidates, now)
 	for _, c := range candidates {
-		if len(candidates) > len(t.avoidUntil) && now < t.avoidUntil[c.w.entry.ID] {
+		if avoids && t.avoids(c.w, now) {
 			continue
 		}
 		if c.fits(t, now) && s.permitted(t, c.w.entry.ID, now) && (chosen == nil || s.prefers(t, c, chosen)) {
@@ -272,6 +273,16 @@
 	return chosen
 }
 
+// avoids reports whether the task has failed on the worker and is still to be kept away from it.
+func (t *task) avoids(w *worker, now time.Duration) bool { return now < t.avoidUntil[w.entry.ID] }
+
+// hasAlternative reports whether a worker that the task does not avoid may take it, whether or not it has room at present.
+func (s *Scheduler) hasAlternative(t *task, candidates []*candidate, now time.Duration) bool {
+	return slices.ContainsFunc(candidates, func(c *candidate) bool {
+		return !t.avoids(c.w, now) && c.w.entry.Capacity.Fits(t.step.Reserved()) && c.mayTake(t) && s.permitted(t, c.w.entry.ID, now)
+	})
+}
+
 // anyCandidate returns a candidate with room for a long-running task whose health would not admit it, or nil: a task that has to run at all
 // times is better tried on a worker that failed other runs than not run.
 func (s *Scheduler) anyCandidate(t *task, candidates []*candidate, now time.Duration) *candidate {
--- a/dispatch/scheduler_test.go
+++ b/dispatch/scheduler_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/netip"
+	"slices"
 	"testing"
 	"time"
 
@@ -216,6 +217,50 @@
 	require.Empty(t, startDue(scheduler, time.Second), "the other worker is busy")
 }
 
+// TestRetryOnOnlyWorker guards against a task that waits although its worker has room, because it has failed there and no other worker may take it.
+func TestRetryOnOnlyWorker(t *testing.T) {
+	const label = "first"
+	tests := map[string]struct {
+		labelled, small, limited bool // the step needs the label; the second worker is small; the second worker has as many tasks of the step as it may
+		restarted                int
+	}{
+		"label":                  {labelled: true, restarted: 1},
+		"other is too small":     {small: true, restarted: 1},
+		"other is at the limit":  {limited: true, restarted: 1},
+		"other may take it once": {restarted: 0},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			scheduler, _ := newScheduler()
+			first, second := testWorker(1), testWorker(2)
+			first.Labels = append(first.Labels, label)
+			if test.small {
+				second.Capacity.Processors = 1000
+			}
+			reportIdle(scheduler, first, second)
+			step := testStep(1, 5000)
+			if test.limited {
+				step.Count, step.PerWorker = 2, 1
+			}
+			if test.labelled {
+				step.Label = label
+			}
+			loadJob(scheduler, "aa", 0, step)
+			orders := startDue(scheduler, 0)
+			require.Len(t, orders, step.Count)
+			failed := slices.IndexFunc(orders, func(order Order) bool { return order.Worker.ID == first.ID })
+			require.GreaterOrEqual(t, failed, 0)
+			loadJob(scheduler, "bb", 0, testStep(1, second.Capacity.Processors)) // fills the second worker if it is empty
+			_ = startDue(scheduler, time.Millisecond)
+			scheduler.Report(first.ID, acaciatally.WorkerReport{Clock: time.Second, StartTime: first.StartTime, Ended: []acaciatally.EndedTask{
+				{Number: 1, Task: orders[failed].Start.Task, Attempt: 1, End: acaciatally.EndFailed},
+			}}, time.Second, time.Second)
+			restarted := slices.DeleteFunc(startDue(scheduler, time.Second), func(order Order) bool { return order.Start.Task.Job != "aa" })
+			require.Len(t, restarted, test.restarted)
+		})
+	}
+}
+
 // TestFailedLongRunningTask guards against avoiding the worker after a long-running task fails there, which may happen at any time: it may
 // be the only worker that can take the task.
 func TestFailedLongRunningTask(t *testing.T) {
