Find places before a drain with the set of candidates of the placement

Change: the pass uses the set of candidates of the placement, which remembers the sizes that fit nowhere. Both share the search.

Measured: go test ./dispatch passes; the time saved was not measured.

--- a/dispatch/drain.go
+++ b/dispatch/drain.go
@@ -13,7 +13,7 @@
 // drainWorkers stops runs on workers that are to be drained or announce that they drain: those that can resume from a checkpoint, and long-running
 // ones within the disruption budgets of their steps.
 func (s *Scheduler) drainWorkers(now time.Duration) {
-	places := drainPlaces{scheduler: s, now: now, pools: map[acaciatally.PoolName][]*candidate{}}
+	places := drainPlaces{scheduler: s, now: now, pools: map[acaciatally.PoolName]*candidateSet{}}
 	for _, w := range s.workers {
 		toDrain := s.toDrain[w.entry.ID] != ""
 		if w.lost || !toDrain && !w.entry.Draining {
@@ -100,26 +100,29 @@
 type drainPlaces struct {
 	scheduler *Scheduler
 	now       time.Duration
-	pools     map[acaciatally.PoolName][]*candidate // those that were needed so far, less what the tasks of this pass take
+	pools     map[acaciatally.PoolName]*candidateSet // those that were needed so far, less what the tasks of this pass take
 }
 
 // take reports whether another worker can take the task, and reserves its free capacity. For a long-running task, it may do so in place of runs
 // that the task may preempt.
 func (p *drainPlaces) take(t *task) bool {
-	candidates := p.candidates(t.job.accepted.Queue.Pool)
-	if c := p.scheduler.candidateFor(t, candidates, p.now); c != nil {
+	set := p.candidateSet(t.job.accepted.Queue.Pool)
+	if !t.step.LongRunning && set.cannotPlace(t.step) {
+		return false
+	}
+	if c := p.scheduler.candidateFor(t, set, p.now); c != nil {
 		c.reserve(t)
 		return true
 	}
-	return t.step.LongRunning && !t.step.Backfill && slices.ContainsFunc(candidates, func(c *candidate) bool {
+	return t.step.LongRunning && !t.step.Backfill && slices.ContainsFunc(set.candidates, func(c *candidate) bool {
 		_, enough := p.scheduler.victims(t, c, p.now)
 		return enough
 	})
 }
 
-func (p *drainPlaces) candidates(pool acaciatally.PoolName) []*candidate {
-	if _, known := p.pools[pool]; !known {
-		p.pools[pool] = p.scheduler.candidates(pool, p.now)
+func (p *drainPlaces) candidateSet(pool acaciatally.PoolName) *candidateSet {
+	if p.pools[pool] == nil {
+		p.pools[pool] = p.scheduler.candidateSet(pool, p.now)
 	}
 	return p.pools[pool]
 }
--- a/dispatch/plan.go
+++ b/dispatch/plan.go
@@ -92,8 +92,7 @@
 // long-running tasks are placed: other runs would wait on their workers and keep more urgent jobs from them.
 func (s *Scheduler) place(only map[acaciatally.PoolName]bool, now time.Duration) {
 	for pool, jobs := range s.waiting(only, now) {
-		set := &candidateSet{candidates: s.candidates(pool, now)}
-		set.computeMaxFree()
+		set := s.candidateSet(pool, now)
 		for _, j := range jobs {
 			if s.heldStarts == 0 || j.hasLongRunning {
 				s.placeJob(j, set, now)
@@ -128,11 +127,8 @@
 
 // placeTask places a task and returns whether it was placed.
 func (s *Scheduler) placeTask(t *task, set *candidateSet, now time.Duration) bool {
-	c := s.candidateFor(t, set.candidates, now)
+	c := s.candidateFor(t, set, now)
 	if c == nil {
-		if len(t.avoidUntil) == 0 && !t.suspected() && t.job.accepted.Queue.Advice == nil {
-			set.markUnplaceable(t.step)
-		}
 		return t.step.LongRunning && s.placeUrgently(t, set.candidates, now)
 	}
 	s.assign(t, c, t.attempt+1)
@@ -146,6 +142,13 @@
 	unplaceable []acaciatally.ResourceVector // sizes that fit no candidate; free capacity only shrinks during placement
 }
 
+// candidateSet returns the set of candidates in a pool.
+func (s *Scheduler) candidateSet(pool acaciatally.PoolName, now time.Duration) *candidateSet {
+	set := &candidateSet{candidates: s.candidates(pool, now)}
+	set.computeMaxFree()
+	return set
+}
+
 // cannotPlace reports whether it is known that no candidate has enough free capacity for a task of the step.
 func (s *candidateSet) cannotPlace(step *acaciatally.Step) bool {
 	reserved := step.Reserved()
@@ -249,11 +252,14 @@
 	c.reserve(t)
 }
 
-// candidateFor returns the candidate on which the task is to be placed, or nil.
-func (s *Scheduler) candidateFor(t *task, candidates []*candidate, now time.Duration) *candidate {
-	c := s.bestCandidate(t, candidates, now)
+// candidateFor returns the candidate of the set on which the task is to be placed, or nil.
+func (s *Scheduler) candidateFor(t *task, set *candidateSet, now time.Duration) *candidate {
+	c := s.bestCandidate(t, set.candidates, now)
 	if c == nil && t.step.LongRunning {
-		return s.anyCandidate(t, candidates, now)
+		c = s.anyCandidate(t, set.candidates, now)
+	}
+	if c == nil && len(t.avoidUntil) == 0 && !t.suspected() && t.job.accepted.Queue.Advice == nil {
+		set.markUnplaceable(t.step)
 	}
 	return c
 }
