Carry on the wait for a silent worker's lease from leader to leader

Cause: a new leader can't know when a worker's lease was last extended, so it waits for the end of the lease from its own start. None of the leaders led for long enough, and none had told the next one that it had not reached the worker either.

Change: a leader stores which workers with recorded runs have not answered it since its start, with a time on the store's clock after which nobody has extended their leases; its successor counts from there. It neither extends the lease of a worker that may be stored nor gives it runs, until a record without it is stored.

--- a/dispatch/drain.go
+++ b/dispatch/drain.go
@@ -69,7 +69,7 @@
 // workers in service.
 func (s *Scheduler) drainingCandidates(pool acaciatally.PoolName, now time.Duration) (list []*candidate) {
 	for id := range s.toDrain {
-		if w := s.workers[id]; w != nil && w.entry.Pool == pool && w.usable(now) && w.keptInService() {
+		if w := s.workers[id]; w != nil && w.entry.Pool == pool && s.usable(w, now) && w.keptInService() {
 			list = append(list, newCandidate(w))
 		}
 	}
@@ -78,7 +78,7 @@
 
 // mayGet reports whether the worker may get a run of the task.
 func (s *Scheduler) mayGet(w *worker, t *task, now time.Duration) bool {
-	return w.usable(now) && !s.closedTo(t, w)
+	return s.usable(w, now) && !s.closedTo(t, w)
 }
 
 // closedTo reports whether the worker is to be drained and gets no run of the task.
--- a/dispatch/plan.go
+++ b/dispatch/plan.go
@@ -219,12 +219,12 @@
 
 // schedulable reports whether the worker may get new runs of any task.
 func (s *Scheduler) schedulable(w *worker, now time.Duration) bool {
-	return w.usable(now) && s.toDrain[w.entry.ID] == ""
+	return s.usable(w, now) && s.toDrain[w.entry.ID] == ""
 }
 
-// usable reports whether the worker's state allows new runs.
-func (w *worker) usable(now time.Duration) bool {
-	return w.listed && w.reported && !w.lost && !w.entry.Draining && w.renewalFailures == 0 && now-w.reportedAt < maxReportAge &&
+// usable reports whether the worker's state allows new runs. Its lease may not be extended while it may be stored as silent.
+func (s *Scheduler) usable(w *worker, now time.Duration) bool {
+	return !s.silence.mayBeStored[w.entry.ID] && w.listed && w.reported && !w.lost && !w.entry.Draining && w.renewalFailures == 0 && now-w.reportedAt < maxReportAge &&
 		len(w.orphans) == 0 && !w.entryOutdated()
 }
 
--- a/dispatch/renew.go
+++ b/dispatch/renew.go
@@ -48,12 +48,22 @@
 		}
 		w.renewalInFlight, w.renewalDueAt = true, now+w.pollWait()+renewalAnswerTime
 		renewals = append(renewals, Renewal{Worker: w.entry, Order: acaciatally.RenewOrder{
-			Fence: s.fence(w), LeaseUntil: s.extendLease(w, now), Acknowledged: w.acknowledgedNumber(), Wait: w.pollWait(),
+			Fence: s.fence(w), LeaseUntil: s.renewedLease(w, now), Acknowledged: w.acknowledgedNumber(), Wait: w.pollWait(),
 		}})
 	}
 	return renewals
 }
 
+// renewedLease returns the lease end for a renewal, or 0 if the lease may not be extended yet because the worker may be stored as silent: the next
+// leader would take it for expired.
+func (s *Scheduler) renewedLease(w *worker, now time.Duration) time.Duration {
+	until := s.extendLease(w, now)
+	if s.silence.mayBeStored[w.entry.ID] {
+		return 0
+	}
+	return until
+}
+
 // renewInterval returns the minimum time between two renewals of one worker.
 func (s *Scheduler) renewInterval() time.Duration {
 	return minRenewInterval + time.Duration(s.busyWorkers)*renewIntervalPerWorker
--- a/dispatch/runner.go
+++ b/dispatch/runner.go
@@ -157,6 +157,9 @@
 	for _, commit := range r.scheduler.Commits(now) {
 		r.runCall(func() { r.commit(ctx, commit) })
 	}
+	if record, version, unsaved := r.scheduler.UnsavedSilence(now); unsaved {
+		r.runCall(func() { r.storeSilence(ctx, record, version) })
+	}
 	for _, order := range r.scheduler.Orders(now) {
 		r.runCall(func() { r.order(ctx, order) })
 	}
--- a/dispatch/runner_jobs.go
+++ b/dispatch/runner_jobs.go
@@ -15,7 +15,7 @@
 func (r *Runner) followJobs(ctx context.Context) error {
 	for ctx.Err() == nil {
 		// The version comes before the list: a partition whose first record is written after the list was read is in the changes since.
-		version, err := r.storeVersion(ctx)
+		version, err := r.loadSilence(ctx)
 		if err != nil {
 			acaciatally.Sleep(ctx, commitRetry)
 			continue
@@ -46,12 +46,6 @@
 	return group.Wait()
 }
 
-// storeVersion returns the current version of the store.
-func (r *Runner) storeVersion(ctx context.Context) (version uint64, err error) {
-	page, err := r.config.Store.Read(ctx, acaciatally.RecordRange{Table: OwnerTable})
-	return page.Version, err
-}
-
 // handleJobRecords handles changes of the job table.
 func (r *Runner) handleJobRecords(ctx context.Context, records []acaciatally.Record) {
 	for _, record := range records {
--- a/dispatch/scheduler.go
+++ b/dispatch/scheduler.go
@@ -41,6 +41,7 @@
 	suspects        map[acaciatally.InstanceID]suspectRuns // of workers that could not be reached
 	toDrain         map[acaciatally.WorkerID]string        // workers to drain, and the reason
 	drainSoon       map[acaciatally.WorkerID]bool          // workers that will have to be drained soon
+	silence         silence
 	starts          startWindow
 	heldStarts      int // start orders that the window held back in the last round
 	startRate       startRate
@@ -65,6 +66,7 @@
 		permissions: map[stepKey]*stepPermissions{},
 		suspects:    map[acaciatally.InstanceID]suspectRuns{},
 		toDrain:     map[acaciatally.WorkerID]string{},
+		silence:     silence{mayBeStored: map[acaciatally.WorkerID]bool{}},
 		starts:      newStartWindow(),
 		startRate:   newStartRate(),
 	}
--- a/dispatch/worker_lease.go
+++ b/dispatch/worker_lease.go
@@ -24,7 +24,7 @@
 	}
 	if w.reportedAt == 0 {
 		longest := time.Duration(float64(s.config.WorkerLease) / minClockRate)
-		return now > s.config.LeadershipStart+longest+leaseExpiryMargin
+		return now > s.lastExtension(w.entry.ID)+longest+leaseExpiryMargin
 	}
 	return w.estimatedClock(now) > w.leaseUntil+leaseExpiryMargin
 }
--- a/records.go
+++ b/records.go
@@ -86,6 +86,8 @@
 type RecordPage struct {
 	Records []Record
 	Version uint64 // version of the store at the snapshot, from which a change feed can resume
+	// Now is the time of the snapshot on the store's steady clock. It is set by reads only.
+	Now time.Duration
 }
 
 // RecordStore is a partitioned transactional store with change feeds.
