--- a/dispatch/runner_jobs_test.go
+++ b/dispatch/runner_jobs_test.go
@@ -118,6 +118,7 @@
 		time.Sleep(500 * time.Millisecond)
 		r.Post(ctx, func() { r.handleJobRecords(ctx, []acaciatally.Record{second, cancel}) })
 		time.Sleep(2 * time.Second)
+		synctest.Wait()
 		require.Equal(t, 2, eventLog.counts["JobLoaded"])
 		require.Equal(t, 1, eventLog.counts["JobEnded "+string(acaciatally.JobCancelled)])
 		stop()
--- a/intake/batch_test.go
+++ b/intake/batch_test.go
@@ -249,6 +249,7 @@
 				defer stop()
 				_ = service.Submit(ctx, queue, "a", spec("x")) // the outcome is in the log
 				time.Sleep(5 * time.Second)
+				synctest.Wait()
 				require.Equal(t, test.resolved, eventLog.resolved)
 			})
 		})
--- a/intake/cancel_test.go
+++ b/intake/cancel_test.go
@@ -55,6 +55,7 @@
 				require.ErrorIs(t, submitting.Submit(ctx, queue, jobID, spec("x")), acaciatally.ErrUnknownOutcome)
 				require.ErrorIs(t, cancelling.Cancel(t.Context(), queue, jobID), acaciatally.ErrJobNotFound)
 				time.Sleep(20 * time.Second)
+				synctest.Wait()
 				_, accepted := store.rows[job.AcceptedKey(queue.Name, jobID)]
 				require.False(t, accepted, "the job was accepted after its cancellation")
 				_, err := cancelling.State(t.Context(), queue, jobID)
