Order an instance only once its present worker is to be drained

Cause: a leader that has just read that an earlier one has begun the maintenance of an instance could order it between two plans. The scheduler did not know yet that the worker was to be drained, and tasks placed there meanwhile counted as ended with the answer to the order. The same could happen with a worker that has come up on an instance since the last plan.

Evidence: both runs of a task were started by the same leader within 21 ms, the first ones on one worker.

Change: an order waits until a plan has asked to drain the worker that is on the instance.

Measured: roster.TestInheritedMaintenanceBeforeDrain failed before (an order before the plan) and passes.

--- a/roster/order.go
+++ b/roster/order.go
@@ -64,6 +64,9 @@
 		return true
 	}
 	instance := r.instances[id]
+	if !op.draining || instance.Worker != op.drainedWorker {
+		return false // the worker may still get tasks
+	}
 	w := scheduler.Worker(instance.Worker, now)
 	drained := instance.Worker == "" || (w.Reported && w.Runs == 0)
 	return drained && instance.State == acaciatally.InstanceUp
--- a/roster/roster.go
+++ b/roster/roster.go
@@ -73,12 +73,14 @@
 	fence          uint64 // fencing token of all orders of the operation
 	inFlight       bool   // an order was sent and has no result yet
 	recorded       bool   // the stored progress of its wave names the instance as begun
+	draining       bool   // a plan has asked to drain the instance, with drainedWorker on it
 	inherited      bool   // an earlier leader may have sent an order; this one has sent none
 	outcomeUnknown bool   // an order may have been executed, or may be executed later
 	retryAt        time.Duration
 	done           bool // the order was executed
 	doneAt         time.Duration
 	ordered        bool                 // the first order was sent
+	drainedWorker  acaciatally.WorkerID // worker that gets no new tasks because of the operation
 	oldWorker      acaciatally.WorkerID // worker on the instance when the first order was sent, which the order ends
 }
 
@@ -202,8 +204,12 @@
 func (r *Roster) workersToDrain() map[acaciatally.WorkerID]string {
 	list := map[acaciatally.WorkerID]string{}
 	for id, op := range r.operations {
-		if worker := r.instances[id].Worker; worker != "" && !op.done {
-			list[worker] = op.String()
+		if op.done {
+			continue
+		}
+		op.draining, op.drainedWorker = true, r.instances[id].Worker
+		if op.drainedWorker != "" {
+			list[op.drainedWorker] = op.String()
 		}
 	}
 	return list
--- a/roster/wave_test.go
+++ b/roster/wave_test.go
@@ -60,6 +60,27 @@
 	require.Equal(t, acaciatally.InstanceID("m-1"), orders[0].Instance)
 }
 
+// TestInheritedMaintenanceBeforeDrain guards against an order for an instance whose worker still gets tasks, because the leader has just learned that an
+// earlier one had begun its maintenance: the answer ends runs that were started meanwhile, and they are started a second time.
+func TestInheritedMaintenanceBeforeDrain(t *testing.T) {
+	r, scheduler := newLeader(4, WaveRecord{Number: 1, Begun: []acaciatally.InstanceID{"m-1"}}, time.Second)
+	r.SetFleet([]acaciatally.FleetInstance{instance("m-1", "i-1"), instance("m-2", "")}, time.Second)
+	w := acaciatally.Worker{ID: "i-1", Instance: "m-1", Pool: "intake", StartTime: time.UnixMilli(1000)}
+	scheduler.SetDirectory([]acaciatally.Worker{w}, time.Second)
+	scheduler.Report("i-1", acaciatally.WorkerReport{StartTime: w.StartTime}, time.Second, time.Second)
+	require.Empty(t, r.Orders(scheduler, time.Second), "the scheduler does not know that the worker is to be drained")
+	require.Contains(t, planAndSave(r, scheduler, 2*time.Second), w.ID)
+
+	next := w
+	next.ID, next.StartTime = "i-2", time.UnixMilli(2000)
+	r.SetFleet([]acaciatally.FleetInstance{instance("m-1", "i-2"), instance("m-2", "")}, 3*time.Second)
+	scheduler.SetDirectory([]acaciatally.Worker{next}, 3*time.Second)
+	scheduler.Report("i-2", acaciatally.WorkerReport{StartTime: next.StartTime}, 3*time.Second, 3*time.Second)
+	require.Empty(t, r.Orders(scheduler, 3*time.Second), "another worker has come up on the instance")
+	require.Contains(t, planAndSave(r, scheduler, 3*time.Second), next.ID)
+	require.Len(t, r.Orders(scheduler, 3*time.Second), 1)
+}
+
 // TestInheritedMaintenanceDrains guards against an order that ends the runs of a worker that were started before the leader knew that an earlier
 // one had begun the maintenance of its instance.
 func TestInheritedMaintenanceDrains(t *testing.T) {
