--- a/jobs.go
+++ b/jobs.go
@@ -1,6 +1,7 @@
 package acaciatally
 
 import (
+	"crypto/sha256"
 	"fmt"
 	"time"
 )
@@ -135,6 +136,18 @@
 	Stretch   float64       // latency objective as a multiple of the time of the job's longest chain of steps
 	Objective time.Duration // constant part of the latency objective, added to the multiple
 	Advice    *AdvicePolicy `json:",omitempty"`
+	Public    bool          `json:",omitempty"` // calls need no key, and jobs belong to no account
+}
+
+// KeyDigest is the SHA-256 digest of a key of a client account; the key itself is not kept.
+type KeyDigest [sha256.Size]byte
+
+// Account is the configuration of a client account.
+type Account struct {
+	Name    AccountName
+	Keys    []KeyDigest
+	Weight  float64        // its share of the fleet while capacity is short, and the number of jobs per second to which it is entitled
+	Maximum ResourceVector // what its runs may reserve on all workers together; 0 is no limit on the resource
 }
 
 // PoolOptions is the configuration of a pool.
@@ -159,4 +172,6 @@
 	Queues  []Queue
 	Pools   map[PoolName]PoolOptions
 	Limits  RequestLimits
+	// Accounts holds the client accounts by name. It is nil if the configuration has none; then no call needs a key.
+	Accounts map[AccountName]Account
 }
--- a/names.go
+++ b/names.go
@@ -9,6 +9,9 @@
 // TeamName identifies a team of callers, the unit of quotas.
 type TeamName string
 
+// AccountName identifies a client account of the job API. It is empty for calls of public queues, and where no accounts are configured.
+type AccountName string
+
 // DataCentre is the name of a data centre, the larger failure domain.
 type DataCentre string
 
--- a/submission.go
+++ b/submission.go
@@ -9,6 +9,9 @@
 // ErrQueueNotFound reports that no queue is configured for a host and path.
 var ErrQueueNotFound = errors.New("no such queue")
 
+// ErrUnknownKey reports that a call carries no key of a client account, though its queue requires one.
+var ErrUnknownKey = errors.New("no such key")
+
 // ErrJobNotFound reports that the job does not exist.
 var ErrJobNotFound = errors.New("no such job")
 
