Pass the caller's account from the job API to the accepted job

Cause: the parts on accounts, maximums and refusals are built side by side and need one signature.

Change: JobService takes the account of the call and has Authenticate; the accepted job records its account. Authenticate accepts every call as yet, without an account, so records and answers are as before.

Measured: go test ./intake ./platform/... ./job/... ./site passes.

--- a/intake/batch_test.go
+++ b/intake/batch_test.go
@@ -108,7 +108,7 @@
 		var group sync.WaitGroup
 		for i := range 30 {
 			group.Go(func() {
-				require.NoError(t, service.Submit(t.Context(), queue, acaciatally.JobID(fmt.Sprint(i)), spec("x")))
+				require.NoError(t, service.Submit(t.Context(), queue, "", acaciatally.JobID(fmt.Sprint(i)), spec("x")))
 			})
 		}
 		group.Wait()
@@ -131,7 +131,7 @@
 		t.Run(name, func(t *testing.T) {
 			store := &fakeStore{rows: map[acaciatally.RecordKey]acaciatally.Record{}}
 			service := intake.New(intake.Config{Store: store, EventLog: nopEventLog{}, MaxRecordBytes: 4096})
-			err := service.Submit(t.Context(), queue, "a", test.spec)
+			err := service.Submit(t.Context(), queue, "", "a", test.spec)
 			if !test.tooLarge {
 				require.NoError(t, err)
 				return
@@ -151,7 +151,7 @@
 		var group sync.WaitGroup
 		for i := range jobs {
 			group.Go(func() {
-				require.NoError(t, service.Submit(t.Context(), queue, acaciatally.JobID(fmt.Sprint(i)), spec(strings.Repeat("x", 50_000))))
+				require.NoError(t, service.Submit(t.Context(), queue, "", acaciatally.JobID(fmt.Sprint(i)), spec(strings.Repeat("x", 50_000))))
 			})
 		}
 		group.Wait()
@@ -198,7 +198,7 @@
 				var group sync.WaitGroup
 				for _, id := range []acaciatally.JobID{"a", "b", "c", "a"} {
 					group.Go(func() {
-						err := service.Submit(t.Context(), queue, id, spec("x"))
+						err := service.Submit(t.Context(), queue, "", id, spec("x"))
 						var refused *acaciatally.NotAcceptedError
 						if test.refused {
 							if err != nil {
@@ -247,7 +247,7 @@
 				service := intake.New(intake.Config{Store: store, EventLog: eventLog})
 				ctx, stop := context.WithTimeout(t.Context(), test.deadline)
 				defer stop()
-				_ = service.Submit(ctx, queue, "a", spec("x")) // the outcome is in the log
+				_ = service.Submit(ctx, queue, "", "a", spec("x")) // the outcome is in the log
 				time.Sleep(5 * time.Second)
 				synctest.Wait()
 				require.Equal(t, test.resolved, eventLog.resolved)
--- a/intake/cancel.go
+++ b/intake/cancel.go
@@ -18,7 +18,7 @@
 
 // Cancel records the request to cancel a job; for a job that has ended, it does nothing. It fails with ErrJobNotFound, *NotAcceptedError or
 // ErrUnknownOutcome. After ErrJobNotFound, a submission of the job that is still in progress can't take effect any more.
-func (s *Service) Cancel(ctx context.Context, queue acaciatally.Queue, id acaciatally.JobID) (err error) {
+func (s *Service) Cancel(ctx context.Context, queue acaciatally.Queue, _ acaciatally.AccountName, id acaciatally.JobID) (err error) {
 	defer func() {
 		s.config.EventLog.JobCancelled(queue, id, err)
 		err = oops.In("intake").With("job", id).Wrapf(err, "cancel job")
--- a/intake/cancel_test.go
+++ b/intake/cancel_test.go
@@ -52,16 +52,16 @@
 				cancelling := newService(store)
 				ctx, stop := context.WithTimeout(t.Context(), deadline)
 				defer stop()
-				require.ErrorIs(t, submitting.Submit(ctx, queue, jobID, spec("x")), acaciatally.ErrUnknownOutcome)
-				require.ErrorIs(t, cancelling.Cancel(t.Context(), queue, jobID), acaciatally.ErrJobNotFound)
+				require.ErrorIs(t, submitting.Submit(ctx, queue, "", jobID, spec("x")), acaciatally.ErrUnknownOutcome)
+				require.ErrorIs(t, cancelling.Cancel(t.Context(), queue, "", jobID), acaciatally.ErrJobNotFound)
 				time.Sleep(20 * time.Second)
 				synctest.Wait()
 				_, accepted := store.rows[job.AcceptedKey(queue.Name, jobID)]
 				require.False(t, accepted, "the job was accepted after its cancellation")
-				_, err := cancelling.State(t.Context(), queue, jobID)
+				_, err := cancelling.State(t.Context(), queue, "", jobID)
 				require.ErrorIs(t, err, acaciatally.ErrJobNotFound)
-				require.ErrorIs(t, cancelling.Submit(t.Context(), queue, jobID, spec("x")), acaciatally.ErrJobWithdrawn)
-				require.ErrorIs(t, cancelling.Cancel(t.Context(), queue, jobID), acaciatally.ErrJobNotFound)
+				require.ErrorIs(t, cancelling.Submit(t.Context(), queue, "", jobID, spec("x")), acaciatally.ErrJobWithdrawn)
+				require.ErrorIs(t, cancelling.Cancel(t.Context(), queue, "", jobID), acaciatally.ErrJobNotFound)
 				synctest.Wait()
 			})
 		})
@@ -88,9 +88,9 @@
 func TestCancelDuringAcceptance(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		store := &midwayStore{fakeStore: &fakeStore{rows: map[acaciatally.RecordKey]acaciatally.Record{}}}
-		store.accept = func() { require.NoError(t, newService(store.fakeStore).Submit(t.Context(), queue, "a", spec("x"))) }
+		store.accept = func() { require.NoError(t, newService(store.fakeStore).Submit(t.Context(), queue, "", "a", spec("x"))) }
 		service := intake.New(intake.Config{Store: store, EventLog: nopEventLog{}})
-		require.NoError(t, service.Cancel(t.Context(), queue, "a"))
+		require.NoError(t, service.Cancel(t.Context(), queue, "", "a"))
 		require.Contains(t, store.rows, job.CancelKey(queue.Name, "a"))
 	})
 }
@@ -106,7 +106,7 @@
 		service := newService(store)
 		refusals := 0
 		for i := range calls {
-			err := service.Cancel(t.Context(), queue, acaciatally.JobID(fmt.Sprint(i)))
+			err := service.Cancel(t.Context(), queue, "", acaciatally.JobID(fmt.Sprint(i)))
 			if _, recorded := store.rows[job.ProgressKey(queue.Name, acaciatally.JobID(fmt.Sprint(i)))]; recorded {
 				require.ErrorIs(t, err, acaciatally.ErrJobNotFound)
 				continue
@@ -120,6 +120,6 @@
 		require.Equal(t, records*(calls-refusals), len(store.rows))
 		require.Less(t, len(store.rows), calls/2)
 		time.Sleep(time.Second)
-		require.ErrorIs(t, service.Cancel(t.Context(), queue, "later"), acaciatally.ErrJobNotFound)
+		require.ErrorIs(t, service.Cancel(t.Context(), queue, "", "later"), acaciatally.ErrJobNotFound)
 	})
 }
--- a/intake/service.go
+++ b/intake/service.go
@@ -85,15 +85,22 @@
 	return queue, rest, nil
 }
 
+// Authenticate returns the account of the key with which a call of the queue is made.
+func (s *Service) Authenticate(_ acaciatally.Queue, _ string) (account acaciatally.AccountName, err error) {
+	return "", nil
+}
+
 // Submit records a job; repeating it changes nothing. It fails with ErrJobIDInUse, ErrJobTooLarge, ErrJobWithdrawn,
 // *NotAcceptedError or ErrUnknownOutcome.
-func (s *Service) Submit(ctx context.Context, queue acaciatally.Queue, id acaciatally.JobID, spec acaciatally.JobSpec) (err error) {
+func (s *Service) Submit(
+	ctx context.Context, queue acaciatally.Queue, account acaciatally.AccountName, id acaciatally.JobID, spec acaciatally.JobSpec,
+) (err error) {
 	startedAt := time.Now()
 	defer func() {
 		s.config.EventLog.JobSubmitted(queue, id, time.Since(startedAt), err)
 		err = oops.In("intake").With("job", id).Wrapf(err, "submit job")
 	}()
-	transaction, digest, err := newTransaction(queue, id, spec, startedAt)
+	transaction, digest, err := newTransaction(queue, account, id, spec, startedAt)
 	if err != nil {
 		return err
 	}
@@ -145,10 +152,10 @@
 }
 
 func newTransaction(
-	queue acaciatally.Queue, id acaciatally.JobID, spec acaciatally.JobSpec, now time.Time,
+	queue acaciatally.Queue, account acaciatally.AccountName, id acaciatally.JobID, spec acaciatally.JobSpec, now time.Time,
 ) (transaction acaciatally.RecordTransaction, digest uint64, err error) {
 	digest = job.Digest(spec)
-	accepted, err := job.EncodeAccepted(job.Accepted{Spec: spec, Queue: queue, Received: now.UTC()})
+	accepted, err := job.EncodeAccepted(job.Accepted{Spec: spec, Queue: queue, Account: account, Received: now.UTC()})
 	if err != nil {
 		return transaction, 0, err
 	}
@@ -193,7 +200,9 @@
 }
 
 // State returns a job's state. It fails with ErrJobNotFound or *NotAcceptedError.
-func (s *Service) State(ctx context.Context, queue acaciatally.Queue, id acaciatally.JobID) (state acaciatally.JobState, err error) {
+func (s *Service) State(
+	ctx context.Context, queue acaciatally.Queue, _ acaciatally.AccountName, id acaciatally.JobID,
+) (state acaciatally.JobState, err error) {
 	defer func() {
 		s.config.EventLog.StateRead(queue, id, state, err)
 		err = oops.In("intake").With("job", id).Wrapf(err, "read state")
--- a/intake/service_test.go
+++ b/intake/service_test.go
@@ -40,7 +40,7 @@
 			service := intake.New(intake.Config{
 				Store: store, EventLog: nopEventLog{}, StartDelay: func() time.Duration { return test.delay },
 			})
-			err := service.Submit(t.Context(), queue, jobID, specOf(test.isLongRunning))
+			err := service.Submit(t.Context(), queue, "", jobID, specOf(test.isLongRunning))
 			if test.retryAfter == 0 {
 				require.NoError(t, err)
 				return
--- a/job/record.go
+++ b/job/record.go
@@ -30,6 +30,7 @@
 type Accepted struct {
 	Spec     acaciatally.JobSpec
 	Queue    acaciatally.Queue
+	Account  acaciatally.AccountName `json:",omitempty"` // owner; empty for a job of a public queue, and without configured accounts
 	Received time.Time
 }
 
--- a/submission.go
+++ b/submission.go
@@ -40,13 +40,16 @@
 	// Queue returns the queue configured for a host and path, and the rest of the path after the queue's prefix; it fails with
 	// ErrQueueNotFound.
 	Queue(host, path string) (queue Queue, rest string, err error)
+	// Authenticate returns the account of the key with which a call of the queue is made; it is empty for public queues and without configured
+	// accounts. It fails with ErrUnknownKey.
+	Authenticate(queue Queue, key string) (account AccountName, err error)
 	// Submit records a job; submitting the same job again changes nothing. It fails with ErrJobIDInUse, ErrJobTooLarge or
 	// ErrJobWithdrawn.
-	Submit(ctx context.Context, queue Queue, id JobID, spec JobSpec) (err error)
+	Submit(ctx context.Context, queue Queue, account AccountName, id JobID, spec JobSpec) (err error)
 	// State returns a job's state; it fails with ErrJobNotFound.
-	State(ctx context.Context, queue Queue, id JobID) (state JobState, err error)
+	State(ctx context.Context, queue Queue, account AccountName, id JobID) (state JobState, err error)
 	// Cancel records a request to end a job. It fails with ErrJobNotFound, and then a submission of the job that is still in progress fails.
-	Cancel(ctx context.Context, queue Queue, id JobID) (err error)
+	Cancel(ctx context.Context, queue Queue, account AccountName, id JobID) (err error)
 	// Waiting returns the number of accepted jobs of which no task has started.
 	Waiting(ctx context.Context, queue Queue) (count int, err error)
 	// Limits returns the configured limits on callers' requests.
