Place work by the shares and rates of accounts

Cause: with several accounts on one fleet, the order of jobs knew only time and priority. While a pool was full, an account that sent more than usual took the room of the others, and what each account got did not follow its weight.

Start orders that are held back go beyond-rate last. Without accounts nothing is counted and the order is that of compareJobs. An account's use is kept where tasks are assigned and released.

--- a/dispatch/jobs.go
+++ b/dispatch/jobs.go
@@ -24,6 +24,7 @@
 		id: id, accepted: accepted, state: progress.State, digest: progress.Digest, nextOccurrence: progress.Next,
 		arrivedAt:        now - min(max(0, age), maxJobAge),
 		hasWaitingRecord: progress.State == acaciatally.JobQueued && accepted.Spec.Repeat == 0, placementDue: true,
+		account:        s.accountShare(accepted.Account),
 		hasGang:        slices.ContainsFunc(accepted.Spec.Steps, func(step acaciatally.Step) bool { return step.Gang }),
 		hasLongRunning: slices.ContainsFunc(accepted.Spec.Steps, func(step acaciatally.Step) bool { return step.LongRunning }),
 	}
@@ -38,7 +39,7 @@
 		j.openOccurrences = append(j.openOccurrences, s.loadOccurrence(j, open, now))
 	}
 	s.jobs[id] = j
-	s.observeArrival(j, now)
+	s.observeJob(j, age, now)
 	s.partition(accepted.Queue.Name)
 	s.config.EventLog.JobLoaded(id, accepted.Queue.Name, progress.State)
 }
--- a/dispatch/order.go
+++ b/dispatch/order.go
@@ -117,7 +117,7 @@
 	s.startRate.observe(s.heldStarts > 0, now)
 	s.logHeldStarts(now)
 	if s.heldStarts > 0 {
-		slices.SortFunc(due, func(a, b *task) int { return compareJobs(a.job, b.job) })
+		slices.SortFunc(due, func(a, b *task) int { return compareStarts(a.job, b.job) })
 	}
 	for _, t := range due[:len(due)-s.heldStarts] {
 		if !t.assigned() {
--- a/dispatch/plan.go
+++ b/dispatch/plan.go
@@ -15,6 +15,7 @@
 // Plan opens due occurrences, releases the runs of workers whose lease has expired, stops stalled runs and runs on workers to drain, and
 // places waiting tasks. timeOfDay is the wall-clock time, by which occurrences are scheduled.
 func (s *Scheduler) Plan(now time.Duration, timeOfDay time.Time) {
+	s.countArrivals(now)
 	for _, j := range s.jobs {
 		if j.live() {
 			s.openDueOccurrences(j, now, timeOfDay)
@@ -88,22 +89,23 @@
 	return true
 }
 
-// place assigns waiting tasks to workers. If only is not nil, it is limited to those pools. While start orders are held back, only jobs with
-// long-running tasks are placed: other runs would wait on their workers and keep more urgent jobs from them.
+// place assigns waiting tasks to workers, in each pool in the order of work. If only is not nil, it is limited to those pools. While start
+// orders are held back, only jobs with long-running tasks are placed: other runs would wait on their workers and keep more urgent jobs from
+// them.
 func (s *Scheduler) place(only map[acaciatally.PoolName]bool, now time.Duration) {
+	s.divideShares(now)
 	for pool, jobs := range s.waiting(only, now) {
-		set := s.candidateSet(pool, now)
-		for _, j := range jobs {
-			if s.heldStarts == 0 || j.hasLongRunning {
-				s.placeJob(j, set, now)
-			}
-		}
+		s.placePool(pool, jobs, now)
 	}
 }
 
 // placeJob places the ready tasks of a job. If one task of a step can't be placed, the other tasks of the step are skipped. Long-running
-// tasks are tried even if no candidate has enough free capacity, since they may preempt other runs.
-func (s *Scheduler) placeJob(j *activeJob, set *candidateSet, now time.Duration) {
+// tasks are tried even if no candidate has enough free capacity, since they may preempt other runs. If p is not nil, other tasks are placed
+// only while the job's account uses less than its share of the pool; placeJob returns false if it stopped for that reason.
+func (s *Scheduler) placeJob(j *activeJob, set *candidateSet, p *poolShares, now time.Duration) (within bool) {
+	if s.heldStarts > 0 && !j.hasLongRunning {
+		return true
+	}
 	for _, o := range j.openOccurrences {
 		for number, tasks := range o.steps {
 			step := &j.accepted.Spec.Steps[number]
@@ -112,17 +114,27 @@
 			}
 			if step.Gang {
 				if all(tasks, isWaiting) {
+					if p != nil && !step.LongRunning && !s.within(p, j.account) {
+						return false
+					}
 					s.placeGang(tasks, set, now)
 				}
 				continue
 			}
 			for _, t := range tasks {
-				if isWaiting(t) && !s.placeTask(t, set, now) {
+				if !isWaiting(t) {
+					continue
+				}
+				if p != nil && !step.LongRunning && !s.within(p, j.account) {
+					return false
+				}
+				if !s.placeTask(t, set, now) {
 					break
 				}
 			}
 		}
 	}
+	return true
 }
 
 // placeTask places a task and returns whether it was placed.
--- a/dispatch/scheduler.go
+++ b/dispatch/scheduler.go
@@ -18,6 +18,12 @@
 	MaxCommitBytes  int           // size of the progress records in one transaction; 0 is MaxCommitBytes
 	MaxRecordBytes  int           // size of the largest record that the store takes; 0 is job.DefaultRecordBytes
 	EventLog        EventLog
+	// QuotaOverage is the part of its weight by which an account may exceed its rate of jobs; 0 is 0.1.
+	QuotaOverage float64
+	// QuotaWindow is the time over which the rate is counted; 0 is 5 s.
+	QuotaWindow time.Duration
+	// QuotaSlack is how many more jobs may arrive in each window, for accounts with few and irregular arrivals; 0 is 20.
+	QuotaSlack int
 }
 
 // Scheduler holds the state of all jobs and workers during one term of leadership. In its methods, now is a monotonic clock that includes
@@ -45,6 +51,7 @@
 	starts          startWindow
 	heldStarts      int // start orders that the window held back in the last round
 	startRate       startRate
+	shares          shares
 }
 
 // New returns a scheduler without jobs and workers.
@@ -55,6 +62,15 @@
 	if config.MaxRecordBytes == 0 {
 		config.MaxRecordBytes = job.DefaultRecordBytes
 	}
+	if config.QuotaOverage == 0 {
+		config.QuotaOverage = defaultQuotaOverage
+	}
+	if config.QuotaWindow == 0 {
+		config.QuotaWindow = defaultQuotaWindow
+	}
+	if config.QuotaSlack == 0 {
+		config.QuotaSlack = defaultQuotaSlack
+	}
 	return &Scheduler{
 		config:      config,
 		jobs:        map[acaciatally.JobID]*activeJob{},
@@ -69,6 +85,7 @@
 		silence:     silence{mayBeStored: map[acaciatally.WorkerID]bool{}},
 		starts:      newStartWindow(),
 		startRate:   newStartRate(),
+		shares:      shares{accounts: map[acaciatally.AccountName]*accountShare{}, pools: map[acaciatally.PoolName]*poolShares{}},
 	}
 }
 
@@ -92,6 +109,7 @@
 		return
 	}
 	s.configuration = configuration
+	s.configureShares()
 	for _, queue := range configuration.Queues {
 		for _, j := range s.jobs {
 			if j.accepted.Queue.Name == queue.Name {
@@ -114,10 +132,12 @@
 	inCommit         bool          // a commit of it is in flight
 	lateness         lateness
 	estimate         estimate
-	hasLongRunning   bool // has tasks that run until the job is cancelled
-	hasGang          bool // has a step whose tasks run all at the same time or not at all
-	placementDue     bool // a task has started or stopped waiting since the last placement
-	hasCancelRecord  bool // a cancel request is recorded
+	hasLongRunning   bool          // has tasks that run until the job is cancelled
+	account          *accountShare // of the job's owner; nil without one
+	beyondRate       bool          // beyond the rate of its account; runs only on lent room
+	hasGang          bool          // has a step whose tasks run all at the same time or not at all
+	placementDue     bool          // a task has started or stopped waiting since the last placement
+	hasCancelRecord  bool          // a cancel request is recorded
 	unrecordedEnds   []endRef
 	refusedUntil     time.Duration // when its record may be sent again that the store has refused; 0 if it has not
 	endRecordedAt    time.Duration // when the commit of the final state was applied; 0 before
@@ -208,6 +228,9 @@
 	t.phase, t.stage, t.worker = job.Assigned, s, w
 	w.runs[t] = true
 	w.load.add(t.step, 1)
+	if a := t.job.account; a != nil {
+		a.used = a.used.Plus(t.step.Reserved())
+	}
 	t.joinSuspects()
 	t.job.dirty = true
 }
@@ -225,6 +248,9 @@
 	if t.worker != nil {
 		delete(t.worker.runs, t)
 		t.worker.load.add(t.step, -1)
+		if a := t.job.account; a != nil {
+			a.used = a.used.Minus(t.step.Reserved())
+		}
 		t.leaveSuspects()
 	}
 	t.phase, t.stage, t.worker = job.Waiting, stagePlanned, nil
--- /dev/null
+++ b/dispatch/work_order.go
@@ -0,0 +1,107 @@
+package dispatch
+
+import (
+	"time"
+
+	"github.com/acaciatally/acaciatally"
+	"github.com/acaciatally/acaciatally/ordering"
+)
+
+// The order of work in a pool:
+//
+//  1. jobs with long-running tasks;
+//  2. jobs within the rate of their account, before those beyond it;
+//  3. by the priority of the queue;
+//  4. jobs whose result can still be of use, before overdue ones;
+//  5. jobs of accounts that use less than their share and jobs without an account, before the others;
+//  6. in time or late, begun or not, and the time by which they have to start, as compareJobs sorts them.
+//
+// Without accounts rules 2 and 5 make no difference, and the order is that of compareJobs. Work that comes last by rule 2 or 5 runs on lent
+// room: what nobody who comes before can use. Within an account the jobs keep the order of compareJobs: if it sends more than its rate, the
+// first of its waiting jobs by that order are within the rate, as many as have arrived within it.
+
+// placePool places the waiting jobs of a pool, which are sorted by compareJobs, in the order of work.
+func (s *Scheduler) placePool(pool acaciatally.PoolName, jobs []*activeJob, now time.Duration) {
+	set := s.candidateSet(pool, now)
+	if !s.shares.active {
+		for _, j := range jobs {
+			s.placeJob(j, set, nil, now)
+		}
+		return
+	}
+	p := s.poolShares(pool)
+	within, beyond := s.splitByRate(jobs)
+	s.placeByShare(p, within, set, now)
+	s.placeByShare(p, beyond, set, now)
+}
+
+// splitByRate splits jobs into those within the rate of their account and those beyond it. Jobs of one account exchange their marks, so that
+// the first of them are within the rate; a job keeps its mark when it is placed.
+func (s *Scheduler) splitByRate(jobs []*activeJob) (within, beyond []*activeJob) {
+	for _, a := range s.shares.list {
+		a.tokens = 0
+	}
+	marked := 0
+	for _, j := range jobs {
+		if j.account == nil || j.hasLongRunning {
+			continue
+		}
+		if j.beyondRate {
+			marked++
+		} else {
+			j.account.tokens++
+		}
+	}
+	if marked == 0 {
+		return jobs, nil
+	}
+	within, beyond = make([]*activeJob, 0, len(jobs)-marked), make([]*activeJob, 0, marked)
+	for _, j := range jobs {
+		if a := j.account; a != nil && !j.hasLongRunning {
+			j.beyondRate = a.tokens == 0
+			a.tokens = max(0, a.tokens-1)
+			if j.beyondRate {
+				beyond = append(beyond, j)
+				continue
+			}
+		}
+		within = append(within, j)
+	}
+	return within, beyond
+}
+
+// placeByShare places jobs of accounts that use less than their share first. It does so within each group of jobs that the rules before the
+// shares do not tell apart. What an account uses changes with each task that is placed, so its share is checked before each task.
+func (s *Scheduler) placeByShare(p *poolShares, jobs []*activeJob, set *candidateSet, now time.Duration) {
+	for len(jobs) > 0 {
+		size := 1
+		for size < len(jobs) && sameGroup(jobs[0], jobs[size]) {
+			size++
+		}
+		deferred := s.shares.deferred[:0]
+		for _, j := range jobs[:size] {
+			if !s.placeJob(j, set, p, now) {
+				deferred = append(deferred, j)
+			}
+		}
+		for _, j := range deferred {
+			s.placeJob(j, set, nil, now)
+		}
+		clear(deferred)
+		s.shares.deferred = deferred[:0]
+		jobs = jobs[size:]
+	}
+}
+
+// sameGroup reports whether the rules of the order of work before the shares do not tell two jobs apart.
+func sameGroup(a, b *activeJob) bool {
+	return a.hasLongRunning == b.hasLongRunning && a.accepted.Queue.Priority == b.accepted.Queue.Priority && (a.lateness == overdue) == (b.lateness == overdue)
+}
+
+// compareStarts sorts jobs whose recorded runs wait for their start orders.
+func compareStarts(a, b *activeJob) int {
+	if a.hasLongRunning == b.hasLongRunning && a.beyondRate != b.beyondRate {
+		return ordering.CompareBools(a.beyondRate, b.beyondRate)
+	}
+	return compareJobs(a, b)
+}
--- a/jobs.go
+++ b/jobs.go
@@ -29,6 +29,11 @@
 	return ResourceVector{r.Processors - other.Processors, r.Memory - other.Memory, r.Accelerators - other.Accelerators}
 }
 
+// Times returns r multiplied by count.
+func (r ResourceVector) Times(count int) ResourceVector {
+	return ResourceVector{r.Processors * count, r.Memory * count, r.Accelerators * count}
+}
+
 // Max returns the larger amount of each resource of r and other.
 func (r ResourceVector) Max(other ResourceVector) ResourceVector {
 	return ResourceVector{max(r.Processors, other.Processors), max(r.Memory, other.Memory), max(r.Accelerators, other.Accelerators)}
