Keep the runs of an account within its maximum

Cause: a client account has a maximum of what its runs may reserve on all workers together. Nothing counted that, so any account could take the whole fleet.

Change: dispatch keeps a ledger by account where runs are assigned and released. Runs that may exist without being the current run of a task (orphans, members of a gang of which one is done, runs on an instance whose removal was answered) stay in it until a report or the end of the worker's lease shows that they are over; the records of an ended job of an account are kept until its runs are over, so that the next leader counts them. Placement, gangs, preemption, drains, the first start order, repeated ones, demand, arrivals, the start delay and advice ask the ledger. Jobs without an account skip all of it.

Measured: go test ./dispatch ./eventlog ./roster ./capacity ./site passes. Not proved yet: that progress of an ended job is kept while its records are (Scheduler.keepsRecords).

--- a/dispatch/advice.go
+++ b/dispatch/advice.go
@@ -92,6 +92,9 @@
 		p = &stepPermissions{tickets: map[acaciatally.WorkerID]string{}, refused: map[acaciatally.WorkerID]bool{}}
 		s.permissions[key] = p
 	}
+	if !j.usage.hasHeadroom(j.accepted.Spec.Steps[step].Resources) {
+		return request, false
+	}
 	valid := len(p.tickets) > 0 && now+ticketMargin < p.expiresAt
 	if p.inFlight || valid || now < p.nextRequestAt {
 		return request, false
--- a/dispatch/commit.go
+++ b/dispatch/commit.go
@@ -86,7 +86,7 @@
 		tx.Deletes = append(tx.Deletes, job.CancelKey(queue, p.staleCancels[commit.staleDeleted]))
 		commit.staleDeleted++
 	}
-	for len(commit.committedJobs) == 0 && len(p.ended) > commit.expiredDeleted && !commit.full() &&
+	for len(commit.committedJobs) == 0 && len(p.ended) > commit.expiredDeleted && !commit.full() && !s.keepsRecords(queue, p.ended[commit.expiredDeleted]) &&
 		now-p.endedAt[commit.expiredDeleted] > s.config.Retention {
 		tx.Deletes = append(tx.Deletes, job.ProgressKey(queue, p.ended[commit.expiredDeleted]))
 		commit.expiredDeleted++
@@ -151,7 +151,7 @@
 		tx.Deletes = append(tx.Deletes, job.WaitingKey(queue, j.id))
 		j.hasWaitingRecord = false
 	}
-	if !j.live() && !j.recordsDeleted {
+	if !j.live() && !j.recordsDeleted && !j.holdsRuns() {
 		tx.Deletes = append(tx.Deletes, job.AcceptedKey(queue, j.id))
 		if j.hasCancelRecord {
 			tx.Deletes = append(tx.Deletes, job.CancelKey(queue, j.id))
@@ -166,7 +166,7 @@
 // progress returns the progress of the job to store.
 func (j *activeJob) progress() job.Progress {
 	progress := job.Progress{State: j.state, Next: j.nextOccurrence, Digest: j.digest}
-	if !j.live() {
+	if !j.live() && !j.holdsRuns() {
 		return progress
 	}
 	for _, o := range j.openOccurrences {
--- a/dispatch/demand.go
+++ b/dispatch/demand.go
@@ -103,8 +103,11 @@
 	return estimated
 }
 
-// observeArrival adds the expected work of a loaded job to the arrivals of its pool.
+// observeArrival adds the expected work of a loaded job to the arrivals of its pool, unless its account is at its maximum.
 func (s *Scheduler) observeArrival(j *activeJob, now time.Duration) {
+	if j.usage.limited() && !j.usage.unknown && !j.usage.hasHeadroom(j.accepted.Spec.Steps[0].Resources) {
+		return // it can't start soon
+	}
 	pool := j.accepted.Queue.Pool
 	if s.arrivals[pool] == nil {
 		s.arrivals[pool] = &arrivals{index: int64(now / demandBucket)}
--- a/dispatch/drain.go
+++ b/dispatch/drain.go
@@ -106,6 +106,9 @@
 // take reports whether another worker can take the task, and reserves its free capacity. For a long-running task, it may do so in place of runs
 // that the task may preempt.
 func (p *drainPlaces) take(t *task) bool {
+	if t.exceedsMaximum() {
+		return false // its account would not let it be placed again
+	}
 	set := p.candidateSet(t.job.accepted.Queue.Pool)
 	if !t.step.LongRunning && set.cannotPlace(t.step) {
 		return false
--- a/dispatch/event_log.go
+++ b/dispatch/event_log.go
@@ -28,6 +28,10 @@
 	RunEnded(ended acaciatally.EndedTask, worker acaciatally.WorkerID, counts bool)
 	// WorkerChanged logs a new state of a worker as the leader sees it, and the age of the worker's last report.
 	WorkerChanged(worker acaciatally.WorkerID, pool acaciatally.PoolName, state string, age time.Duration)
+	// AccountAtMaximum logs that a task of an account is not placed because the account would exceed its maximum.
+	AccountAtMaximum(account acaciatally.AccountName, used, maximum acaciatally.ResourceVector)
+	// AccountUsage sets the metrics of the accounts that have a maximum or runs; nil removes them.
+	AccountUsage(usage map[acaciatally.AccountName]AccountUsage)
 	// EndsUnacknowledged logs that a worker still lists ends that this leader has not recorded: their count, and for how long it has listed
 	// the oldest.
 	EndsUnacknowledged(worker acaciatally.WorkerID, count int, age time.Duration)
--- a/dispatch/gang.go
+++ b/dispatch/gang.go
@@ -25,8 +25,11 @@
 	return nil
 }
 
-// placeGang places the tasks one by one on copies of the candidates, and assigns them only if all fit.
+// placeGang places the tasks one by one on copies of the candidates, and assigns them only if all fit, also within the maximum of their account.
 func (s *Scheduler) placeGang(tasks []*task, set *candidateSet, now time.Duration) {
+	if !s.mayReserve(tasks[0].job, tasks[0].step, len(tasks), now) {
+		return
+	}
 	trial := &gangTrial{racks: map[acaciatally.Rack]int{}}
 	copies := make([]*candidate, 0, len(set.candidates))
 	original := map[*candidate]*candidate{}
@@ -82,6 +85,10 @@
 			return false
 		}
 	}
+	if t.exceedsMaximum() {
+		s.releaseUnstarted(t)
+		return false
+	}
 	return true
 }
 
--- a/dispatch/jobs.go
+++ b/dispatch/jobs.go
@@ -21,7 +21,7 @@
 		return
 	}
 	j := &activeJob{
-		id: id, accepted: accepted, state: progress.State, digest: progress.Digest, nextOccurrence: progress.Next,
+		id: id, accepted: accepted, usage: s.usageOf(accepted.Account), state: progress.State, digest: progress.Digest, nextOccurrence: progress.Next,
 		arrivedAt:        now - min(max(0, age), maxJobAge),
 		hasWaitingRecord: progress.State == acaciatally.JobQueued && accepted.Spec.Repeat == 0, placementDue: true,
 		hasGang:        slices.ContainsFunc(accepted.Spec.Steps, func(step acaciatally.Step) bool { return step.Gang }),
--- a/dispatch/order.go
+++ b/dispatch/order.go
@@ -206,8 +206,8 @@
 	return s.mayRepeatStart(t, now)
 }
 
-// mayStart reports whether the first start order for a recorded run may be sent. If the worker may no longer get new runs, it releases the run,
-// and that of a gang's member with its gang.
+// mayStart reports whether the first start order for a recorded run may be sent. If the worker may no longer get new runs, or the account exceeds
+// its maximum, it releases the run, and that of a gang's member with its gang.
 func (s *Scheduler) mayStart(t *task, now time.Duration) bool {
 	if t.step.Gang {
 		return s.gangStartable(t, now)
@@ -217,12 +217,17 @@
 		t.release()
 		return false
 	}
+	if t.exceedsMaximum() {
+		s.releaseUnstarted(t)
+		return false
+	}
 	return true
 }
 
 // mayRepeatStart reports whether a start order without answer may be sent again. The run may exist, so it is not released: if its worker
 // may not have the run any more, the run is stopped, and while the worker does not report, the order waits, since the worker may have
-// restarted.
+// restarted. While the account exceeds its maximum, the order is not repeated: the next report tells whether the run exists, and if it does not,
+// the run is stopped.
 func (s *Scheduler) mayRepeatStart(t *task, now time.Duration) bool {
 	w := t.worker
 	if w.entry.Draining || s.closedTo(t, w) || !s.suits(t, now) {
@@ -233,6 +238,12 @@
 		t.retryAt = now + orderRetry
 		return false
 	}
+	if t.percentReportedAt == 0 && t.exceedsMaximum() { // no report has listed the run
+		if w.reportedAt > t.retryAt {
+			s.stopTask(t, stopUnconfirmed)
+		}
+		return false
+	}
 	return true
 }
 
--- a/dispatch/plan.go
+++ b/dispatch/plan.go
@@ -21,12 +21,17 @@
 		}
 	}
 	s.expireLeases(now)
+	if s.maximumsDue {
+		s.maximumsDue = false
+		s.enforceMaximums(now)
+	}
 	if now >= s.nextCheckAt {
 		s.nextCheckAt = now + checkInterval
 		s.stopStalledRuns(now)
 		s.endProbations(now)
 		s.stopBrokenGangs()
 		s.drainWorkers(now)
+		s.reportUsage(now)
 	}
 	pools := s.takeChangedPools()
 	if now >= s.nextPlacementAt {
@@ -125,8 +130,12 @@
 	}
 }
 
-// placeTask places a task and returns whether it was placed.
+// placeTask places a task and returns whether it was placed. A task beyond the maximum of its account waits without any effect on others.
 func (s *Scheduler) placeTask(t *task, set *candidateSet, now time.Duration) bool {
+	if !s.mayReserve(t.job, t.step, 1, now) {
+		t.unplacedSince = 0 // it does not wait for free capacity, so nothing is preempted for it
+		return false
+	}
 	c := s.candidateFor(t, set, now)
 	if c == nil {
 		return t.step.LongRunning && s.placeUrgently(t, set.candidates, now)
--- a/dispatch/report.go
+++ b/dispatch/report.go
@@ -45,6 +45,7 @@
 	}
 	w.orphans = orphans
 	w.orderDue = w.orderDue || len(orphans) > 0
+	s.updateLeftovers(w, sent, now)
 	s.throttle(w, now)
 	if !report.EndsIncomplete {
 		s.releaseMissing(w, listed, sent)
@@ -145,6 +146,7 @@
 	if ended.Number <= w.acknowledged || (len(w.unackedEnds) > 0 && ended.Number <= w.unackedEnds[len(w.unackedEnds)-1].number) {
 		return
 	}
+	w.removeLeftover(runKey{ended.Task, ended.Attempt})
 	t := s.findTask(ended.Task)
 	counts := t != nil && t.worker == w && t.attempt == ended.Attempt
 	s.config.EventLog.RunEnded(ended, w.entry.ID, counts)
@@ -170,7 +172,7 @@
 	switch {
 	case ended.End == acaciatally.EndDone && !t.step.LongRunning:
 		s.observeRunTime(t, now)
-		s.complete(t)
+		s.complete(t, now)
 		return
 	case ended.End == acaciatally.EndFailed:
 		t.failures++
@@ -202,14 +204,14 @@
 const avoidTime = 10 * time.Second
 
 // complete marks the task done, or all tasks of its gang, and ends the job if nothing is left.
-func (s *Scheduler) complete(t *task) {
+func (s *Scheduler) complete(t *task, now time.Duration) {
 	t.release()
 	t.phase = job.Done
 	t.checkpoint = ""
 	j := t.job
 	for _, o := range j.openOccurrences {
 		if o.number == t.ref.Occurrence && t.step.Gang {
-			completeGang(o.steps[t.ref.Step])
+			completeGang(o.steps[t.ref.Step], now)
 		}
 		if o.number == t.ref.Occurrence {
 			s.observeStepTime(j, o.steps[t.ref.Step])
@@ -227,9 +229,11 @@
 	}
 }
 
-// completeGang marks all tasks of a gang done, since a gang is done when one of its tasks is.
-func completeGang(members []*task) {
+// completeGang marks all tasks of a gang done, since a gang is done when one of its tasks is. The runs of the others end by themselves, which is not
+// certain before their workers report so.
+func completeGang(members []*task, now time.Duration) {
 	for _, member := range members {
+		member.keepLeftover(now)
 		member.release()
 		member.phase, member.checkpoint = job.Done, ""
 	}
--- a/dispatch/runner.go
+++ b/dispatch/runner.go
@@ -88,6 +88,9 @@
 	group.Go(func() error { return r.followWorkers(ctx) })
 	err = group.Wait()
 	r.calls.Wait()
+	if len(r.scheduler.usages) > 0 {
+		r.config.Scheduler.EventLog.AccountUsage(nil)
+	}
 	return err
 }
 
--- a/dispatch/runner_jobs.go
+++ b/dispatch/runner_jobs.go
@@ -136,7 +136,9 @@
 		if !found { // accepted after the progress was read
 			known = job.Progress{State: acaciatally.JobQueued, Digest: job.Digest(accepted.Spec)}
 		}
-		if !known.State.Ended() {
+		if known.State.Ended() {
+			r.scheduler.LoadEndedJob(acaciatally.JobID(record.Key), accepted, known, r.config.Now())
+		} else {
 			r.scheduler.LoadJob(acaciatally.JobID(record.Key), accepted, known, time.Since(accepted.Received), r.config.Now())
 		}
 	}
--- a/dispatch/scheduler.go
+++ b/dispatch/scheduler.go
@@ -41,6 +41,9 @@
 	suspects        map[acaciatally.InstanceID]suspectRuns // of workers that could not be reached
 	toDrain         map[acaciatally.WorkerID]string        // workers to drain, and the reason
 	drainSoon       map[acaciatally.WorkerID]bool          // workers that will have to be drained soon
+	usages          map[acaciatally.AccountName]*accountUsage
+	nextUsageAt     time.Duration // when the metrics of the accounts are set again
+	maximumsDue     bool          // a new configuration may have lowered the maximum of an account
 	silence         silence
 	starts          startWindow
 	heldStarts      int // start orders that the window held back in the last round
@@ -66,6 +69,7 @@
 		permissions: map[stepKey]*stepPermissions{},
 		suspects:    map[acaciatally.InstanceID]suspectRuns{},
 		toDrain:     map[acaciatally.WorkerID]string{},
+		usages:      map[acaciatally.AccountName]*accountUsage{},
 		silence:     silence{mayBeStored: map[acaciatally.WorkerID]bool{}},
 		starts:      newStartWindow(),
 		startRate:   newStartRate(),
@@ -92,6 +96,10 @@
 		return
 	}
 	s.configuration = configuration
+	s.maximumsDue = len(s.usages) > 0
+	for _, u := range s.usages {
+		u.configure(configuration)
+	}
 	for _, queue := range configuration.Queues {
 		for _, j := range s.jobs {
 			if j.accepted.Queue.Name == queue.Name {
@@ -105,6 +113,7 @@
 type activeJob struct {
 	id               acaciatally.JobID
 	accepted         job.Accepted
+	usage            *accountUsage // of its account; nil without one
 	state            acaciatally.JobState
 	digest           uint64
 	nextOccurrence   int // number of the next occurrence to open
@@ -208,6 +217,7 @@
 	t.phase, t.stage, t.worker = job.Assigned, s, w
 	w.runs[t] = true
 	w.load.add(t.step, 1)
+	t.job.usage.add(t.step.Resources, 1)
 	t.joinSuspects()
 	t.job.dirty = true
 }
@@ -220,11 +230,12 @@
 	return t.worker.entry.ID
 }
 
-// release returns the task to waiting. The caller must be sure that its run is over or was never started.
+// release returns the task to waiting. The caller must be sure that its run is over or was never started, or call keepLeftover before.
 func (t *task) release() {
 	if t.worker != nil {
 		delete(t.worker.runs, t)
 		t.worker.load.add(t.step, -1)
+		t.job.usage.add(t.step.Resources, -1)
 		t.leaveSuspects()
 	}
 	t.phase, t.stage, t.worker = job.Waiting, stagePlanned, nil
--- a/dispatch/scheduler_test.go
+++ b/dispatch/scheduler_test.go
@@ -51,6 +51,14 @@
 	c.count("WorkerChanged " + state)
 }
 
+func (c *countingEventLog) AccountAtMaximum(acaciatally.AccountName, acaciatally.ResourceVector, acaciatally.ResourceVector) {
+	c.count("AccountAtMaximum")
+}
+
+func (c *countingEventLog) AccountUsage(map[acaciatally.AccountName]AccountUsage) {
+	c.count("AccountUsage")
+}
+
 func (c *countingEventLog) EndsUnacknowledged(acaciatally.WorkerID, int, time.Duration) {
 	c.count("EndsUnacknowledged")
 }
--- a/dispatch/start_delay.go
+++ b/dispatch/start_delay.go
@@ -76,7 +76,7 @@
 	for _, j := range s.jobs {
 		if j.live() && !j.hasLongRunning {
 			j.eachTask(func(t *task) {
-				if t.phase == job.Waiting || t.assigned() && (t.stage == stagePlanned || t.stage == stageRecorded) {
+				if t.phase == job.Waiting && j.usage.hasHeadroom(t.step.Resources) || t.assigned() && (t.stage == stagePlanned || t.stage == stageRecorded) {
 					unstarted++
 				}
 			})
--- a/dispatch/view.go
+++ b/dispatch/view.go
@@ -51,11 +51,20 @@
 // Pools returns the demand on all pools.
 func (s *Scheduler) Pools(now time.Duration) map[acaciatally.PoolName]PoolView {
 	pools := map[acaciatally.PoolName]PoolView{}
-	for _, j := range s.jobs {
+	limit := &admitted{}
+	add := func(j *activeJob) {
 		pool := pools[j.accepted.Queue.Pool]
-		j.addDemand(&pool, j.live() && !j.hasLongRunning && s.latenessOf(j, now) == overdue)
+		j.addDemand(&pool, limit, j.live() && !j.hasLongRunning && s.latenessOf(j, now) == overdue)
 		pools[j.accepted.Queue.Pool] = pool
 	}
+	for _, j := range s.jobs {
+		if !j.usage.limited() {
+			add(j)
+		}
+	}
+	for _, j := range s.limitedJobs(now) {
+		add(j)
+	}
 	for name, arrivals := range s.arrivals {
 		pool := pools[name]
 		pool.Expected = pool.LongRunning.Plus(arrivals.expected(now))
@@ -77,17 +86,27 @@
 	return view
 }
 
-// addDemand adds the resources that the job uses and those that its waiting tasks could use now.
-func (j *activeJob) addDemand(pool *PoolView, overdue bool) {
+// addDemand adds the resources that the job uses and those that its waiting tasks could use now, within the maximum of its account.
+func (j *activeJob) addDemand(pool *PoolView, limit *admitted, overdue bool) {
 	for _, o := range j.openOccurrences {
 		for number, tasks := range o.steps {
 			step := &j.accepted.Spec.Steps[number]
 			ready := j.live() && o.ready(&j.accepted.Spec, number)
+			count, demanded := step.Count, len(tasks)
+			if ready && j.usage.limited() {
+				waiting := countWaiting(tasks)
+				demanded = limit.demandOf(j, step, waiting)
+				count += demanded - waiting
+			}
 			if ready && step.PerWorker > 0 {
-				pool.MinWorkers = max(pool.MinWorkers, (step.Count+step.PerWorker-1)/step.PerWorker)
+				pool.MinWorkers = max(pool.MinWorkers, (count+step.PerWorker-1)/step.PerWorker)
 			}
 			for _, t := range tasks {
-				if t.assigned() || (ready && t.phase == job.Waiting) {
+				demands := ready && t.phase == job.Waiting && demanded > 0
+				if demands {
+					demanded--
+				}
+				if t.assigned() || demands {
 					pool.add(t, overdue)
 				}
 			}
@@ -95,6 +114,15 @@
 	}
 }
 
+func countWaiting(tasks []*task) (count int) {
+	for _, t := range tasks {
+		if isWaiting(t) {
+			count++
+		}
+	}
+	return count
+}
+
 // add adds the resources of an assigned or ready task.
 func (p *PoolView) add(t *task, overdue bool) {
 	reserved := t.step.Reserved()
@@ -127,10 +155,15 @@
 // again.
 func (s *Scheduler) SetWorkersToDrainSoon(due map[acaciatally.WorkerID]bool) { s.drainSoon = due }
 
-// InstanceRemoved handles that a worker's instance was taken away by an order, which ended all of its runs.
+// InstanceRemoved handles that a worker's instance was taken away by an order, which ended all of its runs. If an earlier leader had the order
+// executed before, the worker may be alive, so its runs count for their accounts until it reports or its lease is over.
 func (s *Scheduler) InstanceRemoved(id acaciatally.WorkerID, now time.Duration) {
 	if w := s.workers[id]; w != nil {
 		delete(s.suspects, w.entry.Instance) // the next worker there says nothing about a crash
+		left := w.accountRuns(now)
 		s.markLost(w, "instance removed by an order", now)
+		for run, l := range left {
+			w.addLeftover(run, l)
+		}
 	}
 }
--- a/dispatch/worker.go
+++ b/dispatch/worker.go
@@ -36,9 +36,10 @@
 	stoppingOrphans   map[runKey]bool // orphans with a stop order in flight
 	runs              map[*task]bool  // assigned tasks
 	load              load            // of the assigned tasks
-	suspectRuns       int             // assigned tasks that are suspected of having crashed workers
-	suspects          []suspectRun    // runs that may have crashed the incarnation before, until the first report of this one
-	orderDue          bool            // an order about one of its runs may be due; see Scheduler.Orders
+	leftovers         map[runKey]leftover
+	suspectRuns       int          // assigned tasks that are suspected of having crashed workers
+	suspects          []suspectRun // runs that may have crashed the incarnation before, until the first report of this one
+	orderDue          bool         // an order about one of its runs may be due; see Scheduler.Orders
 	health            health
 	throttledAt       time.Duration // when the CPU share of its runs was last changed
 	idleSince         time.Duration // when a run was last seen on it
@@ -113,7 +114,7 @@
 			w.listed = false
 			s.config.EventLog.WorkerChanged(id, w.entry.Pool, "not listed", now-w.reportedAt)
 		}
-		if !w.listed && (w.lost || len(w.runs) == 0) {
+		if !w.listed && len(w.leftovers) == 0 && (w.lost || len(w.runs) == 0) {
 			s.markLost(w, "removed from the directory", now)
 			delete(s.workers, id)
 		}
@@ -234,6 +235,7 @@
 	w.lost, w.lostAt = true, now
 	w.unackedEnds = nil
 	w.orphans = map[runKey]bool{}
+	w.removeLeftovers()
 }
 
 // RenewalFailed handles a renewal that had no effect or no answer.
--- a/dispatch/worker_lease.go
+++ b/dispatch/worker_lease.go
@@ -42,6 +42,7 @@
 // expireLeases releases the runs of workers whose lease is certainly over.
 func (s *Scheduler) expireLeases(now time.Duration) {
 	for _, w := range s.workers {
+		s.expireLeftovers(w, now)
 		if w.lost || !s.leaseExpired(w, now) {
 			continue
 		}
--- a/eventlog/events.go
+++ b/eventlog/events.go
@@ -66,6 +66,13 @@
 	l.line("WorkerChanged").Str("Worker", string(worker)).Str("Pool", string(pool)).Str("Belief", state).Dur("ReportAge", age).Msg("")
 }
 
+// AccountAtMaximum logs that a task of an account is not placed because the account would exceed its maximum.
+func (l *Logger) AccountAtMaximum(account acaciatally.AccountName, used, maximum acaciatally.ResourceVector) {
+	l.line("AccountAtMaximum").Str("Account", string(account)).Int("UsedProcessors", used.Processors).Int("UsedMemory", used.Memory).
+		Int("UsedAccelerators", used.Accelerators).Int("MaxProcessors", maximum.Processors).Int("MaxMemory", maximum.Memory).
+		Int("MaxAccelerators", maximum.Accelerators).Msg("")
+}
+
 // EndsUnacknowledged logs that a worker still lists ends that the leader has not recorded, and for how long it has listed the oldest.
 func (l *Logger) EndsUnacknowledged(worker acaciatally.WorkerID, count int, age time.Duration) {
 	l.line("EndsUnacknowledged").Str("Worker", string(worker)).Int("Count", count).Dur("Age", age).Msg("")
--- a/eventlog/logger.go
+++ b/eventlog/logger.go
@@ -35,6 +35,8 @@
 	dropped           atomic.Int64       // lines dropped since the last report
 	reportMutex       sync.Mutex
 	droppedReportedAt time.Time
+	gaugeMutex        sync.Mutex
+	accountGauges     map[string]bool // names of the gauges of accounts that are set
 }
 
 // New returns a logger that writes JSON lines to output, each with the name of the process.
