Refuse jobs that exceed their account's maximum

Cause: a job of which a task, or a gang as a whole, exceeds its account's maximum was accepted and waited for good.

Change: intake refuses such a job with 503, the reason and no Retry-After, unless the call repeats one that was accepted before the maximum fell; Routes holds the accounts of its configuration.

--- a/dispatch/ledger_test.go
+++ b/dispatch/ledger_test.go
@@ -207,3 +207,31 @@
 	}
 	require.Len(t, startDue(next, 4*time.Second), 1)
 }
+
+// TestProgressOfEndedJobWithRuns guards against a cancelled job that is taken for a new one when its partition is read again: its accepted record is
+// kept while a run goes on, and its progress was deleted after the retention time.
+func TestProgressOfEndedJobWithRuns(t *testing.T) {
+	scheduler, _ := newScheduler()
+	processorMaximum(scheduler, 1, 1000)
+	reportIdle(scheduler, testWorker(1))
+	loadAccountJob(scheduler, "aa", testAccount, 0, testStep(1, 1000))
+	order := startDue(scheduler, 0)[0]
+	reportRuns(scheduler, "i-1", time.Second, order)
+	scheduler.CancelJob("quotes", "aa")
+	deletes := func(now time.Duration) (keys []acaciatally.RecordKey) {
+		for range 3 {
+			for _, commit := range scheduler.Commits(now) {
+				keys = append(keys, commit.Transaction.Deletes...)
+				scheduler.Committed(commit, 2, now)
+			}
+		}
+		return keys
+	}
+	require.NotContains(t, deletes(time.Second), job.AcceptedKey("quotes", "aa"))
+	now := 2 * scheduler.config.Retention
+	reportRuns(scheduler, "i-1", now, order) // the stop order was not executed
+	require.Empty(t, deletes(now))
+	reportRuns(scheduler, "i-1", now+time.Second)
+	require.Equal(t, []acaciatally.RecordKey{job.AcceptedKey("quotes", "aa")}, deletes(now + time.Second)[:1])
+	require.NotContains(t, scheduler.jobs, acaciatally.JobID("aa"))
+}
--- a/intake/routes.go
+++ b/intake/routes.go
@@ -12,12 +12,17 @@
 type Routes struct {
 	Version uint64
 	Limits  acaciatally.RequestLimits
-	byHost  map[string][]acaciatally.Queue // longest prefix first
+	// Accounts holds the client accounts by name; it is nil if the configuration has none.
+	Accounts map[acaciatally.AccountName]acaciatally.Account
+	byHost   map[string][]acaciatally.Queue // longest prefix first
 }
 
 // NewRoutes returns the routes of a configuration.
 func NewRoutes(configuration *acaciatally.Configuration) *Routes {
-	routes := &Routes{Version: configuration.Version, Limits: configuration.Limits, byHost: map[string][]acaciatally.Queue{}}
+	routes := &Routes{
+		Version: configuration.Version, Limits: configuration.Limits, Accounts: configuration.Accounts,
+		byHost: map[string][]acaciatally.Queue{},
+	}
 	for _, queue := range configuration.Queues {
 		routes.byHost[queue.Host] = append(routes.byHost[queue.Host], queue)
 	}
--- a/intake/service.go
+++ b/intake/service.go
@@ -110,6 +110,9 @@
 	if err = s.checkStore(); err != nil {
 		return err
 	}
+	if err = s.checkMaximum(ctx, queue, account, id, spec); err != nil {
+		return err
+	}
 	if err = s.checkStartDelay(ctx, queue, id, spec); err != nil {
 		return err
 	}
