--- a/dispatch/work_order_test.go
+++ b/dispatch/work_order_test.go
@@ -13,8 +13,8 @@
 	"github.com/acaciatally/acaciatally/job"
 )
 
-// loadAccountJob loads a job of an account that arrived the given time ago.
-func loadAccountJob(
+// loadQueuedJob loads a job of an account that arrived the given time ago.
+func loadQueuedJob(
 	scheduler *Scheduler, id acaciatally.JobID, account acaciatally.AccountName, queue acaciatally.Queue, age, now time.Duration, steps ...acaciatally.Step,
 ) {
 	scheduler.LoadJob(id, job.Accepted{Spec: acaciatally.JobSpec{Steps: steps}, Queue: queue, Account: account},
@@ -64,14 +64,14 @@
 			scheduler, _ := newScheduler()
 			configureAccounts(scheduler, map[acaciatally.AccountName]float64{"above": 1, "below": 1, "other": 1})
 			reportIdle(scheduler, testWorker(1))
-			loadAccountJob(scheduler, "fill", "above", testQueue(), 0, 0, testStep(7, 1000))
+			loadQueuedJob(scheduler, "fill", "above", testQueue(), 0, 0, testStep(7, 1000))
 			require.Len(t, startDue(scheduler, 0), 7)
 			ages := []time.Duration{0, 500 * time.Millisecond}
 			if name == "no account by arrival to below" {
 				slices.Reverse(ages)
 			}
 			for i, j := range []testJob{test.first, test.second} {
-				loadAccountJob(scheduler, acaciatally.JobID([]string{"first", "second"}[i]), j.account, j.queue, ages[i], now, j.step)
+				loadQueuedJob(scheduler, acaciatally.JobID([]string{"first", "second"}[i]), j.account, j.queue, ages[i], now, j.step)
 			}
 			scheduler.countArrivals(now)
 			for i, j := range []testJob{test.first, test.second} {
@@ -92,8 +92,8 @@
 	scheduler.config.QuotaSlack = 0
 	configureAccounts(scheduler, map[acaciatally.AccountName]float64{"a": 0.2, "b": 1})
 	reportIdle(scheduler, testWorker(1))
-	loadAccountJob(scheduler, "old", "a", testQueue(), 5*time.Second, now, testStep(1, 8000)) // late by now
-	loadAccountJob(scheduler, "new", "a", testQueue(), 500*time.Millisecond, now, testStep(1, 8000))
+	loadQueuedJob(scheduler, "old", "a", testQueue(), 5*time.Second, now, testStep(1, 8000)) // late by now
+	loadQueuedJob(scheduler, "new", "a", testQueue(), 500*time.Millisecond, now, testStep(1, 8000))
 	scheduler.countArrivals(now)
 	require.False(t, scheduler.jobs["old"].beyondRate)
 	require.True(t, scheduler.jobs["new"].beyondRate)
@@ -111,7 +111,7 @@
 	scheduler, _ := newScheduler()
 	for i := range jobs { // the latest first
 		age := time.Duration(i) * 100 * time.Millisecond
-		loadAccountJob(scheduler, acaciatally.JobID(fmt.Sprintf("j-%02d", i)), "a", testQueue(), age, now, testStep(1, 1000))
+		loadQueuedJob(scheduler, acaciatally.JobID(fmt.Sprintf("j-%02d", i)), "a", testQueue(), age, now, testStep(1, 1000))
 	}
 	configureAccounts(scheduler, map[acaciatally.AccountName]float64{"a": 1})
 	scheduler.countArrivals(now)
@@ -126,7 +126,7 @@
 	scheduler, _ := newScheduler()
 	configureAccounts(scheduler, map[acaciatally.AccountName]float64{"a": 1})
 	for i := range 100 {
-		loadAccountJob(scheduler, acaciatally.JobID(fmt.Sprintf("j-%02d", i)), "a", testQueue(), time.Hour, 0, testStep(1, 1000))
+		loadQueuedJob(scheduler, acaciatally.JobID(fmt.Sprintf("j-%02d", i)), "a", testQueue(), time.Hour, 0, testStep(1, 1000))
 	}
 	scheduler.Plan(0, time.UnixMilli(0))
 	for _, j := range scheduler.jobs {
@@ -150,7 +150,7 @@
 			age := time.Duration(rapid.IntRange(0, 9000).Draw(t, "age")) * time.Millisecond
 			step := testStep(1, 1000)
 			step.LongRunning = rapid.IntRange(0, 9).Draw(t, "long-running") == 0
-			loadAccountJob(scheduler, acaciatally.JobID(fmt.Sprintf("j-%02d", i)), account, queue, age, now, step)
+			loadQueuedJob(scheduler, acaciatally.JobID(fmt.Sprintf("j-%02d", i)), account, queue, age, now, step)
 		}
 		scheduler.Report("i-1", acaciatally.WorkerReport{Clock: now, StartTime: testWorker(1).StartTime}, now, now)
 		scheduler.Plan(now, time.UnixMilli(0))
@@ -183,7 +183,7 @@
 		}}}}, 0, 0)
 	used := func() int { return scheduler.shares.accounts["a"].used.Processors }
 	require.Equal(t, 1000, used())
-	loadAccountJob(scheduler, "new", "a", testQueue(), 0, 0, testStep(12, 1000))
+	loadQueuedJob(scheduler, "new", "a", testQueue(), 0, 0, testStep(12, 1000))
 	orders := startDue(scheduler, 0)
 	require.Len(t, orders, 13)
 	require.Equal(t, 14000, used())
