Check the keys of client accounts, and keep each job with its account

Cause: two deployments have client accounts. Their callers' calls carry a key, a removed key must not be used for long, and a job may be read, cancelled and repeated only by its own account, also after another leader has taken over.

Change: the configuration's accounts are decoded, those that are not valid in parts with a log line; an entry finds the account of a key in an index that is built with the routes of each version, and answers 401 before it reads the body. It knows the age of its configuration and answers 503 instead where it can't tell whether a key is valid. The account is stored with the job's progress as well; intake compares it. Without accounts records and answers are as before.

Measured: go test of intake, platform, job, eventlog, console, dispatch and site passes, the tests of keys and owners in site ten times in a row. TestOwnerInProgress fails without the account in the leader's records.

--- a/console/attend.go
+++ b/console/attend.go
@@ -103,7 +103,7 @@
 			return platform.NewJobAPI(jobs, ready)
 		},
 		MaxLease: settings.Bounds.MaxLease, Retention: 2 * settings.Bounds.StateRetention,
-		MaxEarlyStart: settings.Bounds.MaxEarlyStart, MaxRecordBytes: settings.MaxRecordBytes, EventLog: logger, TakeoverJitter: hashFraction(settings.Name),
+		MaxEarlyStart: settings.Bounds.MaxEarlyStart, MaxRecordBytes: settings.MaxRecordBytes, MaxConfigurationAge: settings.Bounds.KeyRevocation, EventLog: logger, TakeoverJitter: hashFraction(settings.Name),
 		Processors: settings.Processors, LinkBitsPerSecond: settings.LinkBitsPerSecond,
 	}
 }
--- a/dispatch/commit.go
+++ b/dispatch/commit.go
@@ -165,7 +165,7 @@
 
 // progress returns the progress of the job to store.
 func (j *activeJob) progress() job.Progress {
-	progress := job.Progress{State: j.state, Next: j.nextOccurrence, Digest: j.digest}
+	progress := job.Progress{State: j.state, Next: j.nextOccurrence, Digest: j.digest, Account: j.accepted.Account}
 	if !j.live() {
 		return progress
 	}
--- a/dispatch/jobs.go
+++ b/dispatch/jobs.go
@@ -119,7 +119,7 @@
 	if open == 0 {
 		return true
 	}
-	workerBytes := 0
+	workerBytes := job.AccountBytes(j.accepted.Account)
 	for id := range s.workers {
 		workerBytes += job.WorkerBytes(id)
 	}
--- a/eventlog/logger.go
+++ b/eventlog/logger.go
@@ -33,6 +33,7 @@
 	metricSet         *metrics.Set
 	submissions       *metrics.Histogram // seconds from the receipt of a submission to its answer
 	dropped           atomic.Int64       // lines dropped since the last report
+	refusals          refusalReport
 	reportMutex       sync.Mutex
 	droppedReportedAt time.Time
 }
@@ -124,8 +125,8 @@
 }
 
 // ConfigurationApplied logs that a configuration takes effect in this process; record is the version of its record.
-func (l *Logger) ConfigurationApplied(version, record uint64, queues int) {
-	l.line("ConfigurationTaken").Uint64("Version", version).Uint64("Record", record).Int("Queues", queues).Msg("")
+func (l *Logger) ConfigurationApplied(version, record uint64, queues, accounts int) {
+	l.line("ConfigurationTaken").Uint64("Version", version).Uint64("Record", record).Int("Queues", queues).Int("Accounts", accounts).Msg("")
 }
 
 // ConfigurationIgnored logs a configuration that is invalid; record is the version of its record.
@@ -133,6 +134,11 @@
 	l.warning("ConfigurationIgnored", err).Uint64("Record", record).Msg("")
 }
 
+// ConfigurationPartIgnored logs a part of a configuration that is not valid and does not take effect; record is the version of its record.
+func (l *Logger) ConfigurationPartIgnored(record uint64, err error) {
+	l.warning("ConfigurationPartIgnored", err).Uint64("Record", record).Msg("")
+}
+
 // JobSubmitted logs the result of a submission and how long it took.
 func (l *Logger) JobSubmitted(queue acaciatally.Queue, id acaciatally.JobID, duration time.Duration, err error) {
 	l.submissions.Update(duration.Seconds())
--- a/intake/batch.go
+++ b/intake/batch.go
@@ -28,6 +28,7 @@
 // submission is one job that is to be recorded, and where its result goes.
 type submission struct {
 	id          acaciatally.JobID
+	account     acaciatally.AccountName
 	transaction acaciatally.RecordTransaction
 	digest      uint64
 	result      chan error
@@ -182,7 +183,7 @@
 			unrecorded = append(unrecorded, s)
 			continue
 		}
-		b.finish(s, s.compareRecorded(current))
+		b.finish(s, b.compareRecorded(s, current))
 	}
 	if len(unrecorded) == len(batch) {
 		b.finishAll(batch, acaciatally.ErrUnknownOutcome) // the conflict names none of these submissions
@@ -191,13 +192,17 @@
 	return unrecorded
 }
 
-// compareRecorded returns nil if the recorded job is a repeated submission of the same job, ErrJobIDInUse if it is a different job, and
-// ErrJobWithdrawn if the job was cancelled before it was accepted.
-func (s *submission) compareRecorded(current acaciatally.Record) error {
+// compareRecorded returns nil if the recorded job is a repeated submission of the same job, ErrJobIDInUse if it is a different job or one of
+// another account, and ErrJobWithdrawn if the job was cancelled before it was accepted.
+func (b *batcher) compareRecorded(s *submission, current acaciatally.Record) error {
 	progress, err := job.DecodeProgress(current.Value)
 	if err != nil {
 		return err
 	}
+	if !job.Accessible(progress.Account, s.account) {
+		b.eventLog.OwnerMismatch(b.queue, s.id, s.account)
+		return acaciatally.ErrJobIDInUse
+	}
 	if progress.State == acaciatally.JobWithdrawn {
 		return acaciatally.ErrJobWithdrawn
 	}
--- a/intake/batch_test.go
+++ b/intake/batch_test.go
@@ -89,6 +89,10 @@
 
 func (nopEventLog) JobCancelled(acaciatally.Queue, acaciatally.JobID, error) {}
 
+func (nopEventLog) KeyRefused(acaciatally.QueueName, intake.KeyRefusal) {}
+
+func (nopEventLog) OwnerMismatch(acaciatally.QueueName, acaciatally.JobID, acaciatally.AccountName) {}
+
 var queue = acaciatally.Queue{Name: "quotes"}
 
 func spec(payload string) acaciatally.JobSpec {
--- a/intake/event_log.go
+++ b/intake/event_log.go
@@ -16,4 +16,8 @@
 	StateRead(queue acaciatally.Queue, id acaciatally.JobID, state acaciatally.JobState, err error)
 	// JobCancelled logs the result of a cancellation.
 	JobCancelled(queue acaciatally.Queue, id acaciatally.JobID, err error)
+	// KeyRefused logs that a call of the queue was refused because of its key.
+	KeyRefused(queue acaciatally.QueueName, reason KeyRefusal)
+	// OwnerMismatch logs that a call was refused because the job belongs to another account than the call.
+	OwnerMismatch(queue acaciatally.QueueName, id acaciatally.JobID, account acaciatally.AccountName)
 }
--- a/intake/routes.go
+++ b/intake/routes.go
@@ -8,11 +8,13 @@
 	"github.com/acaciatally/acaciatally"
 )
 
-// Routes maps requests to queues, for one version of the configuration.
+// Routes maps requests to queues and keys to accounts, for one version of the configuration.
 type Routes struct {
 	Version uint64
 	Limits  acaciatally.RequestLimits
 	byHost  map[string][]acaciatally.Queue // longest prefix first
+	public  map[acaciatally.QueueName]bool // for each queue, whether calls need no key
+	keys    *keyIndex                      // nil without accounts
 }
 
 // NewRoutes returns the routes of a configuration.
@@ -24,6 +26,13 @@
 	for _, queues := range routes.byHost {
 		slices.SortStableFunc(queues, func(a, b acaciatally.Queue) int { return len(b.Prefix) - len(a.Prefix) })
 	}
+	if configuration.Accounts != nil {
+		routes.public = make(map[acaciatally.QueueName]bool, len(configuration.Queues))
+		for _, queue := range configuration.Queues {
+			routes.public[queue.Name] = queue.Public
+		}
+		routes.keys = newKeyIndex(configuration.Accounts)
+	}
 	return routes
 }
 
--- a/intake/service.go
+++ b/intake/service.go
@@ -30,7 +30,11 @@
 	StoreReachable func() bool    // reports whether the record store has responded recently; otherwise callers are refused at once
 	// StartDelay returns how long the tasks of a job submitted now would wait for the leader to start them; nil if that is not known.
 	StartDelay func() time.Duration
-	EventLog   EventLog
+	// ConfigurationAge returns the time since the configuration was certainly the newest one; nil if that is not measured.
+	ConfigurationAge func() time.Duration
+	// MaxConfigurationAge is the age of the configuration beyond which keys can't be checked; 0 is DefaultMaxConfigurationAge.
+	MaxConfigurationAge time.Duration
+	EventLog            EventLog
 	// MaxRecordBytes is the size of the largest record that the store takes; 0 is job.DefaultRecordBytes.
 	MaxRecordBytes int
 }
@@ -48,6 +52,9 @@
 	if config.MaxRecordBytes == 0 {
 		config.MaxRecordBytes = job.DefaultRecordBytes
 	}
+	if config.MaxConfigurationAge == 0 {
+		config.MaxConfigurationAge = DefaultMaxConfigurationAge
+	}
 	return &Service{
 		config: config, withdrawals: rate.NewLimiter(withdrawalsPerSecond, withdrawalBurst),
 		batchers: map[acaciatally.QueueName]*batcher{},
@@ -76,7 +83,7 @@
 func (s *Service) Queue(host, path string) (queue acaciatally.Queue, rest string, err error) {
 	routes := s.config.Routes()
 	if routes == nil {
-		return queue, "", &acaciatally.NotAcceptedError{Reason: "no configuration yet", RetryAfter: storeRetryAfter}
+		return queue, "", errNoConfiguration()
 	}
 	queue, rest, found := routes.Find(host, path)
 	if !found {
@@ -85,9 +92,8 @@
 	return queue, rest, nil
 }
 
-// Authenticate returns the account of the key with which a call of the queue is made.
-func (s *Service) Authenticate(_ acaciatally.Queue, _ string) (account acaciatally.AccountName, err error) {
-	return "", nil
+func errNoConfiguration() error {
+	return &acaciatally.NotAcceptedError{Reason: "no configuration yet", RetryAfter: storeRetryAfter}
 }
 
 // Submit records a job; repeating it changes nothing. It fails with ErrJobIDInUse, ErrJobTooLarge, ErrJobWithdrawn,
@@ -104,7 +110,7 @@
 	if err != nil {
 		return err
 	}
-	if !s.recordable(spec, transaction) {
+	if !s.recordable(spec, account, transaction) {
 		return acaciatally.ErrJobTooLarge
 	}
 	if err = s.checkStore(); err != nil {
@@ -113,17 +119,17 @@
 	if err = s.checkStartDelay(ctx, queue, id, spec); err != nil {
 		return err
 	}
-	return s.batcher(queue.Name).add(ctx, &submission{id: id, transaction: transaction, digest: digest})
+	return s.batcher(queue.Name).add(ctx, &submission{id: id, account: account, transaction: transaction, digest: digest})
 }
 
 // recordable reports whether the store takes the job's records, also later those of its progress.
-func (s *Service) recordable(spec acaciatally.JobSpec, transaction acaciatally.RecordTransaction) bool {
+func (s *Service) recordable(spec acaciatally.JobSpec, account acaciatally.AccountName, transaction acaciatally.RecordTransaction) bool {
 	for _, write := range transaction.Writes {
 		if len(write.Value) > s.config.MaxRecordBytes {
 			return false
 		}
 	}
-	return job.MaxOccurrenceBytes(spec) <= s.config.MaxRecordBytes
+	return job.MaxOccurrenceBytes(spec)+job.AccountBytes(account) <= s.config.MaxRecordBytes
 }
 
 // checkStore returns a *NotAcceptedError while the record store does not respond, so that the caller tries another entry at once.
@@ -159,7 +165,7 @@
 	if err != nil {
 		return transaction, 0, err
 	}
-	progress, err := job.EncodeProgress(job.Progress{State: acaciatally.JobQueued, Digest: digest})
+	progress, err := job.EncodeProgress(job.Progress{State: acaciatally.JobQueued, Digest: digest, Account: account})
 	if err != nil {
 		return transaction, 0, err
 	}
@@ -201,32 +207,51 @@
 
 // State returns a job's state. It fails with ErrJobNotFound or *NotAcceptedError.
 func (s *Service) State(
-	ctx context.Context, queue acaciatally.Queue, _ acaciatally.AccountName, id acaciatally.JobID,
+	ctx context.Context, queue acaciatally.Queue, account acaciatally.AccountName, id acaciatally.JobID,
 ) (state acaciatally.JobState, err error) {
 	defer func() {
 		s.config.EventLog.StateRead(queue, id, state, err)
 		err = oops.In("intake").With("job", id).Wrapf(err, "read state")
 	}()
-	state, err = s.recordedState(ctx, queue, id)
-	if state == acaciatally.JobWithdrawn {
-		return "", acaciatally.ErrJobNotFound
-	}
-	return state, err
+	return s.recordedState(ctx, queue, account, id)
 }
 
-// recordedState returns the state in a job's progress record. It fails with ErrJobNotFound if there is no record, or with *NotAcceptedError.
-func (s *Service) recordedState(ctx context.Context, queue acaciatally.Queue, id acaciatally.JobID) (state acaciatally.JobState, err error) {
-	record, err := s.read(ctx, job.ProgressKey(queue.Name, id))
+// recordedState returns the state in a job's progress record. It fails with ErrJobNotFound if there is no record, if the job was withdrawn or
+// if it belongs to another account, or with *NotAcceptedError.
+func (s *Service) recordedState(
+	ctx context.Context, queue acaciatally.Queue, account acaciatally.AccountName, id acaciatally.JobID,
+) (state acaciatally.JobState, err error) {
+	progress, err := s.recordedProgress(ctx, queue, id)
 	if err != nil {
 		return "", err
 	}
-	progress, err := job.DecodeProgress(record.Value)
-	if err != nil {
+	if err = s.checkOwner(queue, id, progress.Account, account); err != nil {
 		return "", err
 	}
+	if progress.State == acaciatally.JobWithdrawn {
+		return "", acaciatally.ErrJobNotFound
+	}
 	return progress.State, nil
 }
 
+// recordedProgress returns a job's recorded progress. It fails with ErrJobNotFound if there is no record, or with *NotAcceptedError.
+func (s *Service) recordedProgress(ctx context.Context, queue acaciatally.Queue, id acaciatally.JobID) (progress job.Progress, err error) {
+	record, err := s.read(ctx, job.ProgressKey(queue.Name, id))
+	if err != nil {
+		return progress, err
+	}
+	return job.DecodeProgress(record.Value)
+}
+
+// checkOwner returns ErrJobNotFound if a job of the owner is not accessible to calls of the account.
+func (s *Service) checkOwner(queue acaciatally.Queue, id acaciatally.JobID, owner, account acaciatally.AccountName) error {
+	if job.Accessible(owner, account) {
+		return nil
+	}
+	s.config.EventLog.OwnerMismatch(queue.Name, id, account)
+	return acaciatally.ErrJobNotFound
+}
+
 // read returns one record. It fails with ErrJobNotFound if the record does not exist, or with *NotAcceptedError.
 func (s *Service) read(ctx context.Context, key acaciatally.RecordKey) (record acaciatally.Record, err error) {
 	if err = s.checkStore(); err != nil {
--- a/job/codec.go
+++ b/job/codec.go
@@ -21,6 +21,7 @@
 	defer func() { err = oops.In("job").Wrapf(err, "encode progress") }()
 	message := &jobpb.Progress{
 		Format: progressFormat, State: string(progress.State), Next: uint32(progress.Next), Digest: progress.Digest,
+		Account: string(progress.Account),
 	}
 	workers := workerIndex{message: message, indices: map[acaciatally.WorkerID]uint32{}}
 	for _, open := range progress.Open {
@@ -115,7 +116,10 @@
 	if message.GetFormat() != progressFormat {
 		return progress, fmt.Errorf("unknown format %d", message.GetFormat())
 	}
-	progress = Progress{State: acaciatally.JobState(message.GetState()), Next: int(message.GetNext()), Digest: message.GetDigest()}
+	progress = Progress{
+		State: acaciatally.JobState(message.GetState()), Next: int(message.GetNext()), Digest: message.GetDigest(),
+		Account: acaciatally.AccountName(message.GetAccount()),
+	}
 	for _, open := range message.GetOpen() {
 		occurrence := Occurrence{Number: int(open.GetNumber())}
 		for _, step := range open.GetSteps() {
--- a/job/codec_test.go
+++ b/job/codec_test.go
@@ -22,11 +22,30 @@
 	}
 }
 
+// owned returns the progress as that of a job of an account.
+func owned(progress job.Progress) job.Progress {
+	progress.Account = "account-1"
+	return progress
+}
+
+// TestRecordsWithoutAccount guards against records of jobs without an account that differ from those of earlier releases: they would be larger, and
+// a deployment without accounts would not be as it was.
+func TestRecordsWithoutAccount(t *testing.T) {
+	content, err := job.EncodeProgress(job.Progress{State: acaciatally.JobQueued, Digest: 0x0102030405060708})
+	require.NoError(t, err)
+	require.Equal(t, "\x08\x01\x12\x06Queued\x21\x08\x07\x06\x05\x04\x03\x02\x01", string(content))
+	content, err = job.EncodeAccepted(job.Accepted{Spec: acaciatally.JobSpec{Payload: "x"}, Queue: acaciatally.Queue{Name: "q"}})
+	require.NoError(t, err)
+	require.JSONEq(t, `{"Spec":{"Payload":"x","Steps":null},"Queue":{"Name":"q","Host":"","Prefix":"","Pool":"","Priority":0,"Attempts":0,`+
+		`"Stretch":0,"Objective":0},"Received":"0001-01-01T00:00:00Z"}`, string(content))
+}
+
 // TestProgressCodec guards against progress that a later leader reads differently from what was recorded, in the present form and in the
 // JSON of earlier releases, and against records so large that commits fill a slow link.
 func TestProgressCodec(t *testing.T) {
 	tests := map[string]job.Progress{
 		"zero": {}, "ended": {State: acaciatally.JobCompleted, Digest: 7}, "running": runningProgress(16),
+		"owned, ended": {State: acaciatally.JobCompleted, Digest: 7, Account: "Bäckerei"}, "owned, running": owned(runningProgress(16)),
 	}
 	for name, progress := range tests {
 		t.Run(name, func(t *testing.T) {
--- a/job/progress.go
+++ b/job/progress.go
@@ -42,6 +42,8 @@
 	Next int `json:",omitempty"`
 	// Digest is the checksum of the job's specification. It tells a repeated submission from a different job with the same ID.
 	Digest uint64
+	// Account is the owner of the job. It is empty for a job of a public queue, and without configured accounts.
+	Account acaciatally.AccountName `json:",omitempty"`
 }
 
 // Occurrences returns how many times the steps of the job are to be executed, which is at least once.
--- a/job/record.go
+++ b/job/record.go
@@ -67,6 +67,12 @@
 	return xxhash.Sum64(content)
 }
 
+// Accessible reports whether calls of an account may access a job of the owner. A job without an owner is accessible to all accounts. So is a
+// job with one to calls without an account, which are made only where the operators require no key.
+func Accessible(owner, account acaciatally.AccountName) bool {
+	return owner == "" || account == "" || owner == account
+}
+
 // EncodeAccepted returns the stored form of an accepted job.
 func EncodeAccepted(accepted Accepted) (content []byte, err error) {
 	defer func() { err = oops.In("job").Wrapf(err, "encode accepted job") }()
--- a/job/size.go
+++ b/job/size.go
@@ -12,6 +12,7 @@
 	maxStepBytes       = 5  // without its tasks
 	maxTaskBytes       = 20 // without its checkpoint, for up to 2^21 runs of a task and 2^14 workers
 	workerOverhead     = 2  // of the ID of a worker, which is stored once
+	accountOverhead    = 4  // of the name of the account
 	usualWorkerIDBytes = 12
 	usualMaxWorkers    = 1000 // of the pools that run the tasks of one job
 )
@@ -32,6 +33,14 @@
 	return MaxProgressBytes(spec, 1, min(Tasks(spec), usualMaxWorkers)*(usualWorkerIDBytes+workerOverhead))
 }
 
+// AccountBytes returns an upper bound of the encoded size of the name of a job's account, which the other bounds do not include.
+func AccountBytes(account acaciatally.AccountName) int {
+	if account == "" {
+		return 0
+	}
+	return len(account) + accountOverhead
+}
+
 // Tasks returns the number of tasks of one occurrence.
 func Tasks(spec acaciatally.JobSpec) (count int) {
 	for _, step := range spec.Steps {
--- a/jobs.go
+++ b/jobs.go
@@ -174,4 +174,6 @@
 	Limits  RequestLimits
 	// Accounts holds the client accounts by name. It is nil if the configuration has none; then no call needs a key.
 	Accounts map[AccountName]Account
+	// Warnings lists the parts of the operators' record that were ignored because they are not valid.
+	Warnings []error
 }
--- a/site/configuration.go
+++ b/site/configuration.go
@@ -14,6 +14,8 @@
 const (
 	followTimeout = time.Second
 	retryDelay    = 100 * time.Millisecond
+	// followsPerMaxAge is how many waits for a change fit within the bound on the configuration's age, so that a lost response does not exceed it.
+	followsPerMaxAge = 4
 )
 
 // OperatorRecords describes the operators' table and how its records are decoded.
@@ -36,8 +38,13 @@
 	routes            atomic.Pointer[intake.Routes]
 	mutex             sync.Mutex
 	waves             map[int]observedWave
-	unreachable       bool
-	unreachableSince  time.Duration // time of the last response before the store became unreachable
+	// confirmedAt is the time in nanoseconds of the clock at which this entry sent the last call whose response showed that no newer configuration
+	// than the current one exists. It is changed after the configuration, so that a reader which loads it first never sees it with an older one.
+	confirmedAt      atomic.Int64
+	maxAge           time.Duration // bound on the configuration's age while accounts are configured
+	undecodable      bool          // the newest configuration can't be decoded
+	unreachable      bool
+	unreachableSince time.Duration // time of the last response before the store became unreachable
 }
 
 // observedWave is a maintenance wave with the time at which this entry first saw it.
@@ -49,6 +56,7 @@
 // run follows the operators' table until ctx ends, and reads it anew whenever the store has compacted the history it needs.
 func (w *operatorWatcher) run(ctx context.Context) {
 	for ctx.Err() == nil {
+		sentAt := w.now()
 		page, err := w.store.Read(ctx, acaciatally.RecordRange{Table: w.records.Table})
 		w.reportReachability(err)
 		if err != nil {
@@ -56,13 +64,15 @@
 			continue
 		}
 		w.apply(page.Records)
+		w.confirm(sentAt)
 		w.follow(ctx, page.Version)
 	}
 }
 
 func (w *operatorWatcher) follow(ctx context.Context, version uint64) {
 	for ctx.Err() == nil {
-		page, err := w.store.Follow(ctx, w.records.Table, version, followTimeout)
+		sentAt := w.now()
+		page, err := w.store.Follow(ctx, w.records.Table, version, w.followWait())
 		if errors.Is(err, acaciatally.ErrHistoryGone) {
 			return
 		}
@@ -73,9 +83,33 @@
 		}
 		version = page.Version
 		w.apply(page.Records)
+		w.confirm(sentAt)
 	}
 }
 
+// followWait returns how long the store may wait for a change. While the configuration has accounts and is old, as after a lost response or a pause of
+// the process, the store is to answer at once, so that keys can be checked again.
+func (w *operatorWatcher) followWait() time.Duration {
+	configuration := w.configuration.Load()
+	switch {
+	case configuration == nil || configuration.Accounts == nil || w.undecodable: // no answer makes an undecodable configuration newer
+		return followTimeout
+	case w.age() > w.maxAge/2:
+		return 0
+	}
+	return min(followTimeout, w.maxAge/followsPerMaxAge)
+}
+
+// confirm notes that the response to a call sent at a time showed no newer configuration than the current one, unless that can't be decoded.
+func (w *operatorWatcher) confirm(sentAt time.Duration) {
+	if !w.undecodable {
+		w.confirmedAt.Store(int64(sentAt))
+	}
+}
+
+// age returns the age of the configuration: the time since it was certainly the newest one.
+func (w *operatorWatcher) age() time.Duration { return w.now() - time.Duration(w.confirmedAt.Load()) }
+
 // reportReachability logs when the store becomes unreachable or reachable again; err is the result of the last call.
 func (w *operatorWatcher) reportReachability(err error) {
 	if err != nil && !w.unreachable {
@@ -129,6 +163,7 @@
 // applyConfiguration applies the configuration in a record unless the current one has the same or a later version.
 func (w *operatorWatcher) applyConfiguration(record acaciatally.Record) {
 	configuration, err := w.records.DecodeConfiguration(record.Value)
+	w.undecodable = err != nil
 	if err != nil {
 		w.eventLog.ConfigurationIgnored(record.Version, err)
 		return
@@ -136,7 +171,10 @@
 	if current := w.configuration.Load(); current != nil && configuration.Version <= current.Version {
 		return
 	}
+	w.routes.Store(intake.NewRoutes(configuration)) // before the leader acts by the configuration
 	w.configuration.Store(configuration)
-	w.routes.Store(intake.NewRoutes(configuration))
-	w.eventLog.ConfigurationApplied(configuration.Version, record.Version, len(configuration.Queues))
+	w.eventLog.ConfigurationApplied(configuration.Version, record.Version, len(configuration.Queues), len(configuration.Accounts))
+	for _, warning := range configuration.Warnings {
+		w.eventLog.ConfigurationPartIgnored(record.Version, warning)
+	}
 }
--- a/site/site.go
+++ b/site/site.go
@@ -57,9 +57,11 @@
 	// last response, or since the last one before the outage if it is reachable again. err is nil if it is reachable.
 	DependencyChanged(name string, reached bool, sinceLastResponse time.Duration, err error)
 	// ConfigurationApplied logs that this entry has applied a configuration; record is the version of its record.
-	ConfigurationApplied(version, record uint64, queues int)
+	ConfigurationApplied(version, record uint64, queues, accounts int)
 	// ConfigurationIgnored logs that a configuration could not be decoded; record is the version of its record.
 	ConfigurationIgnored(record uint64, err error)
+	// ConfigurationPartIgnored logs that a part of a configuration is not valid and does not take effect; record is the version of its record.
+	ConfigurationPartIgnored(record uint64, err error)
 }
 
 // JobAPI serves the platform's HTTP API to callers and the load balancer.
@@ -95,6 +97,8 @@
 	MaxEarlyStart time.Duration // how long before its scheduled time an occurrence may start
 	// MaxRecordBytes is the size of the largest record that the store takes; 0 is job.DefaultRecordBytes.
 	MaxRecordBytes int
+	// MaxConfigurationAge is the age of the configuration beyond which keys of accounts can't be checked; 0 is intake.DefaultMaxConfigurationAge.
+	MaxConfigurationAge time.Duration
 
 	OrdersPerSecond float64       // the platform's rate limit for orders on instances, over all entries; 0 is unlimited
 	MoveTime        time.Duration // from the order until a moved instance serves again
@@ -128,14 +132,18 @@
 	if config.Listen == nil {
 		config.Listen = (&net.ListenConfig{}).Listen
 	}
+	if config.MaxConfigurationAge == 0 {
+		config.MaxConfigurationAge = intake.DefaultMaxConfigurationAge
+	}
 	p := &Process{config: config, store: &monitoredStore{RecordStore: config.Store, now: config.Now}}
 	p.config.Store = p.store
 	p.watcher = &operatorWatcher{
 		store: p.store, sinceLastResponse: p.store.sinceLastResponse, records: config.Operators, eventLog: config.EventLog, now: config.Now,
-		waves: map[int]observedWave{},
+		waves: map[int]observedWave{}, maxAge: config.MaxConfigurationAge,
 	}
 	jobs := intake.New(intake.Config{
 		Store: p.store, Routes: p.watcher.routes.Load, StoreReachable: p.store.reachable, EventLog: config.EventLog,
+		ConfigurationAge: p.watcher.age, MaxConfigurationAge: config.MaxConfigurationAge,
 		MaxRecordBytes: config.MaxRecordBytes, StartDelay: func() time.Duration { return p.elector.StartDelay() },
 	})
 	p.jobAPI = config.NewJobAPI(jobs, p.ready)
--- a/submission.go
+++ b/submission.go
@@ -41,14 +41,15 @@
 	// ErrQueueNotFound.
 	Queue(host, path string) (queue Queue, rest string, err error)
 	// Authenticate returns the account of the key with which a call of the queue is made; it is empty for public queues and without configured
-	// accounts. It fails with ErrUnknownKey.
+	// accounts. It fails with ErrUnknownKey, or with ErrQueueNotFound if the queue has been removed since it was returned.
 	Authenticate(queue Queue, key string) (account AccountName, err error)
-	// Submit records a job; submitting the same job again changes nothing. It fails with ErrJobIDInUse, ErrJobTooLarge or
-	// ErrJobWithdrawn.
+	// Submit records a job; submitting the same job again changes nothing. It fails with ErrJobIDInUse, also if the ID is one of another account,
+	// ErrJobTooLarge or ErrJobWithdrawn.
 	Submit(ctx context.Context, queue Queue, account AccountName, id JobID, spec JobSpec) (err error)
-	// State returns a job's state; it fails with ErrJobNotFound.
+	// State returns a job's state; it fails with ErrJobNotFound, also for a job of another account.
 	State(ctx context.Context, queue Queue, account AccountName, id JobID) (state JobState, err error)
-	// Cancel records a request to end a job. It fails with ErrJobNotFound, and then a submission of the job that is still in progress fails.
+	// Cancel records a request to end a job. It fails with ErrJobNotFound, also for a job of another account, and then a submission of the job by
+	// the same account that is still in progress fails.
 	Cancel(ctx context.Context, queue Queue, account AccountName, id JobID) (err error)
 	// Waiting returns the number of accepted jobs of which no task has started.
 	Waiting(ctx context.Context, queue Queue) (count int, err error)
