Reclaim lent room from runs that have saved a checkpoint

Cause: long runs that an account has started while there was room held it for as long as they ran, while accounts below their share waited.

Change: where a job of an account below its share has waited for 1 s, runs of accounts above theirs are stopped that can resume from a saved checkpoint and come later in the order of work: at most a twentieth of a pool's runs every 100 ms, never below the share of their account, never long-running tasks, gangs, runs of jobs without an account or runs about to end. Room is reclaimed for no jobs without an account and no gangs.

Without reclaim, without the rule on priorities, the rule on the share that is left, the need of a saved checkpoint, or the exemption of jobs without an account a test of dispatch/reclaim_test.go fails. Without the rule that an account gets no more than its share none fails, since the one on what is left suffices there.

--- a/dispatch/plan.go
+++ b/dispatch/plan.go
@@ -95,7 +95,7 @@
 func (s *Scheduler) place(only map[acaciatally.PoolName]bool, now time.Duration) {
 	s.divideShares(now)
 	for pool, jobs := range s.waiting(only, now) {
-		s.placePool(pool, jobs, now)
+		s.placePool(pool, jobs, only == nil, now)
 	}
 }
 
--- /dev/null
+++ b/dispatch/reclaim.go
@@ -0,0 +1,256 @@
+package dispatch
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/acaciatally/acaciatally"
+	"github.com/acaciatally/acaciatally/sharing"
+)
+
+const (
+	// reclaimAfter is how long a job of an account below its share waits before lent room is reclaimed for it. Usually runs end sooner.
+	reclaimAfter = time.Second
+	// reclaimTime is the time over which the runs of a pool are stopped if all of them have to be. It bounds the orders and the work that is
+	// repeated from checkpoints, should the demand of accounts change again.
+	reclaimTime = 2 * time.Second
+	// maxUnplacedSteps is the number of steps that find no run to stop after which one check ends. It bounds the time that a check takes.
+	maxUnplacedSteps = 8
+	// shortageGap is the time between two checks after which a job counts as newly short.
+	shortageGap = 3 * checkInterval
+)
+
+// shortage is the time for which a job has had tasks to place while its account used less than its share.
+type shortage struct {
+	since, seenAt time.Duration
+}
+
+func (h *shortage) observe(now time.Duration) {
+	if h.seenAt == 0 || now > h.seenAt+shortageGap {
+		h.since = now
+	}
+	h.seenAt = now
+}
+
+// reclaimPlace is a worker on which lent room may be reclaimed.
+type reclaimPlace struct {
+	c    *candidate
+	free acaciatally.ResourceVector // now, or once the runs that are being stopped have ended
+	runs []*task                    // that may be stopped, those with the least progress first
+}
+
+// reclaimCheck is one check of a pool for lent room to reclaim.
+type reclaimCheck struct {
+	scheduler *Scheduler
+	pool      *poolShares
+	now       time.Duration
+	places    []reclaimPlace
+	left      int // runs that may still be stopped
+	unplaced  int // steps that found no run to stop
+	// unplaceable are sizes for which there is no room to reclaim. What can be stopped only shrinks during a check.
+	unplaceable []acaciatally.ResourceVector
+	chosen      []*task
+}
+
+// reclaim stops runs of accounts that use more than their share of the pool, if they have saved a checkpoint, for jobs of accounts that use
+// less and have waited for reclaimAfter. The jobs are those within the rate of their account, in the order of work, after they were placed.
+func (s *Scheduler) reclaim(p *poolShares, jobs []*activeJob, set *candidateSet, now time.Duration) {
+	if s.heldStarts > 0 {
+		return
+	}
+	check := reclaimCheck{scheduler: s, pool: p, now: now}
+	for len(jobs) > 0 && check.unplaced < maxUnplacedSteps {
+		size := 1
+		for size < len(jobs) && sameGroup(jobs[0], jobs[size]) {
+			size++
+		}
+		if othersFirst := check.group(jobs[:size], set); othersFirst {
+			return
+		}
+		jobs = jobs[size:]
+	}
+}
+
+// group reclaims room for a group of jobs that only their shares tell apart. It returns whether other jobs of the group wait, which would
+// be placed before the jobs of later groups.
+func (r *reclaimCheck) group(jobs []*activeJob, set *candidateSet) (othersFirst bool) {
+	if jobs[0].hasLongRunning || jobs[0].lateness == overdue {
+		return false
+	}
+	for _, j := range jobs {
+		if !r.scheduler.within(r.pool, j.account) {
+			othersFirst = othersFirst || j.hasWaiting()
+			continue
+		}
+		if j.account == nil || !j.hasWaiting() {
+			continue
+		}
+		j.short.observe(r.now)
+		if r.now >= j.short.since+reclaimAfter && r.begin(set) && r.unplaced < maxUnplacedSteps {
+			r.forJob(j)
+		}
+	}
+	return othersFirst
+}
+
+// begin collects the runs that may be stopped, once, and returns whether there is room to reclaim.
+func (r *reclaimCheck) begin(set *candidateSet) bool {
+	if r.places != nil {
+		return len(r.places) > 0
+	}
+	r.places = make([]reclaimPlace, 0, len(set.candidates))
+	for _, a := range r.scheduler.shares.list {
+		a.leaving, a.coming = acaciatally.ResourceVector{}, acaciatally.ResourceVector{}
+	}
+	for _, w := range r.scheduler.workers {
+		for t := range w.runs {
+			if t.stopReason != "" {
+				t.leave()
+			}
+		}
+	}
+	runs := 0
+	for _, c := range set.candidates {
+		if !c.w.health.admits(c.load.runs-c.load.numLongRunning, r.now) {
+			continue
+		}
+		place := reclaimPlace{c: c, free: c.free}
+		runs += len(c.w.runs)
+		for t := range c.w.runs {
+			switch {
+			case t.stopReason != "":
+				place.free = place.free.Plus(t.step.Reserved())
+			case t.reclaimable():
+				place.runs = append(place.runs, t)
+			}
+		}
+		if len(place.runs) > 0 || place.free != c.free {
+			slices.SortFunc(place.runs, func(a, b *task) int { return cmp.Compare(a.percent, b.percent) })
+			r.places = append(r.places, place)
+		}
+	}
+	r.left = max(1, runs*int(checkInterval)/int(reclaimTime))
+	return len(r.places) > 0
+}
+
+// leave counts what the task's run reserves as leaving.
+func (t *task) leave() {
+	if a := t.job.account; a != nil {
+		a.leaving = a.leaving.Plus(t.step.Reserved())
+	}
+}
+
+// reclaimable reports whether the task's run may be stopped for another account: it can resume from a checkpoint that it has saved, and is
+// not about to end.
+func (t *task) reclaimable() bool {
+	left := time.Duration(fullPercent-t.percent) * t.timePerPercent
+	aboutToEnd := t.timePerPercent > 0 && left < reclaimAfter
+	return t.job.account != nil && t.step.Checkpoints && t.checkpoint != "" && t.stage == stageRunning && !t.step.LongRunning && !t.step.Gang && !aboutToEnd
+}
+
+// forJob reclaims room for the waiting tasks of a job.
+func (r *reclaimCheck) forJob(j *activeJob) {
+	for _, o := range j.openOccurrences {
+		for number, tasks := range o.steps {
+			step := &j.accepted.Spec.Steps[number]
+			if step.Gang || slices.ContainsFunc(r.unplaceable, step.Reserved().Fits) || !o.ready(&j.accepted.Spec, number) {
+				continue // the members of a gang would need room on several workers at the same time
+			}
+			for _, t := range tasks {
+				if !isWaiting(t) {
+					continue
+				}
+				if r.left == 0 || !r.belowShareWith(t) {
+					return
+				}
+				if !r.forTask(t) {
+					r.markUnplaceable(t)
+					break
+				}
+			}
+		}
+	}
+}
+
+// markUnplaceable notes that there is no room to reclaim for a task.
+func (r *reclaimCheck) markUnplaceable(t *task) {
+	r.unplaced++
+	if t.step.Label == "" && t.step.PerWorker == 0 && len(t.avoidUntil) == 0 && !t.suspected() && t.job.accepted.Queue.Advice == nil {
+		r.unplaceable = append(r.unplaceable, t.step.Reserved())
+	}
+}
+
+// belowShareWith reports whether the task's account will be within its share with the task, or uses nothing.
+func (r *reclaimCheck) belowShareWith(t *task) bool {
+	a := t.job.account
+	using := a.used.Plus(a.coming).Minus(a.leaving)
+	return using.IsZero() || r.share(using.Plus(t.step.Reserved())) <= r.pool.entitledTo(a)
+}
+
+// forTask reclaims room for a task on the worker where the fewest runs have to be stopped, and returns whether there will be room for it.
+func (r *reclaimCheck) forTask(t *task) bool {
+	a, reserved := t.job.account, t.step.Reserved()
+	best, fewest := -1, r.left+1
+	for i := range r.places {
+		if victims, enough := r.victims(&r.places[i], t); enough && len(victims) < fewest {
+			best, fewest = i, len(victims)
+		}
+		if fewest == 0 {
+			break
+		}
+	}
+	if best < 0 {
+		return false
+	}
+	place := &r.places[best]
+	victims, _ := r.victims(place, t)
+	for _, victim := range victims {
+		victim.leave()
+		place.free = place.free.Plus(victim.step.Reserved())
+		r.scheduler.stopTask(victim, stopReclaimed)
+	}
+	r.left -= fewest
+	place.runs = slices.DeleteFunc(place.runs, func(run *task) bool { return run.stopReason != "" })
+	place.free = place.free.Minus(reserved)
+	a.coming = a.coming.Plus(reserved)
+	return true
+}
+
+// victims returns the runs to stop at a place so that the task fits, in a buffer, and whether they are enough.
+func (r *reclaimCheck) victims(place *reclaimPlace, t *task) (victims []*task, enough bool) {
+	c, reserved := place.c, t.step.Reserved()
+	if !c.mayTake(t) || !r.scheduler.permitted(t, c.w.entry.ID, r.now) || t.avoids(c.w, r.now) {
+		return nil, false
+	}
+	free := place.free
+	r.chosen = r.chosen[:0]
+	for _, run := range place.runs {
+		if free.Fits(reserved) || len(r.chosen) > r.left {
+			break
+		}
+		if r.mayStop(run, t.job) {
+			free = free.Plus(run.step.Reserved())
+			run.leave() // counts against the share of its account while further runs are chosen
+			r.chosen = append(r.chosen, run)
+		}
+	}
+	for _, run := range r.chosen {
+		run.job.account.leaving = run.job.account.leaving.Minus(run.step.Reserved())
+	}
+	return r.chosen, free.Fits(reserved)
+}
+
+// mayStop reports whether a run may be stopped for a job: its account keeps its share without the run, and the run's job comes after the
+// other in the order of work.
+func (r *reclaimCheck) mayStop(run *task, j *activeJob) bool {
+	a := run.job.account
+	if run.stopReason != "" || a == j.account || !run.job.beyondRate && run.job.accepted.Queue.Priority < j.accepted.Queue.Priority {
+		return false
+	}
+	return r.share(a.used.Minus(a.leaving).Minus(run.step.Reserved())) >= r.pool.entitledTo(a)
+}
+
+func (r *reclaimCheck) share(used acaciatally.ResourceVector) float64 {
+	return sharing.DominantShare(used, r.scheduler.shares.fleet)
+}
--- /dev/null
+++ b/dispatch/reclaim_test.go
@@ -0,0 +1,127 @@
+package dispatch
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"github.com/acaciatally/acaciatally"
+)
+
+// returnBound is the time within which lent room is back according to docs/design/shares.md, if the runs in it end within that time or have
+// saved a checkpoint.
+const returnBound = 4 * time.Second
+
+// longStep returns a step of long tasks.
+func longStep(checkpoints bool) acaciatally.Step {
+	step := testStep(4, 1000)
+	step.Estimate, step.Checkpoints = 20*time.Second, checkpoints
+	return step
+}
+
+// TestLentRoomReturns guards against an account that waits until the long runs end that another account has started while there was room, and
+// against stopping runs that would lose their work.
+func TestLentRoomReturns(t *testing.T) {
+	const begin = 4 * time.Second
+	tests := map[string]struct {
+		checkpoints bool
+		savesAfter  time.Duration // time until a run saves its first checkpoint
+		weight      float64       // of the account that waits
+		minUse      float64
+		maxUse      float64
+	}{
+		"half":              {true, 0, 10, 0.45, 0.55},
+		"a fifth":           {true, 0, 2.5, 0.15, 0.25},
+		"no checkpoints":    {false, 0, 10, 0, 0.02},
+		"no checkpoint yet": {true, 15 * time.Second, 10, 0, 0.02},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			weights := map[acaciatally.AccountName]float64{"large": 10, "small": test.weight}
+			s := newShareSimulation(t, weights,
+				accountLoad{
+					account: "large", perSecond: constant(8), queue: testQueue(), step: longStep(test.checkpoints), runTime: 20 * time.Second, savesAfter: test.savesAfter,
+				},
+				accountLoad{account: "small", perSecond: during(begin, time.Minute, 0, 30), queue: testQueue(), step: testStep(4, 1000), runTime: meanRunTime},
+			)
+			s.run(begin+returnBound+2*time.Second, begin+returnBound)
+			require.GreaterOrEqual(t, s.meanUse(1), test.minUse)
+			require.LessOrEqual(t, s.meanUse(1), test.maxUse)
+			require.Equal(t, test.minUse > 0, s.stops > 0)
+		})
+	}
+}
+
+// TestReclaimOnlyWhatComesLater guards against runs that are stopped although their jobs come first in the order of work, or although their
+// account would be left with less than its share: the room would go back to them.
+func TestReclaimOnlyWhatComesLater(t *testing.T) {
+	urgent, usual := testQueue(), testQueue()
+	usual.Priority = 1
+	tests := map[string]struct {
+		large, small acaciatally.Queue
+		smallAccount acaciatally.AccountName
+		weight       float64 // of the account whose runs fill the fleet
+		stops        bool
+	}{
+		"same priority":               {usual, usual, "small", 10, true},
+		"more urgent":                 {usual, urgent, "small", 10, true},
+		"less urgent":                 {urgent, usual, "small", 10, false},
+		"no account":                  {usual, usual, "", 10, false},
+		"within the share of a large": {usual, usual, "small", 1e6, false},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			weights := map[acaciatally.AccountName]float64{"large": test.weight, "small": 10}
+			s := newShareSimulation(t, weights,
+				accountLoad{account: "large", perSecond: during(0, time.Second, 0, 20), queue: test.large, step: longStep(true), runTime: 20 * time.Second},
+				accountLoad{
+					account: test.smallAccount, perSecond: during(4*time.Second, time.Minute, 0, 30), queue: test.small, step: testStep(4, 1000), runTime: meanRunTime,
+				},
+			)
+			s.run(9*time.Second, 0)
+			require.Equal(t, test.stops, s.stops > 0)
+		})
+	}
+}
+
+// TestSharesConverge guards against shares that do not follow the weights within returnBound after accounts have begun to send more than their
+// shares, whatever kinds of runs fill the fleet. The rates are too high to matter.
+func TestSharesConverge(t *testing.T) {
+	const begin, tolerance = 3 * time.Second, 0.06
+	rapid.Check(t, func(rt *rapid.T) {
+		weights, sum := map[acaciatally.AccountName]float64{}, 0.0
+		var loads []accountLoad
+		for i := range rapid.IntRange(2, 4).Draw(rt, "accounts") {
+			name := acaciatally.AccountName(rune('a' + i))
+			weights[name] = float64(rapid.IntRange(1, 6).Draw(rt, "weight")) * 100
+			sum += weights[name]
+			load := accountLoad{account: name, queue: testQueue(), step: testStep(rapid.IntRange(1, 4).Draw(rt, "tasks"), 1000), runTime: meanRunTime}
+			if rapid.Bool().Draw(rt, "long") {
+				load.runTime = time.Duration(rapid.IntRange(5, 20).Draw(rt, "seconds")) * time.Second
+				load.step.Checkpoints, load.step.Estimate = true, load.runTime
+			}
+			from := time.Duration(0)
+			if i > 0 && rapid.Bool().Draw(rt, "later") {
+				from = begin
+			}
+			fill := 1.3 * simulatedWorkers * 8 / float64(load.step.Count) // jobs that fill the whole fleet
+			load.perSecond = func(now time.Duration) float64 {
+				switch {
+				case now < from:
+					return 0
+				case now < from+time.Second:
+					return fill
+				}
+				return fill / load.runTime.Seconds()
+			}
+			loads = append(loads, load)
+		}
+		s := newShareSimulation(t, weights, loads...)
+		s.run(begin+returnBound+2*time.Second, begin+returnBound)
+		for i, load := range loads {
+			require.InDelta(rt, weights[load.account]/sum, s.meanUse(i), tolerance, load.account)
+		}
+	})
+}
--- a/dispatch/share.go
+++ b/dispatch/share.go
@@ -41,7 +41,10 @@
 	weight float64
 	rate   sharing.Window
 	used   acaciatally.ResourceVector // reserved by its assigned tasks in the whole fleet; kept by task.assign and task.release
-	tokens int                        // waiting jobs of a pool that are within its rate, while the jobs of the pool are sorted
+	// While a pool is checked for room to reclaim, leaving is reserved by runs that are being stopped, and coming by tasks that will be placed
+	// there.
+	leaving, coming acaciatally.ResourceVector
+	tokens          int // waiting jobs of a pool that are within its rate, while the jobs of the pool are sorted
 }
 
 // poolShares is the division of one pool between accounts. Its slices are indexed by accountShare.index.
@@ -250,9 +253,17 @@
 // within reports whether an account uses less than the share to which it is entitled in the pool. Jobs without an account always count as
 // within, and so do those of an account that is new since the last division.
 func (s *Scheduler) within(p *poolShares, a *accountShare) bool {
-	if a == nil || a.index >= len(p.entitled) {
+	if a == nil {
 		return true
 	}
-	entitled := p.entitled[a.index]
+	entitled := p.entitledTo(a)
 	return math.IsInf(entitled, 1) || sharing.DominantShare(a.used, s.shares.fleet) < entitled
 }
+
+// entitledTo returns the dominant share of the fleet to which an account is entitled in the pool.
+func (p *poolShares) entitledTo(a *accountShare) float64 {
+	if a.index >= len(p.entitled) {
+		return math.Inf(1)
+	}
+	return p.entitled[a.index]
+}
--- a/dispatch/share_simulation_test.go
+++ b/dispatch/share_simulation_test.go
@@ -13,12 +13,12 @@
 
 // accountLoad is the load of one account in a simulation.
 type accountLoad struct {
-	account   acaciatally.AccountName
-	perSecond func(now time.Duration) float64
-	queue     acaciatally.Queue
-	step      acaciatally.Step
-	runTime   time.Duration // mean
-	dependent bool          // a second step of the same kind follows
+	account    acaciatally.AccountName
+	perSecond  func(now time.Duration) float64
+	queue      acaciatally.Queue
+	step       acaciatally.Step
+	runTime    time.Duration // mean
+	savesAfter time.Duration // run time until a run with checkpoints saves the first one
 }
 
 // shareSimulation runs a scheduler under the load of several accounts.
@@ -29,10 +29,21 @@
 	submitted []int     // by load
 	inTime    []int     // by load
 	loadOf    map[acaciatally.JobID]int
+	running   map[acaciatally.WorkerID][]accountRun
+	stops     int       // runs that were stopped
 	used      []float64 // processors times samples, by load, since measureFrom
 	samples   int
 }
 
+// accountRun is a run of a shareSimulation.
+type accountRun struct {
+	order       acaciatally.StartOrder
+	checkpoints bool
+	savesAfter  time.Duration
+	startedAt   time.Duration
+	stopped     bool
+}
+
 // constant returns a load that does not change.
 func constant(perSecond float64) func(time.Duration) float64 {
 	return func(time.Duration) float64 { return perSecond }
@@ -69,7 +80,7 @@
 	t.Helper()
 	s := &shareSimulation{
 		simulation: newSimulation(t, simulatedWorkers), loads: loads, due: make([]float64, len(loads)), submitted: make([]int, len(loads)),
-		inTime: make([]int, len(loads)), loadOf: map[acaciatally.JobID]int{}, used: make([]float64, len(loads)),
+		inTime: make([]int, len(loads)), loadOf: map[acaciatally.JobID]int{}, running: map[acaciatally.WorkerID][]accountRun{}, used: make([]float64, len(loads)),
 	}
 	configureAccounts(s.scheduler, weights)
 	return s
@@ -85,12 +96,14 @@
 			}
 		}
 		for _, w := range s.workers {
-			s.scheduler.Report(w.ID, s.report(w, now), now, now)
+			s.scheduler.Report(w.ID, s.reportOf(w, now), now, now)
 		}
 		s.countJobsInTime(now)
-		for _, order := range startDue(s.scheduler, now) {
-			id, task := order.Worker.ID, order.Start.Task
-			s.runs[id] = append(s.runs[id], simulatedRun{task, order.Start.Attempt, now + s.runTimes[task]})
+		s.scheduler.Plan(now, time.UnixMilli(0))
+		commitAll(s.scheduler, now)
+		for _, order := range s.scheduler.Orders(now) {
+			s.execute(order, now)
+			s.scheduler.OrderResult(order, nil, now)
 		}
 		if now >= measureFrom {
 			s.measure()
@@ -98,15 +111,61 @@
 	}
 }
 
+// execute starts or stops a run.
+func (s *shareSimulation) execute(order Order, now time.Duration) {
+	id := order.Worker.ID
+	if order.Kind == OrderStart {
+		load := &s.loads[s.loadOf[order.Start.Task.Job]]
+		s.running[id] = append(s.running[id], accountRun{
+			order: order.Start, checkpoints: load.step.Checkpoints, savesAfter: load.savesAfter, startedAt: now,
+		})
+		return
+	}
+	for i := range s.running[id] {
+		if run := &s.running[id][i]; run.order.Task == order.Start.Task && run.order.Attempt == order.Start.Attempt {
+			run.stopped = true
+			s.stops++
+		}
+	}
+}
+
+// reportOf returns the report of a worker. A run with checkpoints saves one with each report, so that a stop loses no work.
+func (s *shareSimulation) reportOf(w acaciatally.Worker, now time.Duration) acaciatally.WorkerReport {
+	report := acaciatally.WorkerReport{Clock: now, StartTime: w.StartTime}
+	left := s.running[w.ID][:0]
+	for _, run := range s.running[w.ID] {
+		task, elapsed := run.order.Task, now-run.startedAt
+		checkpoint := ""
+		if run.checkpoints && elapsed >= run.savesAfter {
+			checkpoint = "saved"
+		}
+		if elapsed < s.runTimes[task] && !run.stopped {
+			left = append(left, run)
+			report.Running = append(report.Running, acaciatally.RunningTask{
+				Task: task, Attempt: run.order.Attempt, Percent: int(100 * elapsed / s.runTimes[task]), Checkpoint: checkpoint,
+			})
+			continue
+		}
+		end := acaciatally.EndDone
+		if elapsed < s.runTimes[task] {
+			end = acaciatally.EndStopped
+			if checkpoint != "" {
+				s.runTimes[task] -= elapsed
+			}
+		}
+		s.endNumbers[w.ID]++
+		report.Ended = append(report.Ended, acaciatally.EndedTask{
+			Number: s.endNumbers[w.ID], Task: task, Attempt: run.order.Attempt, End: end, Checkpoint: checkpoint,
+		})
+	}
+	s.running[w.ID] = left
+	return report
+}
+
 func (s *shareSimulation) submitFor(i int, now time.Duration) {
 	load := &s.loads[i]
 	id := acaciatally.JobID(fmt.Sprintf("%s-%d-%06d", load.account, i, s.submitted[i]))
 	steps := []acaciatally.Step{load.step}
-	if load.dependent {
-		second := load.step
-		second.After = []int{0}
-		steps = append(steps, second)
-	}
 	s.dueBy[id], s.loadOf[id] = now+load.queue.Objective, i
 	for number, step := range steps {
 		longest := time.Duration(0)
--- a/dispatch/work_order.go
+++ b/dispatch/work_order.go
@@ -20,8 +20,9 @@
 // room: what nobody who comes before can use. Within an account the jobs keep the order of compareJobs: if it sends more than its rate, the
 // first of its waiting jobs by that order are within the rate, as many as have arrived within it.
 
-// placePool places the waiting jobs of a pool, which are sorted by compareJobs, in the order of work.
-func (s *Scheduler) placePool(pool acaciatally.PoolName, jobs []*activeJob, now time.Duration) {
+// placePool places the waiting jobs of a pool, which are sorted by compareJobs, in the order of work. all tells that this is a placement
+// of all pools, which takes place every checkInterval; then lent room is reclaimed.
+func (s *Scheduler) placePool(pool acaciatally.PoolName, jobs []*activeJob, all bool, now time.Duration) {
 	set := s.candidateSet(pool, now)
 	if !s.shares.active {
 		for _, j := range jobs {
@@ -33,6 +34,9 @@
 	within, beyond := s.splitByRate(jobs)
 	s.placeByShare(p, within, set, now)
 	s.placeByShare(p, beyond, set, now)
+	if all {
+		s.reclaim(p, within, set, now)
+	}
 }
 
 // splitByRate splits jobs into those within the rate of their account and those beyond it. Jobs of one account exchange their marks, so that
