Count work beyond shares and rates as overdue demand of its pool

Cause: an account that sent more than its rate or its share drew instances to its pool from pools whose work was within the shares.

Change: the demand of accounts is divided over the whole fleet; what is beyond an account's share, and jobs beyond its rate, count as overdue work, which the division of instances serves last. Jobs beyond the rate raise no minimum of workers, and what is beyond rate or share is left out of the arrivals from which a pool's demand is expected.

--- a/capacity/plan.go
+++ b/capacity/plan.go
@@ -27,7 +27,7 @@
 	Standby     bool
 	Used        acaciatally.ResourceVector // by running tasks, but those of overdue jobs
 	Waiting     acaciatally.ResourceVector // for tasks that are ready to run, but those of overdue jobs
-	Overdue     acaciatally.ResourceVector // for running and ready tasks of jobs whose result comes too late to be of use
+	Overdue     acaciatally.ResourceVector // for running and ready tasks whose result comes too late to be of use, or beyond the rate or share of an account
 	LongRunning acaciatally.ResourceVector // for long-running tasks, which are also part of Used or Waiting
 	Expected    acaciatally.ResourceVector // forecast for about the duration of a move
 	MinWorkers  int                        // instances required by limits on the tasks per worker
--- a/dispatch/demand.go
+++ b/dispatch/demand.go
@@ -30,6 +30,11 @@
 	}
 }
 
+// times returns w multiplied by a factor.
+func (w work) times(factor float64) work {
+	return work{w.processors * factor, w.memory * factor, w.accelerators * factor}
+}
+
 // arrivals is the work that has arrived for a pool during the last seconds.
 type arrivals struct {
 	buckets [demandBuckets]work
@@ -103,13 +108,13 @@
 	return estimated
 }
 
-// observeArrival adds the expected work of a loaded job to the arrivals of its pool.
-func (s *Scheduler) observeArrival(j *activeJob, now time.Duration) {
+// observeArrival adds a part of the expected work of a loaded job to the arrivals of its pool.
+func (s *Scheduler) observeArrival(j *activeJob, part float64, now time.Duration) {
 	pool := j.accepted.Queue.Pool
 	if s.arrivals[pool] == nil {
 		s.arrivals[pool] = &arrivals{index: int64(now / demandBucket)}
 	}
-	s.arrivals[pool].add(s.estimatedWork(j), now)
+	s.arrivals[pool].add(s.estimatedWork(j).times(part), now)
 }
 
 // observeRunTime updates the mean run time of the queue's tasks. A run with a checkpoint is left out, since it may have resumed and
--- a/dispatch/share.go
+++ b/dispatch/share.go
@@ -44,7 +44,9 @@
 	// While a pool is checked for room to reclaim, leaving is reserved by runs that are being stopped, and coming by tasks that will be placed
 	// there.
 	leaving, coming acaciatally.ResourceVector
-	tokens          int // waiting jobs of a pool that are within its rate, while the jobs of the pool are sorted
+	// servedPart is the part of its demand on the whole fleet that is within its share; see demandByAccount.
+	servedPart float64
+	tokens     int // waiting jobs of a pool that are within its rate, while the jobs of the pool are sorted
 }
 
 // poolShares is the division of one pool between accounts. Its slices are indexed by accountShare.index.
@@ -60,6 +62,11 @@
 // configureShares applies the weights of a configuration.
 func (s *Scheduler) configureShares() {
 	s.shares.active = s.configuration.Accounts != nil
+	if !s.shares.active {
+		for _, j := range s.jobs {
+			j.beyondRate = false
+		}
+	}
 	for _, a := range s.shares.list {
 		a.weight = s.weightOf(a.name)
 	}
@@ -95,7 +102,7 @@
 	}
 	a := s.shares.accounts[name]
 	if a == nil {
-		a = &accountShare{index: len(s.shares.list), name: name, weight: s.weightOf(name), rate: sharing.Window{Length: s.config.QuotaWindow}}
+		a = &accountShare{index: len(s.shares.list), name: name, weight: s.weightOf(name), servedPart: 1, rate: sharing.Window{Length: s.config.QuotaWindow}}
 		s.shares.accounts[name] = a
 		s.shares.list = append(s.shares.list, a)
 	}
@@ -106,14 +113,13 @@
 // no particular order.
 func (s *Scheduler) observeJob(j *activeJob, age, now time.Duration) {
 	if j.account == nil || age >= maxJobAge {
-		s.observeArrival(j, now) // the arrival of a job so old is not known
+		s.observeArrival(j, 1, now) // the arrival of a job so old is not known
 		return
 	}
 	s.shares.uncounted = append(s.shares.uncounted, j)
 }
 
-// countArrivals marks the newly loaded jobs that are beyond the rate of their account, in the order in which they arrived. Their work is
-// left out of the demand that pools expect.
+// countArrivals marks the newly loaded jobs that are beyond the rate of their account, in the order in which they arrived.
 func (s *Scheduler) countArrivals(now time.Duration) {
 	if len(s.shares.uncounted) == 0 {
 		return
@@ -123,9 +129,7 @@
 	})
 	for _, j := range s.shares.uncounted {
 		j.beyondRate = s.shares.active && !j.account.rate.Admit(j.arrivedAt, s.rateLimit(j.account))
-		if !j.beyondRate {
-			s.observeArrival(j, now)
-		}
+		s.observeAccountArrival(j, now)
 	}
 	clear(s.shares.uncounted)
 	s.shares.uncounted = s.shares.uncounted[:0]
--- a/dispatch/view.go
+++ b/dispatch/view.go
@@ -21,9 +21,11 @@
 
 // PoolView is the demand on a pool.
 type PoolView struct {
-	Used        acaciatally.ResourceVector // by assigned tasks, but those of overdue jobs
-	Waiting     acaciatally.ResourceVector // by tasks that are ready to run, but those of overdue jobs
-	Overdue     acaciatally.ResourceVector // by assigned and ready tasks of jobs whose result comes too late to be of use
+	Used    acaciatally.ResourceVector // by assigned tasks, but those counted in Overdue
+	Waiting acaciatally.ResourceVector // by tasks that are ready to run, but those counted in Overdue
+	// Overdue is reserved by assigned and ready tasks of jobs whose result comes too late to be of use, or that are beyond the rate or the
+	// share of their account.
+	Overdue     acaciatally.ResourceVector
 	LongRunning acaciatally.ResourceVector // by long-running tasks, which are also part of Used or Waiting
 	Expected    acaciatally.ResourceVector // predicted need of the near future, from the arrivals of the last seconds
 	MinWorkers  int                        // minimum number of workers, because of the limits of tasks per worker
@@ -51,11 +53,18 @@
 // Pools returns the demand on all pools.
 func (s *Scheduler) Pools(now time.Duration) map[acaciatally.PoolName]PoolView {
 	pools := map[acaciatally.PoolName]PoolView{}
+	byAccount := s.newDemandByAccount()
 	for _, j := range s.jobs {
+		isOverdue := j.live() && !j.hasLongRunning && s.latenessOf(j, now) == overdue
 		pool := pools[j.accepted.Queue.Pool]
-		j.addDemand(&pool, j.live() && !j.hasLongRunning && s.latenessOf(j, now) == overdue)
+		if view := byAccount.view(j); view != nil {
+			j.addDemand(view, isOverdue || j.beyondRate)
+		} else {
+			j.addDemand(&pool, isOverdue)
+		}
 		pools[j.accepted.Queue.Pool] = pool
 	}
+	byAccount.addTo(pools)
 	for name, arrivals := range s.arrivals {
 		pool := pools[name]
 		pool.Expected = pool.LongRunning.Plus(arrivals.expected(now))
@@ -83,7 +92,7 @@
 		for number, tasks := range o.steps {
 			step := &j.accepted.Spec.Steps[number]
 			ready := j.live() && o.ready(&j.accepted.Spec, number)
-			if ready && step.PerWorker > 0 {
+			if ready && step.PerWorker > 0 && !j.beyondRate {
 				pool.MinWorkers = max(pool.MinWorkers, (step.Count+step.PerWorker-1)/step.PerWorker)
 			}
 			for _, t := range tasks {
--- a/sharing/divide.go
+++ b/sharing/divide.go
@@ -124,16 +124,30 @@
 // take adds what a party takes at a level to taken.
 func (d *division) take(i int, level float64, taken *amounts) {
 	p := &d.parties[i]
+	demand := amountsOf(p.Demand)
+	part := p.servedPart(d.fleet, p.Weight*level)
+	for r := range taken {
+		taken[r] += part * demand[r]
+	}
+}
+
+// ServedPart returns the part of its demand, between 0 and 1, that the party gets of a fleet with an entitlement.
+func (p *Party) ServedPart(fleet acaciatally.ResourceVector, entitled float64) float64 {
+	return p.servedPart(amountsOf(fleet), entitled)
+}
+
+func (p *Party) servedPart(fleet amounts, entitled float64) (part float64) {
+	if math.IsInf(entitled, 1) {
+		return 1
+	}
+	part = 1
 	demand, held := amountsOf(p.Demand), amountsOf(p.Held)
-	part := 1.0
 	for r := range demand {
-		if demand[r] > 0 && d.fleet[r] > 0 {
-			part = min(part, (p.Weight*level*d.fleet[r]-held[r])/demand[r])
+		if demand[r] > 0 && fleet[r] > 0 {
+			part = min(part, (entitled*fleet[r]-held[r])/demand[r])
 		}
 	}
-	for r := range taken {
-		taken[r] += max(0, part) * demand[r]
-	}
+	return max(0, part)
 }
 
 // stop ends the rise of the parties that demand a saturated resource, at the level.
--- a/sharing/divide_test.go
+++ b/sharing/divide_test.go
@@ -12,11 +12,10 @@
 
 // granted returns what a party gets of the divided capacity with its entitlement.
 func granted(fleet acaciatally.ResourceVector, p Party, entitled float64) (got amounts) {
-	if math.IsInf(entitled, 1) {
-		return amountsOf(p.Demand)
+	got = amountsOf(p.Demand)
+	for r := range got {
+		got[r] *= p.ServedPart(fleet, entitled)
 	}
-	d := division{fleet: amountsOf(fleet), parties: []Party{p}}
-	d.take(0, entitled/p.Weight, &got)
 	return got
 }
 
