--- a/dispatch/reclaim.go
+++ b/dispatch/reclaim.go
@@ -54,44 +54,25 @@
 }
 
 // reclaim stops runs of accounts that use more than their share of the pool, if they have saved a checkpoint, for jobs of accounts that use
-// less and have waited for reclaimAfter. The jobs are those within the rate of their account, in the order of work, after they were placed.
+// less and have waited for reclaimAfter. The jobs are those within the rate of their account, in the order of work, after they were placed. The
+// room goes to whatever comes first in the order of work, which may be other jobs; the runs that are stopped come after all of them.
 func (s *Scheduler) reclaim(p *poolShares, jobs []*activeJob, set *candidateSet, now time.Duration) {
 	if s.heldStarts > 0 {
 		return
 	}
 	check := reclaimCheck{scheduler: s, pool: p, now: now}
-	for len(jobs) > 0 && check.unplaced < maxUnplacedSteps {
-		size := 1
-		for size < len(jobs) && sameGroup(jobs[0], jobs[size]) {
-			size++
-		}
-		if othersFirst := check.group(jobs[:size], set); othersFirst {
-			return
-		}
-		jobs = jobs[size:]
-	}
-}
-
-// group reclaims room for a group of jobs that only their shares tell apart. It returns whether other jobs of the group wait, which would
-// be placed before the jobs of later groups.
-func (r *reclaimCheck) group(jobs []*activeJob, set *candidateSet) (othersFirst bool) {
-	if jobs[0].hasLongRunning || jobs[0].lateness == overdue {
-		return false
-	}
 	for _, j := range jobs {
-		if !r.scheduler.within(r.pool, j.account) {
-			othersFirst = othersFirst || j.hasWaiting()
-			continue
+		if check.unplaced == maxUnplacedSteps {
+			return
 		}
-		if j.account == nil || !j.hasWaiting() {
+		if j.account == nil || j.hasLongRunning || j.lateness == overdue || !s.within(p, j.account) || !j.hasWaiting() {
 			continue
 		}
-		j.short.observe(r.now)
-		if r.now >= j.short.since+reclaimAfter && r.begin(set) && r.unplaced < maxUnplacedSteps {
-			r.forJob(j)
+		j.short.observe(now)
+		if now >= j.short.since+reclaimAfter && check.begin(set) {
+			check.forJob(j)
 		}
 	}
-	return othersFirst
 }
 
 // begin collects the runs that may be stopped, once, and returns whether there is room to reclaim.
@@ -151,6 +132,7 @@
 
 // forJob reclaims room for the waiting tasks of a job.
 func (r *reclaimCheck) forJob(j *activeJob) {
+	a := j.account
 	for _, o := range j.openOccurrences {
 		for number, tasks := range o.steps {
 			step := &j.accepted.Spec.Steps[number]
@@ -161,9 +143,12 @@
 				if !isWaiting(t) {
 					continue
 				}
-				if r.left == 0 || !r.belowShareWith(t) {
+				if r.left == 0 || !r.scheduler.belowShareWith(r.pool, a, a.used.Plus(a.coming).Minus(a.leaving), step) {
 					return
 				}
+				if !j.usage.hasHeadroom(step.Resources.Plus(a.coming)) {
+					return // it waits for its account's maximum, not for others
+				}
 				if !r.forTask(t) {
 					r.markUnplaceable(t)
 					break
@@ -181,11 +166,10 @@
 	}
 }
 
-// belowShareWith reports whether the task's account will be within its share with the task, or uses nothing.
-func (r *reclaimCheck) belowShareWith(t *task) bool {
-	a := t.job.account
-	using := a.used.Plus(a.coming).Minus(a.leaving)
-	return using.IsZero() || r.share(using.Plus(t.step.Reserved())) <= r.pool.entitledTo(a)
+// belowShareWith reports whether an account that uses the given resources is within its share of a pool with one more task of a step, or uses
+// nothing.
+func (s *Scheduler) belowShareWith(p *poolShares, a *accountShare, used acaciatally.ResourceVector, step *acaciatally.Step) bool {
+	return used.IsZero() || sharing.DominantShare(used.Plus(step.Reserved()), s.shares.fleet) <= p.entitledTo(a)
 }
 
 // forTask reclaims room for a task on the worker where the fewest runs have to be stopped, and returns whether there will be room for it.
--- a/dispatch/reclaim_test.go
+++ b/dispatch/reclaim_test.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"maps"
 	"testing"
 	"time"
 
@@ -41,10 +42,10 @@
 		t.Run(name, func(t *testing.T) {
 			weights := map[acaciatally.AccountName]float64{"large": 10, "small": test.weight}
 			s := newShareSimulation(t, weights,
-				accountLoad{
+				simulatedLoad{
 					account: "large", perSecond: constant(8), queue: testQueue(), step: longStep(test.checkpoints), runTime: 20 * time.Second, savesAfter: test.savesAfter,
 				},
-				accountLoad{account: "small", perSecond: during(begin, time.Minute, 0, 30), queue: testQueue(), step: testStep(4, 1000), runTime: meanRunTime},
+				simulatedLoad{account: "small", perSecond: during(begin, time.Minute, 0, 30), queue: testQueue(), step: testStep(4, 1000), runTime: meanRunTime},
 			)
 			s.run(begin+returnBound+2*time.Second, begin+returnBound)
 			require.GreaterOrEqual(t, s.meanUse(1), test.minUse)
@@ -75,8 +76,8 @@
 		t.Run(name, func(t *testing.T) {
 			weights := map[acaciatally.AccountName]float64{"large": test.weight, "small": 10}
 			s := newShareSimulation(t, weights,
-				accountLoad{account: "large", perSecond: during(0, time.Second, 0, 20), queue: test.large, step: longStep(true), runTime: 20 * time.Second},
-				accountLoad{
+				simulatedLoad{account: "large", perSecond: during(0, time.Second, 0, 20), queue: test.large, step: longStep(true), runTime: 20 * time.Second},
+				simulatedLoad{
 					account: test.smallAccount, perSecond: during(4*time.Second, time.Minute, 0, 30), queue: test.small, step: testStep(4, 1000), runTime: meanRunTime,
 				},
 			)
@@ -92,12 +93,12 @@
 	const begin, tolerance = 3 * time.Second, 0.06
 	rapid.Check(t, func(rt *rapid.T) {
 		weights, sum := map[acaciatally.AccountName]float64{}, 0.0
-		var loads []accountLoad
+		var loads []simulatedLoad
 		for i := range rapid.IntRange(2, 4).Draw(rt, "accounts") {
 			name := acaciatally.AccountName(rune('a' + i))
 			weights[name] = float64(rapid.IntRange(1, 6).Draw(rt, "weight")) * 100
 			sum += weights[name]
-			load := accountLoad{account: name, queue: testQueue(), step: testStep(rapid.IntRange(1, 4).Draw(rt, "tasks"), 1000), runTime: meanRunTime}
+			load := simulatedLoad{account: name, queue: testQueue(), step: testStep(rapid.IntRange(1, 4).Draw(rt, "tasks"), 1000), runTime: meanRunTime}
 			if rapid.Bool().Draw(rt, "long") {
 				load.runTime = time.Duration(rapid.IntRange(5, 20).Draw(rt, "seconds")) * time.Second
 				load.step.Checkpoints, load.step.Estimate = true, load.runTime
@@ -125,3 +126,42 @@
 		}
 	})
 }
+
+// TestMaximumAndShares guards against an account that waits for its maximum and holds up others by its share: runs of others were stopped for
+// work that may not begin, others were entitled to less than they could use, and no room was reclaimed for jobs that come after those that
+// wait for the maximum.
+func TestMaximumAndShares(t *testing.T) {
+	const large, small, capped = 0, 1, 2
+	tests := map[string]struct {
+		weight  float64
+		maximum acaciatally.ResourceVector // of 4 tasks
+	}{
+		"below its share":           {2000, acaciatally.ResourceVector{Processors: 4000}},
+		"above its share":           {10, acaciatally.ResourceVector{Processors: 4000}},
+		"maximum of another amount": {2000, acaciatally.ResourceVector{Memory: 40}},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			urgent, usual := testQueue(), testQueue()
+			usual.Priority = 1
+			weights := map[acaciatally.AccountName]float64{"large": 1000, "small": 1000, "capped": test.weight}
+			s := newShareSimulation(t, weights,
+				simulatedLoad{account: "large", perSecond: during(0, time.Second, 0, 20), queue: usual, step: longStep(true), runTime: time.Minute},
+				simulatedLoad{account: "small", perSecond: during(4*time.Second, time.Minute, 0, 30), queue: usual, step: testStep(4, 1000), runTime: meanRunTime},
+				simulatedLoad{account: "capped", perSecond: during(2*time.Second, time.Minute, 0, 30), queue: urgent, step: testStep(4, 1000), runTime: meanRunTime},
+			)
+			accounts := maps.Clone(s.scheduler.configuration.Accounts)
+			account := accounts["capped"]
+			account.Maximum = test.maximum
+			accounts["capped"] = account
+			s.scheduler.Configure(&acaciatally.Configuration{Version: 2, Accounts: accounts})
+			s.run(4*time.Second, 0)
+			require.LessOrEqual(t, s.stops, 8) // the room of 4 tasks, on one or two workers
+			s.samples, s.used = 0, make([]float64, 3)
+			s.runFrom(4*time.Second, 10*time.Second, 8*time.Second)
+			require.LessOrEqual(t, s.meanUse(capped), 0.05)
+			require.InDelta(t, 0.5, s.meanUse(large), 0.08)
+			require.InDelta(t, 0.5, s.meanUse(small), 0.08)
+		})
+	}
+}
--- a/dispatch/scheduler.go
+++ b/dispatch/scheduler.go
@@ -47,6 +47,9 @@
 	suspects        map[acaciatally.InstanceID]suspectRuns // of workers that could not be reached
 	toDrain         map[acaciatally.WorkerID]string        // workers to drain, and the reason
 	drainSoon       map[acaciatally.WorkerID]bool          // workers that will have to be drained soon
+	usages          map[acaciatally.AccountName]*accountUsage
+	nextUsageAt     time.Duration // when the metrics of the accounts are set again
+	maximumsDue     bool          // a new configuration may have lowered the maximum of an account
 	silence         silence
 	starts          startWindow
 	heldStarts      int // start orders that the window held back in the last round
@@ -82,6 +85,7 @@
 		permissions: map[stepKey]*stepPermissions{},
 		suspects:    map[acaciatally.InstanceID]suspectRuns{},
 		toDrain:     map[acaciatally.WorkerID]string{},
+		usages:      map[acaciatally.AccountName]*accountUsage{},
 		silence:     silence{mayBeStored: map[acaciatally.WorkerID]bool{}},
 		starts:      newStartWindow(),
 		startRate:   newStartRate(),
@@ -110,6 +114,10 @@
 	}
 	s.configuration = configuration
 	s.configureShares()
+	s.maximumsDue = len(s.usages) > 0
+	for _, u := range s.usages {
+		u.configure(configuration)
+	}
 	for _, queue := range configuration.Queues {
 		for _, j := range s.jobs {
 			if j.accepted.Queue.Name == queue.Name {
@@ -123,6 +131,7 @@
 type activeJob struct {
 	id               acaciatally.JobID
 	accepted         job.Accepted
+	usage            *accountUsage // of its account; nil without one
 	state            acaciatally.JobState
 	digest           uint64
 	nextOccurrence   int // number of the next occurrence to open
@@ -233,6 +242,7 @@
 	if a := t.job.account; a != nil {
 		a.used = a.used.Plus(t.step.Reserved())
 	}
+	t.job.usage.add(t.step.Resources, 1)
 	t.joinSuspects()
 	t.job.dirty = true
 }
@@ -245,7 +255,7 @@
 	return t.worker.entry.ID
 }
 
-// release returns the task to waiting. The caller must be sure that its run is over or was never started.
+// release returns the task to waiting. The caller must be sure that its run is over or was never started, or call keepLeftover before.
 func (t *task) release() {
 	if t.worker != nil {
 		delete(t.worker.runs, t)
@@ -253,6 +263,7 @@
 		if a := t.job.account; a != nil {
 			a.used = a.used.Minus(t.step.Reserved())
 		}
+		t.job.usage.add(t.step.Resources, -1)
 		t.leaveSuspects()
 	}
 	t.phase, t.stage, t.worker = job.Waiting, stagePlanned, nil
--- a/dispatch/share.go
+++ b/dispatch/share.go
@@ -129,7 +129,7 @@
 	})
 	for _, j := range s.shares.uncounted {
 		j.beyondRate = s.shares.active && !j.account.rate.Admit(j.arrivedAt, s.rateLimit(j.account))
-		s.observeAccountArrival(j, now)
+		s.observeLoadWithinShare(j, now)
 	}
 	clear(s.shares.uncounted)
 	s.shares.uncounted = s.shares.uncounted[:0]
@@ -243,7 +243,8 @@
 func (s *Scheduler) dividePool(p *poolShares) {
 	parties, weights := s.shares.parties[:0], 0.0
 	for i, a := range s.shares.list {
-		party := sharing.Party{Weight: a.weight, Held: a.used.Minus(p.used[i]), Demand: p.used[i].Plus(p.waiting[i])}
+		waiting := s.usages[a.name].upToMaximum(p.waiting[i])
+		party := sharing.Party{Weight: a.weight, Held: a.used.Minus(p.used[i]), Demand: p.used[i].Plus(waiting)}
 		parties = append(parties, party)
 		if !party.Demand.IsZero() {
 			weights += a.weight
@@ -271,3 +272,24 @@
 	}
 	return p.entitled[a.index]
 }
+
+// upToMaximum returns the part of waiting work that the account may begin within its maximum. The rest does not count in the division, so that
+// others are entitled to what the account can't use.
+func (u *accountUsage) upToMaximum(waiting acaciatally.ResourceVector) acaciatally.ResourceVector {
+	if !u.limited() {
+		return waiting
+	}
+	part := 1.0
+	limit := func(waiting, maximum, used int) {
+		if maximum > 0 && waiting > 0 {
+			part = min(part, float64(max(0, maximum-used))/float64(waiting))
+		}
+	}
+	limit(waiting.Processors, u.maximum.Processors, u.used.Processors)
+	limit(waiting.Memory, u.maximum.Memory, u.used.Memory)
+	limit(waiting.Accelerators, u.maximum.Accelerators, u.used.Accelerators)
+	if part == 1 {
+		return waiting
+	}
+	return scaled(waiting, part)
+}
--- a/dispatch/share_demand.go
+++ b/dispatch/share_demand.go
@@ -111,9 +111,9 @@
 	}
 }
 
-// observeAccountArrival adds the expected work of a loaded job of an account to the arrivals of its pool, without what is beyond the account's
+// observeLoadWithinShare adds the expected work of a loaded job of an account to the arrivals of its pool, without what is beyond the account's
 // rate and share.
-func (s *Scheduler) observeAccountArrival(j *activeJob, now time.Duration) {
+func (s *Scheduler) observeLoadWithinShare(j *activeJob, now time.Duration) {
 	switch {
 	case !s.shares.active || j.hasLongRunning:
 		s.observeArrival(j, 1, now)
--- a/dispatch/share_demand_test.go
+++ b/dispatch/share_demand_test.go
@@ -28,9 +28,9 @@
 func TestDemandBeyondShare(t *testing.T) {
 	scheduler, first, second := twoPools(map[acaciatally.AccountName]float64{"large": 100, "small": 300})
 	for i := range 12 {
-		loadAccountJob(scheduler, acaciatally.JobID(fmt.Sprintf("large-%d", i)), "large", first, 0, 0, testStep(4, 1000))
+		loadQueuedJob(scheduler, acaciatally.JobID(fmt.Sprintf("large-%d", i)), "large", first, 0, 0, testStep(4, 1000))
 	}
-	loadAccountJob(scheduler, "small", "small", second, 0, 0, testStep(10, 1000))
+	loadQueuedJob(scheduler, "small", "small", second, 0, 0, testStep(10, 1000))
 	scheduler.Plan(0, time.UnixMilli(0))
 	pools := scheduler.Pools(0)
 	require.InDelta(t, 6000, pools[testPool].Used.Plus(pools[testPool].Waiting).Processors, 10)
@@ -46,10 +46,10 @@
 	scheduler, first, _ := twoPools(map[acaciatally.AccountName]float64{"hot": 1, "idle": 1e6})
 	step := testStep(1, 10)
 	for i := range 100 {
-		loadAccountJob(scheduler, acaciatally.JobID(fmt.Sprintf("hot-%03d", i)), "hot", first, 0, time.Second, step)
+		loadQueuedJob(scheduler, acaciatally.JobID(fmt.Sprintf("hot-%03d", i)), "hot", first, 0, time.Second, step)
 	}
 	step.Count, step.PerWorker = 7, 1
-	loadAccountJob(scheduler, "hot-spread", "hot", first, 0, time.Second, step)
+	loadQueuedJob(scheduler, "hot-spread", "hot", first, 0, time.Second, step)
 	scheduler.Plan(time.Second, time.UnixMilli(0))
 	pool := scheduler.Pools(time.Second)[testPool]
 	require.Equal(t, 10*withinRate, pool.Used.Plus(pool.Waiting).Processors)
@@ -68,7 +68,7 @@
 				if i%3 == 0 {
 					queue = second
 				}
-				loadAccountJob(scheduler, acaciatally.JobID(fmt.Sprintf("j-%03d", i)), account, queue, 0, time.Second, testStep(1+size%3, 1+size))
+				loadQueuedJob(scheduler, acaciatally.JobID(fmt.Sprintf("j-%03d", i)), account, queue, 0, time.Second, testStep(1+size%3, 1+size))
 			}
 			scheduler.Plan(time.Second, time.UnixMilli(0))
 			return scheduler.Pools(time.Second)
--- a/dispatch/share_simulation_test.go
+++ b/dispatch/share_simulation_test.go
@@ -11,8 +11,8 @@
 	"github.com/acaciatally/acaciatally/job"
 )
 
-// accountLoad is the load of one account in a simulation.
-type accountLoad struct {
+// simulatedLoad is the load of one account in a simulation.
+type simulatedLoad struct {
 	account    acaciatally.AccountName
 	perSecond  func(now time.Duration) float64
 	queue      acaciatally.Queue
@@ -24,15 +24,17 @@
 // shareSimulation runs a scheduler under the load of several accounts.
 type shareSimulation struct {
 	*simulation
-	loads     []accountLoad
+	loads     []simulatedLoad
 	due       []float64 // jobs to submit, by load
 	submitted []int     // by load
 	inTime    []int     // by load
 	loadOf    map[acaciatally.JobID]int
 	running   map[acaciatally.WorkerID][]accountRun
-	stops     int       // runs that were stopped
-	used      []float64 // processors times samples, by load, since measureFrom
-	samples   int
+	stops     int // runs that were stopped
+	// afterRound is called after each round, unless it is nil.
+	afterRound func(now time.Duration)
+	used       []float64 // processors times samples, by load, since measureFrom
+	samples    int
 }
 
 // accountRun is a run of a shareSimulation.
@@ -76,7 +78,7 @@
 	scheduler.Configure(configuration)
 }
 
-func newShareSimulation(t *testing.T, weights map[acaciatally.AccountName]float64, loads ...accountLoad) *shareSimulation {
+func newShareSimulation(t *testing.T, weights map[acaciatally.AccountName]float64, loads ...simulatedLoad) *shareSimulation {
 	t.Helper()
 	s := &shareSimulation{
 		simulation: newSimulation(t, simulatedWorkers), loads: loads, due: make([]float64, len(loads)), submitted: make([]int, len(loads)),
@@ -88,7 +90,12 @@
 
 // run simulates the time from 0 to duration. Use is measured after measureFrom; jobs in time are those of the whole time.
 func (s *shareSimulation) run(duration, measureFrom time.Duration) {
-	for now := time.Duration(0); now < duration; now += simulationStep {
+	s.runFrom(0, duration, measureFrom)
+}
+
+// runFrom simulates the time from begin to duration.
+func (s *shareSimulation) runFrom(begin, duration, measureFrom time.Duration) {
+	for now := begin; now < duration; now += simulationStep {
 		for i := range s.loads {
 			s.due[i] += s.loads[i].perSecond(now) * simulationStep.Seconds()
 			for ; s.due[i] >= 1; s.due[i]-- {
@@ -108,6 +115,9 @@
 		if now >= measureFrom {
 			s.measure()
 		}
+		if s.afterRound != nil {
+			s.afterRound(now)
+		}
 	}
 }
 
@@ -219,9 +229,9 @@
 // then get their results too late.
 func TestHotAccount(t *testing.T) {
 	weights := map[acaciatally.AccountName]float64{"hot": 4, "b": 4, "c": 4, "d": 4}
-	loads := []accountLoad{{account: "hot", perSecond: during(5*time.Second, 13*time.Second, 4, 30)}}
+	loads := []simulatedLoad{{account: "hot", perSecond: during(5*time.Second, 13*time.Second, 4, 30)}}
 	for _, name := range []acaciatally.AccountName{"b", "c", "d"} {
-		loads = append(loads, accountLoad{account: name, perSecond: constant(4)})
+		loads = append(loads, simulatedLoad{account: name, perSecond: constant(4)})
 	}
 	for i := range loads {
 		loads[i].queue, loads[i].step, loads[i].runTime = testQueue(), testStep(4, 1000), meanRunTime
@@ -236,9 +246,9 @@
 // TestAllAboveShare guards against shares that do not follow the weights while all accounts send more than their shares at once.
 func TestAllAboveShare(t *testing.T) {
 	weights := map[acaciatally.AccountName]float64{"a": 3, "b": 6, "c": 9, "d": 12}
-	var loads []accountLoad
+	var loads []simulatedLoad
 	for _, name := range []acaciatally.AccountName{"a", "b", "c", "d"} {
-		loads = append(loads, accountLoad{account: name, perSecond: constant(20), queue: testQueue(), step: testStep(4, 1000), runTime: meanRunTime})
+		loads = append(loads, simulatedLoad{account: name, perSecond: constant(20), queue: testQueue(), step: testStep(4, 1000), runTime: meanRunTime})
 	}
 	s := newShareSimulation(t, weights, loads...)
 	s.run(15*time.Second, 5*time.Second)
@@ -250,14 +260,14 @@
 // TestManySmallAccounts guards against accounts with one job each that wait for the backlogs of a few large ones.
 func TestManySmallAccounts(t *testing.T) {
 	weights := map[acaciatally.AccountName]float64{"large-1": 10, "large-2": 10}
-	var loads []accountLoad
+	var loads []simulatedLoad
 	for i := range 30 {
 		name := acaciatally.AccountName(fmt.Sprintf("small-%d", i))
 		weights[name] = 1
 		at := 5*time.Second + time.Duration(i)*200*time.Millisecond
-		loads = append(loads, accountLoad{account: name, perSecond: during(at, at+simulationStep, 0, 1/simulationStep.Seconds())})
+		loads = append(loads, simulatedLoad{account: name, perSecond: during(at, at+simulationStep, 0, 1/simulationStep.Seconds())})
 	}
-	loads = append(loads, accountLoad{account: "large-1", perSecond: constant(40)}, accountLoad{account: "large-2", perSecond: constant(40)})
+	loads = append(loads, simulatedLoad{account: "large-1", perSecond: constant(40)}, simulatedLoad{account: "large-2", perSecond: constant(40)})
 	for i := range loads {
 		loads[i].queue, loads[i].step, loads[i].runTime = testQueue(), testStep(4, 1000), meanRunTime
 	}
@@ -276,7 +286,7 @@
 	weights := map[acaciatally.AccountName]float64{"a": 10, "b": 20}
 	urgent, usual := testQueue(), testQueue()
 	urgent.Name, usual.Priority = "urgent", 1
-	loads := []accountLoad{
+	loads := []simulatedLoad{
 		{account: "a", perSecond: constant(2), queue: urgent, step: testStep(1, 1000), runTime: meanRunTime},
 		{account: "a", perSecond: constant(30), queue: usual, step: testStep(4, 1000), runTime: meanRunTime},
 		{account: "b", perSecond: constant(30), queue: usual, step: testStep(4, 1000), runTime: meanRunTime},
@@ -291,7 +301,7 @@
 // but takes capacity that the other account has always used, whose callers then get their results too late.
 func TestHotAccountWithinShare(t *testing.T) {
 	weights := map[acaciatally.AccountName]float64{"hot": 16, "b": 16}
-	loads := []accountLoad{
+	loads := []simulatedLoad{
 		{account: "hot", perSecond: during(5*time.Second, 13*time.Second, 16, 120), step: testStep(1, 1000)},
 		{account: "b", perSecond: constant(16), step: testStep(4, 1000)},
 	}
