Estimate how long a job of an account would wait, and log accounts that are limited

Cause: an entry has to refuse jobs that would wait in vain, and operators have to see which accounts are held to their rate or share.

Change: accountPressure returns the accounts with work that waits beyond their rate or share, and the time until a job submitted now gets room: the work ahead of it, divided by the rate at which the account's work got room during the last seconds. The leader logs these accounts (AccountLimited, every 2 s) and sets gauges of each account's share and entitlement.

--- a/dispatch/event_log.go
+++ b/dispatch/event_log.go
@@ -28,6 +28,9 @@
 	RunEnded(ended acaciatally.EndedTask, worker acaciatally.WorkerID, counts bool)
 	// WorkerChanged logs a new state of a worker as the leader sees it, and the age of the worker's last report.
 	WorkerChanged(worker acaciatally.WorkerID, pool acaciatally.PoolName, state string, age time.Duration)
+	// AccountLimited logs that work of an account waits because it is beyond the account's rate or share, and the estimated time until a job
+	// submitted now gets room.
+	AccountLimited(account acaciatally.AccountName, share AccountShare, wait time.Duration)
 	// AccountAtMaximum logs that a task of an account is not placed because the account would exceed its maximum.
 	AccountAtMaximum(account acaciatally.AccountName, used, maximum acaciatally.ResourceVector)
 	// AccountUsage sets the metrics of the accounts that have a maximum or runs; nil removes them.
--- a/dispatch/ledger.go
+++ b/dispatch/ledger.go
@@ -155,8 +155,11 @@
 	return runs
 }
 
-// AccountUsage is what the runs of an account reserve on all workers together, and its maximum.
-type AccountUsage struct{ Used, Maximum acaciatally.ResourceVector }
+// AccountUsage is what the runs of an account reserve on all workers together, its maximum, and its share.
+type AccountUsage struct {
+	Used, Maximum acaciatally.ResourceVector
+	Share         AccountShare
+}
 
 // accountUsageInterval is the interval at which the metrics of the accounts are set.
 const accountUsageInterval = time.Second
@@ -169,7 +172,7 @@
 	s.nextUsageAt = now + accountUsageInterval
 	report := map[acaciatally.AccountName]AccountUsage{}
 	for name, u := range s.usages {
-		report[name] = AccountUsage{Used: s.accountUsage(name), Maximum: u.maximum}
+		report[name] = AccountUsage{Used: s.accountUsage(name), Maximum: u.maximum, Share: s.shareOf(s.shares.accounts[name])}
 	}
 	s.config.EventLog.AccountUsage(report)
 }
--- a/dispatch/plan.go
+++ b/dispatch/plan.go
@@ -42,6 +42,7 @@
 		return
 	}
 	s.place(pools, now)
+	s.logPressure(now)
 }
 
 // takeChangedPools returns the pools in which a task has started or stopped waiting since the last call, and resets the marks.
@@ -271,6 +272,7 @@
 	t.assign(c.w, stagePlanned)
 	s.config.EventLog.RunPlanned(t.ref, attempt, c.w.entry.ID, c.free.Processors)
 	c.reserve(t)
+	s.countPlaced(t)
 }
 
 // candidateFor returns the candidate of the set on which the task is to be placed, or nil.
--- a/dispatch/scheduler_test.go
+++ b/dispatch/scheduler_test.go
@@ -41,6 +41,10 @@
 	c.count("CrashCounted")
 }
 
+func (c *countingEventLog) AccountLimited(account acaciatally.AccountName, _ AccountShare, _ time.Duration) {
+	c.count("AccountLimited " + string(account))
+}
+
 func (c *countingEventLog) StartsHeld(int, StartWindowState) { c.count("StartsHeld") }
 
 func (c *countingEventLog) RunEnded(acaciatally.EndedTask, acaciatally.WorkerID, bool) {
--- a/dispatch/share.go
+++ b/dispatch/share.go
@@ -30,6 +30,7 @@
 	fleet        acaciatally.ResourceVector
 	pools        map[acaciatally.PoolName]*poolShares
 	nextDivideAt time.Duration
+	nextLogAt    time.Duration
 	deferred     []*activeJob // buffer of placeByShare
 	parties      []sharing.Party
 }
@@ -46,7 +47,9 @@
 	leaving, coming acaciatally.ResourceVector
 	// servedPart is the part of its demand on the whole fleet that is within its share; see demandByAccount.
 	servedPart float64
-	tokens     int // waiting jobs of a pool that are within its rate, while the jobs of the pool are sorted
+	placed     placedRate
+	heldSince  time.Duration // since when some of its work has waited beyond its rate or share; 0 if none does
+	tokens     int           // waiting jobs of a pool that are within its rate, while the jobs of the pool are sorted
 }
 
 // poolShares is the division of one pool between accounts. Its slices are indexed by accountShare.index.
@@ -166,6 +169,9 @@
 	for _, p := range s.shares.pools {
 		s.dividePool(p)
 	}
+	for _, a := range s.shares.list {
+		a.placed.observe(now)
+	}
 }
 
 func (s *Scheduler) resetShares() {
--- a/eventlog/accounts.go
+++ b/eventlog/accounts.go
@@ -7,7 +7,7 @@
 	"github.com/acaciatally/acaciatally/dispatch"
 )
 
-// AccountUsage sets the gauges of what the runs of each account reserve, and of its maximum. Those of accounts that are not named are removed,
+// AccountUsage sets the gauges of what the runs of each account reserve, of its maximum and of its share. Those of accounts that are not named are removed,
 // and all of them with nil, since only the leader knows the usage.
 func (l *Logger) AccountUsage(usage map[acaciatally.AccountName]dispatch.AccountUsage) {
 	l.gaugeMutex.Lock()
@@ -16,6 +16,8 @@
 	for account, amounts := range usage {
 		l.setResources(current, "acaciatally_account_used", account, amounts.Used)
 		l.setResources(current, "acaciatally_account_maximum", account, amounts.Maximum)
+		l.setAccount(current, "acaciatally_account_share", account, amounts.Share.Used)
+		l.setAccount(current, "acaciatally_account_entitled", account, amounts.Share.Entitled)
 	}
 	for name := range l.accountGauges {
 		if !current[name] {
@@ -35,3 +37,10 @@
 		current[name] = true
 	}
 }
+
+// setAccount sets one gauge of an account and adds its name to current.
+func (l *Logger) setAccount(current map[string]bool, metric string, account acaciatally.AccountName, value float64) {
+	name := fmt.Sprintf("%s{account=%q}", metric, string(account))
+	l.metricSet.GetOrCreateGauge(name, nil).Set(value)
+	current[name] = true
+}
--- /dev/null
+++ b/eventlog/accounts_test.go
@@ -0,0 +1,36 @@
+package eventlog_test
+
+import (
+	"bytes"
+	"io"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/acaciatally/acaciatally"
+	"github.com/acaciatally/acaciatally/dispatch"
+	"github.com/acaciatally/acaciatally/eventlog"
+)
+
+// TestAccountGauges guards against gauges of accounts that remain after the account is gone or another entry leads.
+func TestAccountGauges(t *testing.T) {
+	logger := eventlog.New(io.Discard, "entry-1")
+	written := func() string {
+		var output bytes.Buffer
+		logger.Metrics().WritePrometheus(&output)
+		return output.String()
+	}
+	logger.AccountUsage(map[acaciatally.AccountName]dispatch.AccountUsage{
+		"a": {Used: acaciatally.ResourceVector{Processors: 500}, Share: dispatch.AccountShare{Used: 0.25, Entitled: 0.5}}, "b": {},
+	})
+	for _, line := range []string{
+		`acaciatally_account_used{account="a",resource="processors"} 500`, `acaciatally_account_share{account="a"} 0.25`,
+		`acaciatally_account_entitled{account="a"} 0.5`, `acaciatally_account_share{account="b"} 0`,
+	} {
+		require.Contains(t, written(), line)
+	}
+	logger.AccountUsage(map[acaciatally.AccountName]dispatch.AccountUsage{"b": {}})
+	require.NotContains(t, written(), `account="a"`)
+	logger.AccountUsage(nil)
+	require.NotContains(t, written(), "acaciatally_account")
+}
--- a/eventlog/events.go
+++ b/eventlog/events.go
@@ -66,6 +66,12 @@
 	l.line("WorkerChanged").Str("Worker", string(worker)).Str("Pool", string(pool)).Str("Belief", state).Dur("ReportAge", age).Msg("")
 }
 
+// AccountLimited logs that work of an account waits because it is beyond the account's rate or share.
+func (l *Logger) AccountLimited(account acaciatally.AccountName, share dispatch.AccountShare, wait time.Duration) {
+	l.line("AccountLimited").Str("Account", string(account)).Float64("Share", share.Used).Float64("Entitled", share.Entitled).
+		Dur("Wait", wait).Msg("")
+}
+
 // AccountAtMaximum logs that a task of an account is not placed because the account would exceed its maximum.
 func (l *Logger) AccountAtMaximum(account acaciatally.AccountName, used, maximum acaciatally.ResourceVector) {
 	l.line("AccountAtMaximum").Str("Account", string(account)).Int("UsedProcessors", used.Processors).Int("UsedMemory", used.Memory).
