--- a/dispatch/share_simulation_test.go
+++ b/dispatch/share_simulation_test.go
@@ -11,26 +11,39 @@
 	"github.com/acaciatally/acaciatally/job"
 )
 
-// accountLoad is the load of one account in a simulation.
-type accountLoad struct {
-	account   acaciatally.AccountName
-	perSecond func(now time.Duration) float64
-	queue     acaciatally.Queue
-	step      acaciatally.Step
-	runTime   time.Duration // mean
-	dependent bool          // a second step of the same kind follows
+// simulatedLoad is the load of one account in a simulation.
+type simulatedLoad struct {
+	account    acaciatally.AccountName
+	perSecond  func(now time.Duration) float64
+	queue      acaciatally.Queue
+	step       acaciatally.Step
+	runTime    time.Duration // mean
+	savesAfter time.Duration // run time until a run with checkpoints saves the first one
 }
 
 // shareSimulation runs a scheduler under the load of several accounts.
 type shareSimulation struct {
 	*simulation
-	loads     []accountLoad
+	loads     []simulatedLoad
 	due       []float64 // jobs to submit, by load
 	submitted []int     // by load
 	inTime    []int     // by load
 	loadOf    map[acaciatally.JobID]int
-	used      []float64 // processors times samples, by load, since measureFrom
-	samples   int
+	running   map[acaciatally.WorkerID][]accountRun
+	stops     int // runs that were stopped
+	// afterRound is called after each round, unless it is nil.
+	afterRound func(now time.Duration)
+	used       []float64 // processors times samples, by load, since measureFrom
+	samples    int
+}
+
+// accountRun is a run of a shareSimulation.
+type accountRun struct {
+	order       acaciatally.StartOrder
+	checkpoints bool
+	savesAfter  time.Duration
+	startedAt   time.Duration
+	stopped     bool
 }
 
 // constant returns a load that does not change.
@@ -65,11 +78,11 @@
 	scheduler.Configure(configuration)
 }
 
-func newShareSimulation(t *testing.T, weights map[acaciatally.AccountName]float64, loads ...accountLoad) *shareSimulation {
+func newShareSimulation(t *testing.T, weights map[acaciatally.AccountName]float64, loads ...simulatedLoad) *shareSimulation {
 	t.Helper()
 	s := &shareSimulation{
 		simulation: newSimulation(t, simulatedWorkers), loads: loads, due: make([]float64, len(loads)), submitted: make([]int, len(loads)),
-		inTime: make([]int, len(loads)), loadOf: map[acaciatally.JobID]int{}, used: make([]float64, len(loads)),
+		inTime: make([]int, len(loads)), loadOf: map[acaciatally.JobID]int{}, running: map[acaciatally.WorkerID][]accountRun{}, used: make([]float64, len(loads)),
 	}
 	configureAccounts(s.scheduler, weights)
 	return s
@@ -77,7 +90,12 @@
 
 // run simulates the time from 0 to duration. Use is measured after measureFrom; jobs in time are those of the whole time.
 func (s *shareSimulation) run(duration, measureFrom time.Duration) {
-	for now := time.Duration(0); now < duration; now += simulationStep {
+	s.runFrom(0, duration, measureFrom)
+}
+
+// runFrom simulates the time from begin to duration.
+func (s *shareSimulation) runFrom(begin, duration, measureFrom time.Duration) {
+	for now := begin; now < duration; now += simulationStep {
 		for i := range s.loads {
 			s.due[i] += s.loads[i].perSecond(now) * simulationStep.Seconds()
 			for ; s.due[i] >= 1; s.due[i]-- {
@@ -85,28 +103,79 @@
 			}
 		}
 		for _, w := range s.workers {
-			s.scheduler.Report(w.ID, s.report(w, now), now, now)
+			s.scheduler.Report(w.ID, s.reportOf(w, now), now, now)
 		}
 		s.countJobsInTime(now)
-		for _, order := range startDue(s.scheduler, now) {
-			id, task := order.Worker.ID, order.Start.Task
-			s.runs[id] = append(s.runs[id], simulatedRun{task, order.Start.Attempt, now + s.runTimes[task]})
+		s.scheduler.Plan(now, time.UnixMilli(0))
+		commitAll(s.scheduler, now)
+		for _, order := range s.scheduler.Orders(now) {
+			s.execute(order, now)
+			s.scheduler.OrderResult(order, nil, now)
 		}
 		if now >= measureFrom {
 			s.measure()
 		}
+		if s.afterRound != nil {
+			s.afterRound(now)
+		}
+	}
+}
+
+// execute starts or stops a run.
+func (s *shareSimulation) execute(order Order, now time.Duration) {
+	id := order.Worker.ID
+	if order.Kind == OrderStart {
+		load := &s.loads[s.loadOf[order.Start.Task.Job]]
+		s.running[id] = append(s.running[id], accountRun{
+			order: order.Start, checkpoints: load.step.Checkpoints, savesAfter: load.savesAfter, startedAt: now,
+		})
+		return
+	}
+	for i := range s.running[id] {
+		if run := &s.running[id][i]; run.order.Task == order.Start.Task && run.order.Attempt == order.Start.Attempt {
+			run.stopped = true
+			s.stops++
+		}
 	}
 }
 
+// reportOf returns the report of a worker. A run with checkpoints saves one with each report, so that a stop loses no work.
+func (s *shareSimulation) reportOf(w acaciatally.Worker, now time.Duration) acaciatally.WorkerReport {
+	report := acaciatally.WorkerReport{Clock: now, StartTime: w.StartTime}
+	left := s.running[w.ID][:0]
+	for _, run := range s.running[w.ID] {
+		task, elapsed := run.order.Task, now-run.startedAt
+		checkpoint := ""
+		if run.checkpoints && elapsed >= run.savesAfter {
+			checkpoint = "saved"
+		}
+		if elapsed < s.runTimes[task] && !run.stopped {
+			left = append(left, run)
+			report.Running = append(report.Running, acaciatally.RunningTask{
+				Task: task, Attempt: run.order.Attempt, Percent: int(100 * elapsed / s.runTimes[task]), Checkpoint: checkpoint,
+			})
+			continue
+		}
+		end := acaciatally.EndDone
+		if elapsed < s.runTimes[task] {
+			end = acaciatally.EndStopped
+			if checkpoint != "" {
+				s.runTimes[task] -= elapsed
+			}
+		}
+		s.endNumbers[w.ID]++
+		report.Ended = append(report.Ended, acaciatally.EndedTask{
+			Number: s.endNumbers[w.ID], Task: task, Attempt: run.order.Attempt, End: end, Checkpoint: checkpoint,
+		})
+	}
+	s.running[w.ID] = left
+	return report
+}
+
 func (s *shareSimulation) submitFor(i int, now time.Duration) {
 	load := &s.loads[i]
 	id := acaciatally.JobID(fmt.Sprintf("%s-%d-%06d", load.account, i, s.submitted[i]))
 	steps := []acaciatally.Step{load.step}
-	if load.dependent {
-		second := load.step
-		second.After = []int{0}
-		steps = append(steps, second)
-	}
 	s.dueBy[id], s.loadOf[id] = now+load.queue.Objective, i
 	for number, step := range steps {
 		longest := time.Duration(0)
@@ -160,9 +229,9 @@
 // then get their results too late.
 func TestHotAccount(t *testing.T) {
 	weights := map[acaciatally.AccountName]float64{"hot": 4, "b": 4, "c": 4, "d": 4}
-	loads := []accountLoad{{account: "hot", perSecond: during(5*time.Second, 13*time.Second, 4, 30)}}
+	loads := []simulatedLoad{{account: "hot", perSecond: during(5*time.Second, 13*time.Second, 4, 30)}}
 	for _, name := range []acaciatally.AccountName{"b", "c", "d"} {
-		loads = append(loads, accountLoad{account: name, perSecond: constant(4)})
+		loads = append(loads, simulatedLoad{account: name, perSecond: constant(4)})
 	}
 	for i := range loads {
 		loads[i].queue, loads[i].step, loads[i].runTime = testQueue(), testStep(4, 1000), meanRunTime
@@ -177,9 +246,9 @@
 // TestAllAboveShare guards against shares that do not follow the weights while all accounts send more than their shares at once.
 func TestAllAboveShare(t *testing.T) {
 	weights := map[acaciatally.AccountName]float64{"a": 3, "b": 6, "c": 9, "d": 12}
-	var loads []accountLoad
+	var loads []simulatedLoad
 	for _, name := range []acaciatally.AccountName{"a", "b", "c", "d"} {
-		loads = append(loads, accountLoad{account: name, perSecond: constant(20), queue: testQueue(), step: testStep(4, 1000), runTime: meanRunTime})
+		loads = append(loads, simulatedLoad{account: name, perSecond: constant(20), queue: testQueue(), step: testStep(4, 1000), runTime: meanRunTime})
 	}
 	s := newShareSimulation(t, weights, loads...)
 	s.run(15*time.Second, 5*time.Second)
@@ -191,14 +260,14 @@
 // TestManySmallAccounts guards against accounts with one job each that wait for the backlogs of a few large ones.
 func TestManySmallAccounts(t *testing.T) {
 	weights := map[acaciatally.AccountName]float64{"large-1": 10, "large-2": 10}
-	var loads []accountLoad
+	var loads []simulatedLoad
 	for i := range 30 {
 		name := acaciatally.AccountName(fmt.Sprintf("small-%d", i))
 		weights[name] = 1
 		at := 5*time.Second + time.Duration(i)*200*time.Millisecond
-		loads = append(loads, accountLoad{account: name, perSecond: during(at, at+simulationStep, 0, 1/simulationStep.Seconds())})
+		loads = append(loads, simulatedLoad{account: name, perSecond: during(at, at+simulationStep, 0, 1/simulationStep.Seconds())})
 	}
-	loads = append(loads, accountLoad{account: "large-1", perSecond: constant(40)}, accountLoad{account: "large-2", perSecond: constant(40)})
+	loads = append(loads, simulatedLoad{account: "large-1", perSecond: constant(40)}, simulatedLoad{account: "large-2", perSecond: constant(40)})
 	for i := range loads {
 		loads[i].queue, loads[i].step, loads[i].runTime = testQueue(), testStep(4, 1000), meanRunTime
 	}
@@ -217,7 +286,7 @@
 	weights := map[acaciatally.AccountName]float64{"a": 10, "b": 20}
 	urgent, usual := testQueue(), testQueue()
 	urgent.Name, usual.Priority = "urgent", 1
-	loads := []accountLoad{
+	loads := []simulatedLoad{
 		{account: "a", perSecond: constant(2), queue: urgent, step: testStep(1, 1000), runTime: meanRunTime},
 		{account: "a", perSecond: constant(30), queue: usual, step: testStep(4, 1000), runTime: meanRunTime},
 		{account: "b", perSecond: constant(30), queue: usual, step: testStep(4, 1000), runTime: meanRunTime},
@@ -232,7 +301,7 @@
 // but takes capacity that the other account has always used, whose callers then get their results too late.
 func TestHotAccountWithinShare(t *testing.T) {
 	weights := map[acaciatally.AccountName]float64{"hot": 16, "b": 16}
-	loads := []accountLoad{
+	loads := []simulatedLoad{
 		{account: "hot", perSecond: during(5*time.Second, 13*time.Second, 16, 120), step: testStep(1, 1000)},
 		{account: "b", perSecond: constant(16), step: testStep(4, 1000)},
 	}
