Decide on the new jobs of accounts under pressure

Cause: an account that submits several times what the fleet can begin gets results that come too late to be of use. In the simulation of a surge of 7.5 times for 6 s without refusals, a job of the account waits longer than three times its allowed time.

Change: package overload with the controller of the leader, which keeps the wait of an account's jobs near their allowed time and never below the account's entitlement, and the decision of the entries by the job's ID and a published turn. Refused callers are booked on the room that is left, so that they return one after the other. Nothing uses the package yet.

Seen to fail: without the turn TestReturningCallerGetsThrough, without the spread TestReturnsAreSpread and TestReturnTimes, without the bookings TestReturnTimes, without the floor TestSurgeOfOneAccount and TestLongSurge, with a correction within 0.17 s TestLongSurge, with rates over 7 s TestEndOfSurge, without the inherited state TestInheritedState, without the entitlement over 5 s TestWithinEntitlement.

--- /dev/null
+++ b/overload/controller.go
@@ -0,0 +1,212 @@
+package overload
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/acaciatally/acaciatally"
+)
+
+const (
+	// overage is the part of its weight by which an account may exceed it before any of its jobs is refused; it is bounds.quotaOverage.
+	overage = 0.1
+	// slack is the number of jobs beyond that which an account may submit within entitlementTime, since the rates of small accounts vary; it is
+	// bounds.quotaSlack.
+	slack = 20
+	// applyDelay is the time from a measured wait to the jobs that a new share admits: up to one renewal of the lease, the commit, and the
+	// acceptance of these jobs.
+	applyDelay = 500 * time.Millisecond
+	// correctionTime is the time within which a wait that differs from the allowed time is corrected. It is three times applyDelay; less would
+	// make the share oscillate.
+	correctionTime = 3 * applyDelay
+	// maxGrowth is how many times as many jobs as were begun are admitted at most while the wait is short.
+	maxGrowth = 3
+	// maxShareStep is the factor by which the share rises at most in one update, because of the noise of rates of few jobs.
+	maxShareStep = 2
+	// minShare keeps a rate measurable, from which the share can rise again.
+	minShare = 0.01
+	// defaultAllowed is the allowed time of an account's jobs while none has arrived; minAllowed bounds it, because a wait of less than that is part
+	// of normal operation.
+	defaultAllowed = 2 * time.Second
+	minAllowed     = 500 * time.Millisecond
+	// settleTime is how long a new leader publishes the state of the leader before it, since its own rates are not known yet.
+	settleTime = 2 * time.Second
+	// turnTime is the time between changes of State.Turn. Callers return after a second or more, as Retry-After is in whole seconds.
+	turnTime = time.Second
+)
+
+// Load is what the leader measured for one account since the last update.
+type Load struct {
+	Account acaciatally.AccountName
+	Weight  float64       // jobs a second to which the account is entitled
+	Wait    time.Duration // estimated wait of a new job beyond the entitlement
+	Allowed time.Duration // allowed time of the account's jobs; 0 if unknown
+	Arrived int           // jobs that were accepted
+	Begun   int           // jobs of which the first task got a worker
+}
+
+// Controller determines the shares of jobs to admit. It keeps the wait of the jobs of an account under pressure near their allowed time: a
+// longer one makes results useless, a shorter one refuses jobs that could be served. It is not safe for concurrent use.
+type Controller struct {
+	accounts  map[acaciatally.AccountName]*account
+	turn      uint32
+	turnAt    time.Duration
+	updatedAt time.Duration // 0 before the first update
+	inherited *State
+	settledAt time.Duration
+}
+
+// NewController returns the controller of a new leader; inherited is what the leader before it published, or nil.
+func NewController(inherited *State) *Controller {
+	c := &Controller{accounts: map[acaciatally.AccountName]*account{}, inherited: inherited}
+	if inherited != nil {
+		c.turn = inherited.Turn
+	}
+	return c
+}
+
+// Update returns the state to publish, nil if no account is under pressure. The loads are those of all accounts with jobs since the last
+// update at the time of the last call.
+func (c *Controller) Update(loads []Load, now time.Duration) *State {
+	elapsed := now - c.updatedAt
+	first := c.updatedAt == 0
+	c.updatedAt = max(now, 1)
+	if first {
+		c.start(loads, now)
+		return c.inherited
+	}
+	if elapsed <= 0 {
+		return c.state()
+	}
+	if now >= c.turnAt+turnTime {
+		c.turn, c.turnAt = c.turn+1, now
+	}
+	seen := map[acaciatally.AccountName]bool{}
+	for i := range loads {
+		seen[loads[i].Account] = true
+		if c.accounts[loads[i].Account] == nil {
+			c.accounts[loads[i].Account] = newAccount()
+		}
+		c.accounts[loads[i].Account].update(&loads[i], elapsed, now, now < c.settledAt)
+	}
+	for name := range c.accounts {
+		if !seen[name] {
+			delete(c.accounts, name) // no longer configured
+		}
+	}
+	return c.state()
+}
+
+// start takes over the state of the leader before. What was measured until the first update covers an unknown time and is left out.
+func (c *Controller) start(loads []Load, now time.Duration) {
+	c.turnAt = now
+	if c.inherited == nil {
+		return
+	}
+	c.settledAt = now + settleTime
+	for i := range loads {
+		if state := c.inherited.Find(loads[i].Account); state != nil {
+			c.accounts[loads[i].Account] = inheritedAccount(state, now)
+		}
+	}
+}
+
+func (c *Controller) state() *State {
+	var published []AccountState
+	for name, a := range c.accounts {
+		if a.pressed && a.share < 1 {
+			published = append(published, AccountState{
+				Account: name, PerMille: int(a.share * 1000), WaitMS: inMilliseconds(a.wait),
+				RetryMS: inMilliseconds(a.returns.after), IntervalMS: inMilliseconds(a.returns.interval),
+			})
+		}
+	}
+	if published == nil {
+		return nil
+	}
+	slices.SortFunc(published, func(a, b AccountState) int { return cmp.Compare(a.Account, b.Account) })
+	return &State{Turn: c.turn, Accounts: published}
+}
+
+// account is the state of the control of one account.
+type account struct {
+	rates     rates
+	pressed   bool          // the wait was longer than the allowed time and has not been clearly shorter since with all jobs admitted
+	share     float64       // of new jobs that is admitted
+	lastShare float64       // the share before that, which still held for a part of the last interval
+	wait      time.Duration // to publish
+	returns   returns
+}
+
+func newAccount() *account { return &account{share: 1, lastShare: 1} }
+
+func inheritedAccount(state *AccountState, now time.Duration) *account {
+	share := max(minShare, float64(state.PerMille)/1000)
+	return &account{
+		pressed: true, share: share, lastShare: share, wait: milliseconds(state.WaitMS),
+		returns: returns{
+			after: milliseconds(state.RetryMS), interval: milliseconds(state.IntervalMS), bookedUntil: now + milliseconds(state.RetryMS+state.IntervalMS),
+		},
+	}
+}
+
+// update sets the share from the load of the last interval; a held share is only measured with.
+func (a *account) update(load *Load, elapsed, now time.Duration, held bool) {
+	// Entries learn of a share with a delay, so the higher one of the last two counts: the lower one would overstate the offered load.
+	a.rates.add(load, max(a.share, a.lastShare), elapsed)
+	a.lastShare = a.share
+	if held && a.pressed {
+		return
+	}
+	allowed := load.Allowed
+	if allowed == 0 {
+		allowed = defaultAllowed
+	}
+	allowed = max(allowed, minAllowed)
+	if !a.pressed {
+		a.rates.observeUsual(elapsed)
+		if a.expectedWait(load, allowed) <= allowed || a.rates.within(load.Weight) {
+			return
+		}
+		a.pressed = true
+	}
+	a.wait = max(load.Wait, allowed)
+	a.share = a.admittedShare(load, allowed)
+	if !a.rates.within(load.Weight) {
+		a.share = min(a.share, maxShareStep*a.lastShare)
+	}
+	if a.share >= 1 && load.Wait < allowed/2 {
+		a.pressed = false
+	}
+	if a.share < 1 {
+		a.returns.book(a.rates.offered()*(1-a.share), a.rates.room(), load.Wait-allowed, elapsed, now)
+	}
+}
+
+// expectedWait returns the wait by the time at which entries apply a new share. A surge of several times the capacity adds as much as the allowed
+// time until then. A wait below half of the allowed time is taken as it is, since the rates are too noisy to refuse anybody for them alone.
+func (a *account) expectedWait(load *Load, allowed time.Duration) time.Duration {
+	begun := a.rates.begun()
+	if load.Wait <= allowed/2 || begun == 0 {
+		return load.Wait
+	}
+	growth := max(0, a.rates.offered()/begun-1)
+	return load.Wait + time.Duration(growth*float64(applyDelay))
+}
+
+// admittedShare returns the share that admits as many jobs as are begun, more or less by the difference of the wait from the allowed time, but at
+// least those to which the account is entitled.
+func (a *account) admittedShare(load *Load, allowed time.Duration) float64 {
+	offered, begun := a.rates.offered(), a.rates.begun()
+	if offered == 0 || a.rates.within(load.Weight) {
+		return 1
+	}
+	entitled := load.Weight * (1 + overage)
+	correction := min(maxGrowth, max(0, 1+(allowed-load.Wait).Seconds()/correctionTime.Seconds()))
+	admitted := begun * correction
+	if correction < 1 {
+		admitted = entitled + max(0, begun-entitled)*correction
+	}
+	return min(1, max(minShare, max(entitled, admitted)/offered))
+}
