Publish the admission of accounts with the lease

Cause: all entries need the leader's decision on accounts under pressure within a renewal, and they read the lease already.

Change: the lease's row carries the state of package overload. It is left out while there is none, so that rows of deployments without accounts are byte for byte as before. A takeover and a release carry it over; entries apply it up to an age of 4 s, and the next leader continues with it up to 8 s.

TestOverloadOutlivesLeader fails when the proposal or the release leaves the state out, TestRowWithoutOverload when an empty state is written.

--- a/leadership/elector.go
+++ b/leadership/elector.go
@@ -10,6 +10,7 @@
 	"github.com/samber/oops"
 
 	"github.com/acaciatally/acaciatally"
+	"github.com/acaciatally/acaciatally/overload"
 )
 
 const (
@@ -42,6 +43,8 @@
 	EventLog EventLog
 	// StartDelay returns the delay to publish with the lease while this entry leads; nil if there is none.
 	StartDelay func() time.Duration
+	// Overload returns the admission to publish with the lease while this entry leads; nil if there is none.
+	Overload func() *overload.State
 	// Lead runs the leader until ctx ends and must not act after that.
 	Lead func(ctx context.Context, epoch uint64)
 }
@@ -82,6 +85,13 @@
 	return e.lease.StartDelay(e.config.Now())
 }
 
+// Overload returns the admission of the new jobs of accounts under pressure, or nil.
+func (e *Elector) Overload() *overload.State {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	return e.lease.Overload(e.config.Now())
+}
+
 // Resign ends the leadership at once, because another leader was noticed; epoch is its epoch, or 0 if it is not known.
 func (e *Elector) Resign(epoch uint64) {
 	e.mutex.Lock()
@@ -202,6 +212,9 @@
 	if renews && e.config.StartDelay != nil {
 		row.StartDelay = e.config.StartDelay()
 	}
+	if renews && e.config.Overload != nil {
+		row.Overload = e.config.Overload()
+	}
 	transaction, err := proposalTransaction(row, version, renews)
 	if err != nil {
 		e.config.EventLog.LeadershipChanged(row.Epoch, false, err.Error())
--- a/leadership/lease.go
+++ b/leadership/lease.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/acaciatally/acaciatally"
+	"github.com/acaciatally/acaciatally/overload"
 )
 
 // Table is the table that holds the lease and the handover request.
@@ -24,6 +25,8 @@
 	Successor string        `json:",omitempty"` // entry for which the lease was released; empty if any may acquire it
 	// StartDelay is how long the tasks of a job submitted now would wait for the leader to start them; 0 while it keeps up.
 	StartDelay time.Duration `json:",omitempty"`
+	// Overload is the admission of the new jobs of accounts under pressure; nil while there are none.
+	Overload *overload.State `json:",omitempty"`
 }
 
 // HandoverRequest is a stored request that the holder hand over the lease.
@@ -191,6 +194,7 @@
 	if l.row.Holder != l.config.Self || !l.Leads(now) {
 		// The backlog of the last leader is also that of the next one, which can't tell its own delay before it has read all jobs.
 		row = Row{Holder: l.config.Self, Epoch: max(l.row.Epoch, l.minEpoch) + 1, Lag: l.config.TakeoverDelay, StartDelay: l.row.StartDelay}
+		row.Overload = l.inheritedOverload(now)
 		l.slowAt = now
 	}
 	row.Term = l.nextTerm(now)
@@ -225,7 +229,7 @@
 // ReleaseProposal returns the row that releases the lease and the version that it replaces. With an empty successor any entry may acquire
 // the lease.
 func (l *Lease) ReleaseProposal(successor string) (row Row, version uint64) {
-	return Row{Epoch: l.row.Epoch, Successor: successor, StartDelay: l.row.StartDelay}, l.version
+	return Row{Epoch: l.row.Epoch, Successor: successor, StartDelay: l.row.StartDelay, Overload: l.row.Overload}, l.version
 }
 
 // RenewalFailed records that a proposal failed; sent is the send time from which the next renewal is scheduled.
@@ -245,6 +249,30 @@
 	return l.row.StartDelay
 }
 
+const (
+	// maxOverloadAge is the age of a version of the lease up to which its Overload is applied. It covers a takeover: the longest term of 2.5 s,
+	// takeover delays of up to 1.1 s and the commit.
+	maxOverloadAge = 4 * time.Second
+	// maxInheritedOverloadAge is the age up to which the next leader continues with it; surges last 5 to 8 s.
+	maxInheritedOverloadAge = 8 * time.Second
+)
+
+// Overload returns the admission of the accounts under pressure, or nil if there is none or the leader was not seen lately.
+func (l *Lease) Overload(now time.Duration) *overload.State {
+	if now > l.versionSeenAt+maxOverloadAge {
+		return nil
+	}
+	return l.row.Overload
+}
+
+// inheritedOverload returns the admission with which this entry starts to lead.
+func (l *Lease) inheritedOverload(now time.Duration) *overload.State {
+	if now > l.versionSeenAt+maxInheritedOverloadAge {
+		return nil
+	}
+	return l.row.Overload
+}
+
 // Epoch returns the epoch of the last row seen.
 func (l *Lease) Epoch() uint64 { return l.row.Epoch }
 
--- a/leadership/lease_test.go
+++ b/leadership/lease_test.go
@@ -1,6 +1,7 @@
 package leadership_test
 
 import (
+	"encoding/json"
 	"testing"
 	"time"
 
@@ -8,6 +9,7 @@
 	"pgregory.net/rapid"
 
 	"github.com/acaciatally/acaciatally/leadership"
+	"github.com/acaciatally/acaciatally/overload"
 )
 
 const (
@@ -284,3 +286,28 @@
 		})
 	}
 }
+
+// TestOverloadOutlivesLeader guards against a takeover in a surge after which entries admit all jobs, and against refusals by what a leader
+// published that is gone for long.
+func TestOverloadOutlivesLeader(t *testing.T) {
+	state := &overload.State{Turn: 3, Accounts: []overload.AccountState{{Account: "hot", PerMille: 200}}}
+	row := leadership.Row{Holder: "a", Epoch: 4, Term: term, Overload: state}
+	holder, next := newLease("a"), newLease("b")
+	holder.Observe(row, 7, 0)
+	released, _ := holder.ReleaseProposal("")
+	require.Equal(t, state, released.Overload)
+	next.Observe(released, 8, 0)
+	require.Equal(t, state, next.Overload(4*time.Second))
+	require.Nil(t, next.Overload(5*time.Second))
+	proposed, _ := next.Proposal(5 * time.Second)
+	require.Equal(t, state, proposed.Overload, "the surge may go on")
+	proposed, _ = next.Proposal(10 * time.Second)
+	require.Nil(t, proposed.Overload, "the surge has ended")
+}
+
+// TestRowWithoutOverload guards against a lease that is longer than before in deployments without accounts.
+func TestRowWithoutOverload(t *testing.T) {
+	encoded, err := json.Marshal(leadership.Row{Holder: "a", Epoch: 4, Term: time.Second, Lag: 1, StartDelay: 2})
+	require.NoError(t, err)
+	require.Equal(t, `{"Holder":"a","Epoch":4,"Term":1000000000,"Lag":1,"StartDelay":2}`, string(encoded))
+}
