Measure the jobs of each account in the scheduler

Cause: the admission of an account's jobs follows from its wait, and from how many of its jobs arrive and begin.

--- a/dispatch/jobs.go
+++ b/dispatch/jobs.go
@@ -39,6 +39,7 @@
 	}
 	s.jobs[id] = j
 	s.observeArrival(j, now)
+	s.observeAccountArrival(j)
 	s.partition(accepted.Queue.Name)
 	s.config.EventLog.JobLoaded(id, accepted.Queue.Name, progress.State)
 }
@@ -190,6 +191,7 @@
 		assigned := false
 		j.eachTask(func(t *task) { assigned = assigned || t.assigned() })
 		if !assigned {
+			s.observeAccountBegin(j)
 			delete(s.jobs, id)
 			s.dropPermissions(id)
 			s.loadDeferred(id, now)
--- a/dispatch/scheduler.go
+++ b/dispatch/scheduler.go
@@ -45,6 +45,7 @@
 	starts          startWindow
 	heldStarts      int // start orders that the window held back in the last round
 	startRate       startRate
+	accountLoads    map[acaciatally.AccountName]*accountLoad
 }
 
 // New returns a scheduler without jobs and workers.
@@ -69,6 +70,8 @@
 		silence:     silence{mayBeStored: map[acaciatally.WorkerID]bool{}},
 		starts:      newStartWindow(),
 		startRate:   newStartRate(),
+
+		accountLoads: map[acaciatally.AccountName]*accountLoad{},
 	}
 }
 
@@ -123,6 +126,7 @@
 	endRecordedAt    time.Duration // when the commit of the final state was applied; 0 before
 	hasWaitingRecord bool          // its record in job.WaitingTable may still exist
 	recordsDeleted   bool          // all records but the progress record are deleted
+	counted          bool          // it is counted in accountLoad.begun
 }
 
 // occurrence is one execution of a job's steps.
