Refuse jobs of accounts under pressure with the time to return

Cause: section 4 of docs/LOAD-CONTROL.md: a job whose result would come too late is refused at once, so that its caller can act.

Change: the leader updates the admission at the interval of the lease's renewals and publishes it; intake refuses by it with status 429 and Retry-After, after it has checked that the job was not accepted before, and never jobs with long-running tasks, scheduled jobs, or jobs without an account. Refusals are counted by account and reason, the published shares are a gauge and at most one line a second for each account. checkStartDelay and its Retry-After are unchanged, apart from the count. The new method of intake's event log is added to the test's empty one.

--- a/eventlog/events.go
+++ b/eventlog/events.go
@@ -1,10 +1,14 @@
 package eventlog
 
 import (
+	"fmt"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
+
 	"github.com/acaciatally/acaciatally"
 	"github.com/acaciatally/acaciatally/dispatch"
+	"github.com/acaciatally/acaciatally/overload"
 )
 
 // JobLoaded logs a job that the leader has loaded.
@@ -48,6 +52,37 @@
 		Int("Unconfirmed", unconfirmed).Int("Streak", streak).Int("Suspects", suspects).Msg("")
 }
 
+// AccountsUnderPressure logs each account whose new jobs are admitted only in part, or that there are none any more.
+func (l *Logger) AccountsUnderPressure(state *overload.State) {
+	l.sharesMutex.Lock()
+	defer l.sharesMutex.Unlock()
+	for account := range l.pressed {
+		if state.Find(account) == nil {
+			l.admittedShare(account).Set(1)
+			delete(l.pressed, account)
+			l.line("AccountPressureEnded").Str("Account", string(account)).Msg("")
+		}
+	}
+	if state == nil {
+		return
+	}
+	for _, account := range state.Accounts {
+		l.pressed[account.Account] = true
+		l.admittedShare(account.Account).Set(float64(account.PerMille) / 1000)
+		l.line("AccountUnderPressure").Str("Account", string(account.Account)).Uint32("Turn", state.Turn).Int("PerMille", account.PerMille).
+			Int("WaitMS", account.WaitMS).Int("RetryMS", account.RetryMS).Int("IntervalMS", account.IntervalMS).Msg("")
+	}
+}
+
+func (l *Logger) admittedShare(account acaciatally.AccountName) *metrics.Gauge {
+	return l.metricSet.GetOrCreateGauge(fmt.Sprintf("acaciatally_admitted_share{account=%q}", account), nil)
+}
+
+// JobRefused counts a job that is refused because of load; its line is that of JobSubmitted.
+func (l *Logger) JobRefused(account acaciatally.AccountName, reason string) {
+	l.metricSet.GetOrCreateCounter(fmt.Sprintf("acaciatally_refused_jobs_total{account=%q,reason=%q}", account, reason)).Inc()
+}
+
 // StartsHeld logs that start orders are held back, and the window of those in flight.
 func (l *Logger) StartsHeld(held int, window dispatch.StartWindowState) {
 	l.line("StartsHeld").Int("Held", held).Int("Window", window.Size).Int("InFlight", window.InFlight).Int("Finished", window.Finished).
--- a/eventlog/logger.go
+++ b/eventlog/logger.go
@@ -33,6 +33,8 @@
 	metricSet         *metrics.Set
 	submissions       *metrics.Histogram // seconds from the receipt of a submission to its answer
 	dropped           atomic.Int64       // lines dropped since the last report
+	sharesMutex       sync.Mutex
+	pressed           map[acaciatally.AccountName]bool // accounts logged as under pressure
 	reportMutex       sync.Mutex
 	droppedReportedAt time.Time
 }
@@ -50,6 +52,7 @@
 		},
 		limiter:     rate.NewLimiter(maxLinesPerSecond, maxLineBurst),
 		metricSet:   metricSet,
+		pressed:     map[acaciatally.AccountName]bool{},
 		submissions: metricSet.NewHistogram("acaciatally_submission_seconds"),
 	}
 }
--- a/intake/batch_test.go
+++ b/intake/batch_test.go
@@ -83,6 +83,8 @@
 
 func (nopEventLog) JobSubmitted(acaciatally.Queue, acaciatally.JobID, time.Duration, error) {}
 
+func (nopEventLog) JobRefused(acaciatally.AccountName, string) {}
+
 func (nopEventLog) SubmissionResolved(acaciatally.QueueName, acaciatally.JobID, error) {}
 
 func (nopEventLog) StateRead(acaciatally.Queue, acaciatally.JobID, acaciatally.JobState, error) {}
--- a/intake/event_log.go
+++ b/intake/event_log.go
@@ -10,6 +10,8 @@
 type EventLog interface {
 	// JobSubmitted logs the result of a submission and how long it took.
 	JobSubmitted(queue acaciatally.Queue, id acaciatally.JobID, took time.Duration, err error)
+	// JobRefused counts a refusal because of load and its reason; the account is empty for jobs without one.
+	JobRefused(account acaciatally.AccountName, reason string)
 	// SubmissionResolved logs the outcome of a submission whose caller no longer waits for it.
 	SubmissionResolved(queue acaciatally.QueueName, id acaciatally.JobID, err error)
 	// StateRead logs a state that was returned to a caller, or the error.
--- a/intake/service.go
+++ b/intake/service.go
@@ -12,6 +12,7 @@
 
 	"github.com/acaciatally/acaciatally"
 	"github.com/acaciatally/acaciatally/job"
+	"github.com/acaciatally/acaciatally/overload"
 )
 
 const (
@@ -30,7 +31,9 @@
 	StoreReachable func() bool    // reports whether the record store has responded recently; otherwise callers are refused at once
 	// StartDelay returns how long the tasks of a job submitted now would wait for the leader to start them; nil if that is not known.
 	StartDelay func() time.Duration
-	EventLog   EventLog
+	// Overload returns the admission of new jobs of accounts under pressure, as the leader publishes it; nil if there is none.
+	Overload func() *overload.State
+	EventLog EventLog
 	// MaxRecordBytes is the size of the largest record that the store takes; 0 is job.DefaultRecordBytes.
 	MaxRecordBytes int
 }
@@ -110,7 +113,10 @@
 	if err = s.checkStore(); err != nil {
 		return err
 	}
-	if err = s.checkStartDelay(ctx, queue, id, spec); err != nil {
+	if err = s.checkStartDelay(ctx, queue, account, id, spec); err != nil {
+		return err
+	}
+	if err = s.checkAccount(ctx, queue, account, id, spec); err != nil {
 		return err
 	}
 	return s.batcher(queue.Name).add(ctx, &submission{id: id, transaction: transaction, digest: digest})
@@ -136,21 +142,31 @@
 
 // checkStartDelay returns a *NotAcceptedError while the leader can't start the job's tasks in time. Jobs with tasks that have to run at all
 // times are accepted, and so is the repetition of a call that was accepted.
-func (s *Service) checkStartDelay(ctx context.Context, queue acaciatally.Queue, id acaciatally.JobID, spec acaciatally.JobSpec) error {
+func (s *Service) checkStartDelay(
+	ctx context.Context, queue acaciatally.Queue, account acaciatally.AccountName, id acaciatally.JobID, spec acaciatally.JobSpec,
+) error {
 	if s.config.StartDelay == nil {
 		return nil
 	}
 	delay := s.config.StartDelay()
-	hasLongRunning := slices.ContainsFunc(spec.Steps, func(step acaciatally.Step) bool { return step.LongRunning })
-	if delay <= maxStartDelay || hasLongRunning {
-		return nil
-	}
-	if _, err := s.read(ctx, job.ProgressKey(queue.Name, id)); !errors.Is(err, acaciatally.ErrJobNotFound) {
+	if delay <= maxStartDelay || hasLongRunning(spec) || s.mayBeAccepted(ctx, queue, id) {
 		return nil
 	}
+	s.config.EventLog.JobRefused(account, "leader")
 	return &acaciatally.NotAcceptedError{Reason: "more tasks wait than can be started in time", RetryAfter: delay - maxStartDelay, Overload: true}
 }
 
+func hasLongRunning(spec acaciatally.JobSpec) bool {
+	return slices.ContainsFunc(spec.Steps, func(step acaciatally.Step) bool { return step.LongRunning })
+}
+
+// mayBeAccepted reports whether a job of this ID was accepted before or that can't be told. Such a call is not refused because of load: it may
+// be the repetition of one that was accepted.
+func (s *Service) mayBeAccepted(ctx context.Context, queue acaciatally.Queue, id acaciatally.JobID) bool {
+	_, err := s.read(ctx, job.ProgressKey(queue.Name, id))
+	return !errors.Is(err, acaciatally.ErrJobNotFound)
+}
+
 func newTransaction(
 	queue acaciatally.Queue, account acaciatally.AccountName, id acaciatally.JobID, spec acaciatally.JobSpec, now time.Time,
 ) (transaction acaciatally.RecordTransaction, digest uint64, err error) {
--- a/site/site.go
+++ b/site/site.go
@@ -16,6 +16,7 @@
 	"github.com/acaciatally/acaciatally/dispatch"
 	"github.com/acaciatally/acaciatally/intake"
 	"github.com/acaciatally/acaciatally/leadership"
+	"github.com/acaciatally/acaciatally/overload"
 	"github.com/acaciatally/acaciatally/roster"
 )
 
@@ -51,6 +52,9 @@
 	dispatch.EventLog
 	leadership.EventLog
 	roster.EventLog
+	// AccountsUnderPressure logs the admission that this entry publishes as the leader, at most once a second; nil if no account is under
+	// pressure any more.
+	AccountsUnderPressure(state *overload.State)
 	// Stopping logs why the process stops.
 	Stopping(reason string)
 	// DependencyChanged logs that an external dependency has become unreachable or reachable again. sinceLastResponse is the time since its
@@ -117,7 +121,9 @@
 	elector *leadership.Elector
 	// startDelay is the scheduler's StartDelay in nanoseconds while this entry leads.
 	startDelay atomic.Int64
-	jobAPI     JobAPI
+	// overload is the admission that this entry publishes while it leads.
+	overload atomic.Pointer[overload.State]
+	jobAPI   JobAPI
 }
 
 // New returns a process that is not running yet.
@@ -137,6 +143,7 @@
 	jobs := intake.New(intake.Config{
 		Store: p.store, Routes: p.watcher.routes.Load, StoreReachable: p.store.reachable, EventLog: config.EventLog,
 		MaxRecordBytes: config.MaxRecordBytes, StartDelay: func() time.Duration { return p.elector.StartDelay() },
+		Overload: func() *overload.State { return p.elector.Overload() },
 	})
 	p.jobAPI = config.NewJobAPI(jobs, p.ready)
 	p.elector = leadership.NewElector(leadership.ElectorConfig{
@@ -146,6 +153,7 @@
 		},
 		Store: p.store, Now: config.Now, EventLog: config.EventLog, Lead: p.runLeader,
 		StartDelay: func() time.Duration { return time.Duration(p.startDelay.Load()) },
+		Overload:   p.overload.Load,
 	})
 	return p
 }
@@ -175,15 +183,20 @@
 	}
 	delay := startDelay{inherited: p.elector.StartDelay()}
 	p.startDelay.Store(int64(delay.inherited))
+	accounts := newAccountAdmission(p.elector.Overload(), p.config.EventLog)
+	p.overload.Store(accounts.published)
 	round := func(scheduler *dispatch.Scheduler, now time.Duration) {
 		if fleet != nil {
 			fleet.round(ctx, scheduler, now)
 		}
 		if now >= delay.nextAt {
 			p.startDelay.Store(int64(delay.update(scheduler.StartDelay(now), now)))
+			p.overload.Store(accounts.update(scheduler.AccountLoads(now), now))
 		}
 	}
 	defer p.startDelay.Store(0)
+	defer p.overload.Store(nil)
+	defer accounts.stop()
 	runner = dispatch.NewRunner(dispatch.RunnerConfig{
 		Round: round,
 		Store: p.config.Store, Orders: p.config.Orders, Adviser: p.config.Adviser, WorkerTable: p.config.WorkerTable, DecodeWorker: p.config.DecodeWorker,
