Correct the admitted share by the wait that it will meet

Cause: in the deployment of TestSurgeOfAccount the wait went from below the allowed time to 1.5 times it within one update, because jobs are still accepted at the old share for half a second.

Change: the correction, and not only the begin of the pressure, takes the wait by the time at which a new share applies, from the rates of admitted and begun jobs.

Measured: go test ./overload passes.

--- a/overload/controller.go
+++ b/overload/controller.go
@@ -191,7 +191,7 @@
 	if load.Wait <= allowed/2 || begun == 0 {
 		return load.Wait
 	}
-	growth := max(0, a.rates.offered()/begun-1)
+	growth := max(0, a.rates.admitted()/begun-1)
 	return load.Wait + time.Duration(growth*float64(applyDelay))
 }
 
@@ -203,7 +203,7 @@
 		return 1
 	}
 	entitled := load.Weight * (1 + overage)
-	correction := min(maxGrowth, max(0, 1+(allowed-load.Wait).Seconds()/correctionTime.Seconds()))
+	correction := min(maxGrowth, max(0, 1+(allowed-a.expectedWait(load, allowed)).Seconds()/correctionTime.Seconds()))
 	admitted := begun * correction
 	if correction < 1 {
 		admitted = entitled + max(0, begun-entitled)*correction
--- a/overload/rates.go
+++ b/overload/rates.go
@@ -25,8 +25,8 @@
 }
 
 type rateInterval struct {
-	length         time.Duration
-	offered, begun float64
+	length                   time.Duration
+	offered, admitted, begun float64
 }
 
 // add adds the load of an interval in which a share of the offered jobs was admitted.
@@ -34,7 +34,9 @@
 	if len(r.intervals) == maxIntervals {
 		r.intervals = slices.Delete(r.intervals, 0, 1)
 	}
-	r.intervals = append(r.intervals, rateInterval{length: length, offered: float64(load.Arrived) / share, begun: float64(load.Begun)})
+	r.intervals = append(r.intervals, rateInterval{
+		length: length, offered: float64(load.Arrived) / share, admitted: float64(load.Arrived), begun: float64(load.Begun),
+	})
 }
 
 // sum returns the counts of the last intervals that together are at least as long as the span, and their length.
@@ -42,6 +44,7 @@
 	for i := len(r.intervals) - 1; i >= 0 && sum.length < span; i-- {
 		sum.length += r.intervals[i].length
 		sum.offered += r.intervals[i].offered
+		sum.admitted += r.intervals[i].admitted
 		sum.begun += r.intervals[i].begun
 	}
 	return sum
@@ -53,6 +56,12 @@
 	return sum.offered / max(rateTime, sum.length).Seconds()
 }
 
+// admitted returns the jobs a second that are accepted.
+func (r *rates) admitted() float64 {
+	sum := r.sum(rateTime)
+	return sum.admitted / max(rateTime, sum.length).Seconds()
+}
+
 // begun returns the jobs a second that get capacity.
 func (r *rates) begun() float64 {
 	sum := r.sum(rateTime)
