--- a/site/deployment_test.go
+++ b/site/deployment_test.go
@@ -49,6 +49,8 @@
 	log              io.Writer
 	processors       float64 // cores of the entries added from now on
 	linkBits         float64 // link speed of the entries added from now on, in bits per second; 0 is unlimited
+	// adaptConfig changes the configuration of the entries' processes added from now on; nil leaves it.
+	adaptConfig func(config *site.Config)
 }
 
 type entry struct {
@@ -193,7 +195,7 @@
 	e.stop, e.done = stop, make(chan struct{})
 	dial := d.dial(e.ip)
 	logger := eventlog.New(d.log, e.name)
-	process := site.New(site.Config{
+	config := site.Config{
 		Name: e.name, CallerListen: netip.AddrPortFrom(e.ip, 80), ReadyListen: netip.AddrPortFrom(e.ip, 81), GracePeriod: 6 * time.Second,
 		Store:  platform.NewStore(platform.StoreConfig{Address: webAddress(fmt.Sprintf("10.9.0.%d", number)), Dial: dial, LinkBitsPerSecond: d.linkBits}),
 		Orders: platform.NewWorkerClient(dial),
@@ -212,7 +214,11 @@
 		Listen: func(_ context.Context, _, address string) (net.Listener, error) {
 			return d.network.Listen(netip.MustParseAddrPort(address)), nil
 		},
-	})
+	}
+	if d.adaptConfig != nil {
+		d.adaptConfig(&config)
+	}
+	process := site.New(config)
 	go func() {
 		defer close(e.done)
 		_ = process.Run(ctx) // ends with the test
