--- a/overload/controller.go
+++ b/overload/controller.go
@@ -9,11 +9,6 @@
 )
 
 const (
-	// overage is the part of its weight by which an account may exceed it before any of its jobs is refused; it is bounds.quotaOverage.
-	overage = 0.1
-	// slack is the number of jobs beyond that which an account may submit within entitlementTime, since the rates of small accounts vary; it is
-	// bounds.quotaSlack.
-	slack = 20
 	// applyDelay is the time from a measured wait to the jobs that a new share admits: up to one renewal of the lease, the commit, and the
 	// acceptance of these jobs.
 	applyDelay = 500 * time.Millisecond
@@ -21,7 +16,7 @@
 	// make the share oscillate.
 	correctionTime = 3 * applyDelay
 	// maxGrowth is how many times as many jobs as were begun are admitted at most while the wait is short.
-	maxGrowth = 3
+	maxGrowth = 2
 	// maxShareStep is the factor by which the share rises at most in one update, because of the noise of rates of few jobs.
 	maxShareStep = 2
 	// minShare keeps a rate measurable, from which the share can rise again.
@@ -36,6 +31,32 @@
 	turnTime = time.Second
 )
 
+// Config holds the entitlement of accounts beyond their weights; zero values stand for the defaults of the settings.
+type Config struct {
+	Overage float64       // part of its weight by which an account may exceed it, as in bounds.quotaOverage
+	Window  time.Duration // time over which its jobs are compared with its weight, as in bounds.quotaWindowS
+	Slack   int           // jobs beyond that in the window, since the rates of small accounts vary, as in bounds.quotaSlack
+}
+
+const (
+	defaultOverage = 0.1
+	defaultWindow  = 5 * time.Second
+	defaultSlack   = 20
+)
+
+func (c Config) withDefaults() Config {
+	if c.Overage == 0 {
+		c.Overage = defaultOverage
+	}
+	if c.Window == 0 {
+		c.Window = defaultWindow
+	}
+	if c.Slack == 0 {
+		c.Slack = defaultSlack
+	}
+	return c
+}
+
 // Load is what the leader measured for one account since the last update.
 type Load struct {
 	Account acaciatally.AccountName
@@ -49,6 +70,7 @@
 // Controller determines the shares of jobs to admit. It keeps the wait of the jobs of an account under pressure near their allowed time: a
 // longer one makes results useless, a shorter one refuses jobs that could be served. It is not safe for concurrent use.
 type Controller struct {
+	config    Config
 	accounts  map[acaciatally.AccountName]*account
 	turn      uint32
 	turnAt    time.Duration
@@ -58,8 +80,8 @@
 }
 
 // NewController returns the controller of a new leader; inherited is what the leader before it published, or nil.
-func NewController(inherited *State) *Controller {
-	c := &Controller{accounts: map[acaciatally.AccountName]*account{}, inherited: inherited}
+func NewController(config Config, inherited *State) *Controller {
+	c := &Controller{config: config.withDefaults(), accounts: map[acaciatally.AccountName]*account{}, inherited: inherited}
 	if inherited != nil {
 		c.turn = inherited.Turn
 	}
@@ -86,7 +108,7 @@
 	for i := range loads {
 		seen[loads[i].Account] = true
 		if c.accounts[loads[i].Account] == nil {
-			c.accounts[loads[i].Account] = newAccount()
+			c.accounts[loads[i].Account] = newAccount(&c.config)
 		}
 		c.accounts[loads[i].Account].update(&loads[i], elapsed, now, now < c.settledAt)
 	}
@@ -107,7 +129,7 @@
 	c.settledAt = now + settleTime
 	for i := range loads {
 		if state := c.inherited.Find(loads[i].Account); state != nil {
-			c.accounts[loads[i].Account] = inheritedAccount(state, now)
+			c.accounts[loads[i].Account] = inheritedAccount(&c.config, state, now)
 		}
 	}
 }
@@ -131,6 +153,7 @@
 
 // account is the state of the control of one account.
 type account struct {
+	config    *Config
 	rates     rates
 	pressed   bool          // the wait was longer than the allowed time and has not been clearly shorter since with all jobs admitted
 	share     float64       // of new jobs that is admitted
@@ -139,12 +162,12 @@
 	returns   returns
 }
 
-func newAccount() *account { return &account{share: 1, lastShare: 1} }
+func newAccount(config *Config) *account { return &account{config: config, share: 1, lastShare: 1} }
 
-func inheritedAccount(state *AccountState, now time.Duration) *account {
+func inheritedAccount(config *Config, state *AccountState, now time.Duration) *account {
 	share := max(minShare, float64(state.PerMille)/1000)
 	return &account{
-		pressed: true, share: share, lastShare: share, wait: milliseconds(state.WaitMS),
+		config: config, pressed: true, share: share, lastShare: share, wait: milliseconds(state.WaitMS),
 		returns: returns{
 			after: milliseconds(state.RetryMS), interval: milliseconds(state.IntervalMS), bookedUntil: now + milliseconds(state.RetryMS+state.IntervalMS),
 		},
@@ -164,26 +187,34 @@
 		allowed = defaultAllowed
 	}
 	allowed = max(allowed, minAllowed)
+	a.returns.observe(load.Wait - allowed)
 	if !a.pressed {
 		a.rates.observeUsual(elapsed)
-		if a.expectedWait(load, allowed) <= allowed || a.rates.within(load.Weight) {
+		if a.expectedWait(load, allowed) <= allowed || a.within(load) {
 			return
 		}
 		a.pressed = true
 	}
 	a.wait = max(load.Wait, allowed)
 	a.share = a.admittedShare(load, allowed)
-	if !a.rates.within(load.Weight) {
+	if !a.within(load) {
 		a.share = min(a.share, maxShareStep*a.lastShare)
 	}
 	if a.share >= 1 && load.Wait < allowed/2 {
 		a.pressed = false
 	}
 	if a.share < 1 {
-		a.returns.book(a.rates.offered()*(1-a.share), a.rates.room(), load.Wait-allowed, elapsed, now)
+		a.returns.book(a.rates.offered()*(1-a.share), a.rates.room(), elapsed, now)
 	}
 }
 
+// within reports whether the offered jobs are within the account's entitlement.
+func (a *account) within(load *Load) bool {
+	sum := a.rates.sum(a.config.Window)
+	seconds := max(a.config.Window, sum.length).Seconds()
+	return sum.offered <= load.Weight*(1+a.config.Overage)*seconds+float64(a.config.Slack)
+}
+
 // expectedWait returns the wait by the time at which entries apply a new share. A surge of several times the capacity adds as much as the allowed
 // time until then. A wait below half of the allowed time is taken as it is, since the rates are too noisy to refuse anybody for them alone.
 func (a *account) expectedWait(load *Load, allowed time.Duration) time.Duration {
@@ -199,10 +230,10 @@
 // least those to which the account is entitled.
 func (a *account) admittedShare(load *Load, allowed time.Duration) float64 {
 	offered, begun := a.rates.offered(), a.rates.begun()
-	if offered == 0 || a.rates.within(load.Weight) {
+	if offered == 0 || a.within(load) {
 		return 1
 	}
-	entitled := load.Weight * (1 + overage)
+	entitled := load.Weight * (1 + a.config.Overage)
 	correction := min(maxGrowth, max(0, 1+(allowed-a.expectedWait(load, allowed)).Seconds()/correctionTime.Seconds()))
 	admitted := begun * correction
 	if correction < 1 {
--- a/overload/rates.go
+++ b/overload/rates.go
@@ -9,9 +9,7 @@
 	// rateTime is the time over which rates are measured: starts come in groups, one for each generation of runs, and the share has to follow the
 	// load within two seconds.
 	rateTime = 1400 * time.Millisecond
-	// entitlementTime is the time over which jobs are compared with the entitlement; it is bounds.quotaWindowS.
-	entitlementTime = 5 * time.Second
-	// maxIntervals is the number of updates to remember: those of entitlementTime at an interval of 0.25 s or more.
+	// maxIntervals is the number of updates to remember: those of 7 s at the interval of 0.35 s, longer than the window of the entitlement.
 	maxIntervals = 20
 )
 
@@ -68,12 +66,6 @@
 	return sum.begun / max(rateTime, sum.length).Seconds()
 }
 
-// within reports whether the offered jobs are within an entitlement to a number of jobs a second.
-func (r *rates) within(perSecond float64) bool {
-	sum := r.sum(entitlementTime)
-	return sum.offered <= perSecond*(1+overage)*max(entitlementTime, sum.length).Seconds()+slack
-}
-
 // observeUsual updates the usual rate from the last intervals.
 func (r *rates) observeUsual(elapsed time.Duration) {
 	r.usual += min(1, elapsed.Seconds()/usualTime.Seconds()) * (r.offered() - r.usual)
--- a/site/account_admission.go
+++ b/site/account_admission.go
@@ -19,7 +19,7 @@
 }
 
 func newAccountAdmission(inherited *overload.State, eventLog EventLog) *accountAdmission {
-	return &accountAdmission{controller: overload.NewController(inherited), published: inherited, eventLog: eventLog}
+	return &accountAdmission{controller: overload.NewController(overload.Config{}, inherited), published: inherited, eventLog: eventLog}
 }
 
 // update returns the state to publish, from the loads measured in a round.
