--- a/dispatch/account_load.go
+++ b/dispatch/account_load.go
@@ -7,29 +7,32 @@
 	"github.com/acaciatally/acaciatally/overload"
 )
 
-// accountLoad counts the jobs of one account, without those with long-running tasks.
-type accountLoad struct {
+// accountJobs counts the jobs of one account, without those with long-running tasks.
+type accountJobs struct {
 	arrived, begun int     // since the last call of AccountLoads
 	urgency        float64 // moving mean of 1/s over the allowed times; short allowed times count more than a few long ones
 }
 
 // allowed returns the typical allowed time of the account's jobs, 0 if none has arrived.
-func (l *accountLoad) allowed() time.Duration {
+func (l *accountJobs) allowed() time.Duration {
 	if l.urgency == 0 {
 		return 0
 	}
 	return time.Duration(float64(time.Second) / l.urgency)
 }
 
-// observeAccountArrival counts a loaded job of an account.
-func (s *Scheduler) observeAccountArrival(j *activeJob) {
+// countAccountArrival counts a loaded job of an account.
+func (s *Scheduler) countAccountArrival(j *activeJob) {
 	if j.accepted.Account == "" || j.hasLongRunning || j.accepted.Spec.Repeat > 0 {
 		return
 	}
-	load := s.accountLoads[j.accepted.Account]
+	load := s.accountJobs[j.accepted.Account]
 	if load == nil {
-		load = &accountLoad{}
-		s.accountLoads[j.accepted.Account] = load
+		load = &accountJobs{}
+		if s.accountJobs == nil {
+			s.accountJobs = map[acaciatally.AccountName]*accountJobs{}
+		}
+		s.accountJobs[j.accepted.Account] = load
 	}
 	load.arrived++
 	urgency := 1 / overload.AllowedTime(&j.accepted.Queue, &j.accepted.Spec).Seconds()
@@ -39,9 +42,9 @@
 	moveMean(&load.urgency, urgency)
 }
 
-// observeAccountBegin counts a job of an account when the first of its tasks has got a worker.
-func (s *Scheduler) observeAccountBegin(j *activeJob) {
-	load := s.accountLoads[j.accepted.Account]
+// countAccountBegin counts a job of an account when the first of its tasks has got a worker.
+func (s *Scheduler) countAccountBegin(j *activeJob) {
+	load := s.accountJobs[j.accepted.Account]
 	if load == nil || j.counted || j.hasLongRunning || j.accepted.Spec.Repeat > 0 || !j.begun() {
 		return
 	}
@@ -64,12 +67,12 @@
 // AccountLoads returns the load of all configured accounts with the jobs that have arrived and begun since the last call.
 func (s *Scheduler) AccountLoads(now time.Duration) (loads []overload.Load) {
 	if s.configuration == nil || len(s.configuration.Accounts) == 0 {
-		clear(s.accountLoads)
+		clear(s.accountJobs)
 		return nil
 	}
 	for _, j := range s.jobs {
 		if j.accepted.Account != "" {
-			s.observeAccountBegin(j)
+			s.countAccountBegin(j)
 		}
 	}
 	waits := map[acaciatally.AccountName]time.Duration{}
@@ -78,7 +81,7 @@
 	}
 	for name, account := range s.configuration.Accounts {
 		load := overload.Load{Account: name, Weight: account.Weight, Wait: waits[name]}
-		if counted := s.accountLoads[name]; counted != nil {
+		if counted := s.accountJobs[name]; counted != nil {
 			load.Allowed, load.Arrived, load.Begun = counted.allowed(), counted.arrived, counted.begun
 			counted.arrived, counted.begun = 0, 0
 		}
--- a/dispatch/account_load_test.go
+++ b/dispatch/account_load_test.go
@@ -48,7 +48,7 @@
 	require.Equal(t, overload.Load{Account: "hot", Weight: 30, Allowed: 3 * time.Second, Arrived: 2, Begun: 1}, hot)
 	require.Equal(t, overload.Load{Account: "quiet", Weight: 10}, quiet)
 	begin("2")
-	scheduler.observeAccountBegin(scheduler.jobs["2"]) // as when it ends
+	scheduler.countAccountBegin(scheduler.jobs["2"]) // as when it ends
 	delete(scheduler.jobs, "2")
 	hot, _ = sample()
 	require.Equal(t, 0, hot.Arrived)
--- a/dispatch/jobs.go
+++ b/dispatch/jobs.go
@@ -39,9 +39,9 @@
 	}
 	s.jobs[id] = j
 	s.observeArrival(j, now)
-	s.observeAccountArrival(j)
 	s.partition(accepted.Queue.Name)
 	s.config.EventLog.JobLoaded(id, accepted.Queue.Name, progress.State)
+	s.countAccountArrival(j)
 }
 
 // maxJobAge limits the age of a loaded job, because the clocks of entries may differ.
@@ -191,7 +191,7 @@
 		assigned := false
 		j.eachTask(func(t *task) { assigned = assigned || t.assigned() })
 		if !assigned {
-			s.observeAccountBegin(j)
+			s.countAccountBegin(j)
 			delete(s.jobs, id)
 			s.dropPermissions(id)
 			s.loadDeferred(id, now)
--- a/dispatch/scheduler.go
+++ b/dispatch/scheduler.go
@@ -36,6 +36,7 @@
 	busyWorkers     int             // workers with runs
 	fenceBumps      uint64          // incremented to invalidate orders that are still in flight
 	arrivals        map[acaciatally.PoolName]*arrivals
+	accountJobs     map[acaciatally.AccountName]*accountJobs
 	runTimes        map[acaciatally.QueueName]*runTimeMeans
 	permissions     map[stepKey]*stepPermissions
 	suspects        map[acaciatally.InstanceID]suspectRuns // of workers that could not be reached
@@ -45,7 +46,6 @@
 	starts          startWindow
 	heldStarts      int // start orders that the window held back in the last round
 	startRate       startRate
-	accountLoads    map[acaciatally.AccountName]*accountLoad
 }
 
 // New returns a scheduler without jobs and workers.
@@ -70,8 +70,6 @@
 		silence:     silence{mayBeStored: map[acaciatally.WorkerID]bool{}},
 		starts:      newStartWindow(),
 		startRate:   newStartRate(),
-
-		accountLoads: map[acaciatally.AccountName]*accountLoad{},
 	}
 }
 
@@ -126,7 +124,7 @@
 	endRecordedAt    time.Duration // when the commit of the final state was applied; 0 before
 	hasWaitingRecord bool          // its record in job.WaitingTable may still exist
 	recordsDeleted   bool          // all records but the progress record are deleted
-	counted          bool          // it is counted in accountLoad.begun
+	counted          bool          // it is counted in accountJobs.begun
 }
 
 // occurrence is one execution of a job's steps.
