--- a/dispatch/scheduler.go
+++ b/dispatch/scheduler.go
@@ -18,6 +18,12 @@
 	MaxCommitBytes  int           // size of the progress records in one transaction; 0 is MaxCommitBytes
 	MaxRecordBytes  int           // size of the largest record that the store takes; 0 is job.DefaultRecordBytes
 	EventLog        EventLog
+	// QuotaOverage is the part of its weight by which an account may exceed its rate of jobs; 0 is 0.1.
+	QuotaOverage float64
+	// QuotaWindow is the time over which the rate is counted; 0 is 5 s.
+	QuotaWindow time.Duration
+	// QuotaSlack is how many more jobs may arrive in each window, for accounts with few and irregular arrivals; 0 is 20.
+	QuotaSlack int
 }
 
 // Scheduler holds the state of all jobs and workers during one term of leadership. In its methods, now is a monotonic clock that includes
@@ -42,10 +48,14 @@
 	suspects        map[acaciatally.InstanceID]suspectRuns // of workers that could not be reached
 	toDrain         map[acaciatally.WorkerID]string        // workers to drain, and the reason
 	drainSoon       map[acaciatally.WorkerID]bool          // workers that will have to be drained soon
+	usages          map[acaciatally.AccountName]*accountUsage
+	nextUsageAt     time.Duration // when the metrics of the accounts are set again
+	maximumsDue     bool          // a new configuration may have lowered the maximum of an account
 	silence         silence
 	starts          startWindow
 	heldStarts      int // start orders that the window held back in the last round
 	startRate       startRate
+	shares          shares
 }
 
 // New returns a scheduler without jobs and workers.
@@ -56,6 +66,15 @@
 	if config.MaxRecordBytes == 0 {
 		config.MaxRecordBytes = job.DefaultRecordBytes
 	}
+	if config.QuotaOverage == 0 {
+		config.QuotaOverage = defaultQuotaOverage
+	}
+	if config.QuotaWindow == 0 {
+		config.QuotaWindow = defaultQuotaWindow
+	}
+	if config.QuotaSlack == 0 {
+		config.QuotaSlack = defaultQuotaSlack
+	}
 	return &Scheduler{
 		config:      config,
 		jobs:        map[acaciatally.JobID]*activeJob{},
@@ -67,9 +86,11 @@
 		permissions: map[stepKey]*stepPermissions{},
 		suspects:    map[acaciatally.InstanceID]suspectRuns{},
 		toDrain:     map[acaciatally.WorkerID]string{},
+		usages:      map[acaciatally.AccountName]*accountUsage{},
 		silence:     silence{mayBeStored: map[acaciatally.WorkerID]bool{}},
 		starts:      newStartWindow(),
 		startRate:   newStartRate(),
+		shares:      shares{accounts: map[acaciatally.AccountName]*accountShare{}, pools: map[acaciatally.PoolName]*poolShares{}},
 	}
 }
 
@@ -93,6 +114,11 @@
 		return
 	}
 	s.configuration = configuration
+	s.configureShares()
+	s.maximumsDue = len(s.usages) > 0
+	for _, u := range s.usages {
+		u.configure(configuration)
+	}
 	for _, queue := range configuration.Queues {
 		for _, j := range s.jobs {
 			if j.accepted.Queue.Name == queue.Name {
@@ -106,6 +132,7 @@
 type activeJob struct {
 	id               acaciatally.JobID
 	accepted         job.Accepted
+	usage            *accountUsage // of its account; nil without one
 	state            acaciatally.JobState
 	digest           uint64
 	nextOccurrence   int // number of the next occurrence to open
@@ -115,10 +142,12 @@
 	inCommit         bool          // a commit of it is in flight
 	lateness         lateness
 	estimate         estimate
-	hasLongRunning   bool // has tasks that run until the job is cancelled
-	hasGang          bool // has a step whose tasks run all at the same time or not at all
-	placementDue     bool // a task has started or stopped waiting since the last placement
-	hasCancelRecord  bool // a cancel request is recorded
+	hasLongRunning   bool          // has tasks that run until the job is cancelled
+	account          *accountShare // of the job's owner; nil without one
+	beyondRate       bool          // beyond the rate of its account; runs only on lent room
+	hasGang          bool          // has a step whose tasks run all at the same time or not at all
+	placementDue     bool          // a task has started or stopped waiting since the last placement
+	hasCancelRecord  bool          // a cancel request is recorded
 	unrecordedEnds   []endRef
 	refusedUntil     time.Duration // when its record may be sent again that the store has refused; 0 if it has not
 	endRecordedAt    time.Duration // when the commit of the final state was applied; 0 before
@@ -210,6 +239,10 @@
 	t.phase, t.stage, t.worker = job.Assigned, s, w
 	w.runs[t] = true
 	w.load.add(t.step, 1)
+	if a := t.job.account; a != nil {
+		a.used = a.used.Plus(t.step.Reserved())
+	}
+	t.job.usage.add(t.step.Resources, 1)
 	t.joinSuspects()
 	t.job.dirty = true
 }
@@ -222,11 +255,15 @@
 	return t.worker.entry.ID
 }
 
-// release returns the task to waiting. The caller must be sure that its run is over or was never started.
+// release returns the task to waiting. The caller must be sure that its run is over or was never started, or call keepLeftover before.
 func (t *task) release() {
 	if t.worker != nil {
 		delete(t.worker.runs, t)
 		t.worker.load.add(t.step, -1)
+		if a := t.job.account; a != nil {
+			a.used = a.used.Minus(t.step.Reserved())
+		}
+		t.job.usage.add(t.step.Resources, -1)
 		t.leaveSuspects()
 	}
 	t.phase, t.stage, t.worker = job.Waiting, stagePlanned, nil
--- a/eventlog/logger.go
+++ b/eventlog/logger.go
@@ -37,6 +37,8 @@
 	pressed           map[acaciatally.AccountName]bool // accounts logged as under pressure
 	reportMutex       sync.Mutex
 	droppedReportedAt time.Time
+	gaugeMutex        sync.Mutex
+	accountGauges     map[string]bool // names of the gauges of accounts that are set
 }
 
 // New returns a logger that writes JSON lines to output, each with the name of the process.
--- a/intake/service.go
+++ b/intake/service.go
@@ -113,6 +113,9 @@
 	if err = s.checkStore(); err != nil {
 		return err
 	}
+	if err = s.checkMaximum(ctx, queue, account, id, spec); err != nil {
+		return err
+	}
 	if err = s.checkStartDelay(ctx, queue, account, id, spec); err != nil {
 		return err
 	}
