--- a/intake/account_test.go
+++ b/intake/account_test.go
@@ -12,13 +12,13 @@
 	"github.com/acaciatally/acaciatally/overload"
 )
 
-// refusalLog records the refusals because of load.
-type refusalLog struct {
+// overloadLog records the refusals because of load.
+type overloadLog struct {
 	nopEventLog
 	refusals []string
 }
 
-func (l *refusalLog) JobRefused(account acaciatally.AccountName, reason string) {
+func (l *overloadLog) JobRefused(account acaciatally.AccountName, reason string) {
 	l.refusals = append(l.refusals, string(account)+" "+reason)
 }
 
@@ -53,7 +53,7 @@
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
-			store, log := &fakeStore{rows: map[acaciatally.RecordKey]acaciatally.Record{}}, &refusalLog{}
+			store, log := &fakeStore{rows: map[acaciatally.RecordKey]acaciatally.Record{}}, &overloadLog{}
 			if test.recorded {
 				key := job.ProgressKey(queue.Name, jobID)
 				store.rows[key] = acaciatally.Record{RecordKey: key, Value: recorded, Version: 1}
