Merge refusal and return by account

Cause: refusals need the estimate of the wait that the shares by weight provide; both were built side by side.

Change: the stand-in of accountPressure gives way to that of the shares.

Measured: go test ./dispatch ./intake ./sharing ./overload ./leadership ./eventlog passes.

--- a/dispatch/jobs.go
+++ b/dispatch/jobs.go
@@ -42,6 +42,7 @@
 	s.observeJob(j, age, now)
 	s.partition(accepted.Queue.Name)
 	s.config.EventLog.JobLoaded(id, accepted.Queue.Name, progress.State)
+	s.countAccountArrival(j)
 }
 
 // maxJobAge limits the age of a loaded job, because the clocks of entries may differ.
@@ -191,6 +192,7 @@
 		assigned := false
 		j.eachTask(func(t *task) { assigned = assigned || t.assigned() })
 		if !assigned {
+			s.countAccountBegin(j)
 			delete(s.jobs, id)
 			s.dropPermissions(id)
 			s.loadDeferred(id, now)
--- a/eventlog/logger.go
+++ b/eventlog/logger.go
@@ -34,6 +34,8 @@
 	submissions       *metrics.Histogram // seconds from the receipt of a submission to its answer
 	dropped           atomic.Int64       // lines dropped since the last report
 	refusals          refusalReport
+	sharesMutex       sync.Mutex
+	pressed           map[acaciatally.AccountName]bool // accounts logged as under pressure
 	reportMutex       sync.Mutex
 	droppedReportedAt time.Time
 	gaugeMutex        sync.Mutex
@@ -53,6 +55,7 @@
 		},
 		limiter:     rate.NewLimiter(maxLinesPerSecond, maxLineBurst),
 		metricSet:   metricSet,
+		pressed:     map[acaciatally.AccountName]bool{},
 		submissions: metricSet.NewHistogram("acaciatally_submission_seconds"),
 	}
 }
