--- a/dispatch/ledger_test.go
+++ b/dispatch/ledger_test.go
@@ -235,3 +235,28 @@
 	require.Equal(t, []acaciatally.RecordKey{job.AcceptedKey("quotes", "aa")}, deletes(now + time.Second)[:1])
 	require.NotContains(t, scheduler.jobs, acaciatally.JobID("aa"))
 }
+
+// TestLedgerOfRestartedWorker guards against counting the runs of a silent worker as over too early: a renewal that was sent before its restart was
+// known has given it the longest lease that it grants.
+func TestLedgerOfRestartedWorker(t *testing.T) {
+	scheduler, _ := newScheduler()
+	processorMaximum(scheduler, 1, 1000)
+	w := testWorker(1)
+	scheduler.SetDirectory([]acaciatally.Worker{w}, 20*time.Second)
+	reportRuns(scheduler, "i-1", 20*time.Second)
+	loadAccountJob(scheduler, "aa", testAccount, 20*time.Second, testStep(1, 1000))
+	require.Len(t, scheduler.Renewals(21*time.Second), 1)
+	w.StartTime = time.UnixMilli(22_000)
+	scheduler.Report("i-1", acaciatally.WorkerReport{Clock: 100 * time.Millisecond, StartTime: w.StartTime}, 21*time.Second, 21*time.Second)
+	scheduler.SetDirectory([]acaciatally.Worker{w}, 21*time.Second)
+	require.Len(t, startDue(scheduler, 21*time.Second), 1)
+	scheduler.RenewalFailed("i-1", acaciatally.ErrUnknownOutcome, 22*time.Second)
+	tests := []struct {
+		at      time.Duration
+		counted int
+	}{{26 * time.Second, 1000}, {30 * time.Second, 1000}, {33 * time.Second, 0}}
+	for _, test := range tests {
+		scheduler.Plan(test.at, time.UnixMilli(0))
+		require.Equal(t, test.counted, scheduler.accountUsage(testAccount).Processors, "at %v", test.at)
+	}
+}
--- a/dispatch/maximum.go
+++ b/dispatch/maximum.go
@@ -29,10 +29,15 @@
 	return u != nil && !within(u.maximum, u.used, t.step.Resources)
 }
 
+// listed reports whether the last report of the worker lists the run.
+func (t *task) listed() bool {
+	return t.percentReportedAt > 0 && t.percentReportedAt == t.worker.reportedAt
+}
+
 // mayReserve reports whether a step's tasks, as many as count, are within the maximum of their account. If they are not, it logs so.
 func (s *Scheduler) mayReserve(j *activeJob, step *acaciatally.Step, count int, now time.Duration) bool {
 	u := j.usage
-	if u.hasHeadroom(times(step.Resources, count)) {
+	if u == nil || u.hasHeadroom(times(step.Resources, count)) {
 		return true
 	}
 	if u.loggedAt == 0 || now >= u.loggedAt+maximumLogInterval {
--- a/dispatch/maximum_test.go
+++ b/dispatch/maximum_test.go
@@ -181,9 +181,9 @@
 // the first order was executed.
 func TestRepeatedStartBeyondMaximum(t *testing.T) {
 	tests := map[string]struct {
-		executed bool
-		want     OrderKind
-	}{"executed": {true, OrderStart}, "not executed": {false, OrderStop}}
+		executed, lost bool
+		want           OrderKind
+	}{"executed": {true, false, OrderStart}, "not executed": {false, false, OrderStop}, "executed and lost": {true, true, OrderStop}}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
 			scheduler, _ := newScheduler()
@@ -202,6 +202,9 @@
 			} else {
 				reportRuns(scheduler, "i-1", 700*time.Millisecond)
 			}
+			if test.lost {
+				reportRuns(scheduler, "i-1", 750*time.Millisecond)
+			}
 			orders := append(scheduler.Orders(800*time.Millisecond), scheduler.Orders(900*time.Millisecond)...)
 			require.NotEmpty(t, orders)
 			require.Equal(t, test.want, orders[0].Kind)
--- a/dispatch/order.go
+++ b/dispatch/order.go
@@ -238,7 +238,7 @@
 		t.retryAt = now + orderRetry
 		return false
 	}
-	if t.percentReportedAt == 0 && t.exceedsMaximum() { // no report has listed the run
+	if !t.listed() && t.exceedsMaximum() {
 		if w.reportedAt > t.retryAt {
 			s.stopTask(t, stopUnconfirmed)
 		}
--- a/dispatch/report.go
+++ b/dispatch/report.go
@@ -55,6 +55,7 @@
 	w.advanceAcknowledged()
 	s.logUnackedEnds(w, now)
 	if isFirst {
+		s.noteRestartLease(w, now)
 		s.loseSuperseded(now)
 	}
 }
--- a/dispatch/view.go
+++ b/dispatch/view.go
@@ -52,18 +52,13 @@
 func (s *Scheduler) Pools(now time.Duration) map[acaciatally.PoolName]PoolView {
 	pools := map[acaciatally.PoolName]PoolView{}
 	limit := &admitted{}
-	add := func(j *activeJob) {
-		pool := pools[j.accepted.Queue.Pool]
-		j.addDemand(&pool, limit, j.live() && !j.hasLongRunning && s.latenessOf(j, now) == overdue)
-		pools[j.accepted.Queue.Pool] = pool
-	}
 	for _, j := range s.jobs {
 		if !j.usage.limited() {
-			add(j)
+			s.addDemand(pools, j, limit, now)
 		}
 	}
 	for _, j := range s.limitedJobs(now) {
-		add(j)
+		s.addDemand(pools, j, limit, now)
 	}
 	for name, arrivals := range s.arrivals {
 		pool := pools[name]
@@ -73,6 +68,12 @@
 	return pools
 }
 
+func (s *Scheduler) addDemand(pools map[acaciatally.PoolName]PoolView, j *activeJob, limit *admitted, now time.Duration) {
+	pool := pools[j.accepted.Queue.Pool]
+	j.addDemand(&pool, limit, j.live() && !j.hasLongRunning && s.latenessOf(j, now) == overdue)
+	pools[j.accepted.Queue.Pool] = pool
+}
+
 func (s *Scheduler) workerView(worker *worker, now time.Duration) WorkerView {
 	view := WorkerView{
 		ID: worker.entry.ID, Pool: worker.entry.Pool, Runs: len(worker.runs) + len(worker.orphans), Capacity: worker.entry.Capacity,
@@ -102,11 +103,11 @@
 				pool.MinWorkers = max(pool.MinWorkers, (count+step.PerWorker-1)/step.PerWorker)
 			}
 			for _, t := range tasks {
-				demands := ready && t.phase == job.Waiting && demanded > 0
-				if demands {
+				switch {
+				case t.assigned():
+					pool.add(t, overdue)
+				case ready && demanded > 0 && t.phase == job.Waiting:
 					demanded--
-				}
-				if t.assigned() || demands {
 					pool.add(t, overdue)
 				}
 			}
@@ -162,8 +163,6 @@
 		delete(s.suspects, w.entry.Instance) // the next worker there says nothing about a crash
 		left := w.accountRuns(now)
 		s.markLost(w, "instance removed by an order", now)
-		for run, l := range left {
-			w.addLeftover(run, l)
-		}
+		w.addLeftovers(left)
 	}
 }
--- a/dispatch/worker.go
+++ b/dispatch/worker.go
@@ -37,9 +37,10 @@
 	runs              map[*task]bool  // assigned tasks
 	load              load            // of the assigned tasks
 	leftovers         map[runKey]leftover
-	suspectRuns       int          // assigned tasks that are suspected of having crashed workers
-	suspects          []suspectRun // runs that may have crashed the incarnation before, until the first report of this one
-	orderDue          bool         // an order about one of its runs may be due; see Scheduler.Orders
+	restartLease      time.Duration // when the longest lease that a renewal for the earlier incarnation may have given to this one is over
+	suspectRuns       int           // assigned tasks that are suspected of having crashed workers
+	suspects          []suspectRun  // runs that may have crashed the incarnation before, until the first report of this one
+	orderDue          bool          // an order about one of its runs may be due; see Scheduler.Orders
 	health            health
 	throttledAt       time.Duration // when the CPU share of its runs was last changed
 	idleSince         time.Duration // when a run was last seen on it
--- a/dispatch/worker_lease.go
+++ b/dispatch/worker_lease.go
@@ -48,7 +48,7 @@
 		}
 		if (w.renewalFailures > 0 || w.reportedAt == 0) && len(w.runs) > 0 {
 			s.holdSuspects(w)
-			s.markLost(w, "lease expired", now)
+			s.loseExpired(w, now)
 			w.lost = !w.listed // a listed worker may answer again
 			s.raiseFence(w)
 		}
--- /dev/null
+++ b/eventlog/accounts_test.go
@@ -0,0 +1,35 @@
+package eventlog_test
+
+import (
+	"bytes"
+	"io"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/acaciatally/acaciatally"
+	"github.com/acaciatally/acaciatally/dispatch"
+	"github.com/acaciatally/acaciatally/eventlog"
+)
+
+// TestAccountUsage guards against gauges of accounts that stay when an account is gone or the entry no longer leads: summed over the entries they
+// would show usage that does not exist.
+func TestAccountUsage(t *testing.T) {
+	logger := eventlog.New(io.Discard, "entry-1")
+	defer func() { require.NoError(t, logger.Close()) }()
+	scrape := func() string {
+		buffer := &bytes.Buffer{}
+		logger.Metrics().WritePrometheus(buffer)
+		return buffer.String()
+	}
+	usage := dispatch.AccountUsage{Used: acaciatally.ResourceVector{Processors: 1500}, Maximum: acaciatally.ResourceVector{Processors: 4000}}
+	logger.AccountUsage(map[acaciatally.AccountName]dispatch.AccountUsage{"a": usage, "b": {}})
+	require.Contains(t, scrape(), `acaciatally_account_used{account="a",resource="processors"} 1500`)
+	require.Contains(t, scrape(), `acaciatally_account_maximum{account="a",resource="processors"} 4000`)
+	usage.Used.Processors = 500
+	logger.AccountUsage(map[acaciatally.AccountName]dispatch.AccountUsage{"a": usage})
+	require.Contains(t, scrape(), `acaciatally_account_used{account="a",resource="processors"} 500`)
+	require.NotContains(t, scrape(), `account="b"`)
+	logger.AccountUsage(nil)
+	require.NotContains(t, scrape(), "acaciatally_account_")
+}
