--- a/console/attend.go
+++ b/console/attend.go
@@ -60,7 +60,9 @@
 	if port != 0 {
 		siteConfig.Metrics, siteConfig.MetricsListen = metricsHandler(logger), netip.AddrPortFrom(settings.IP, port)
 	}
-	err := site.New(siteConfig).Run(ctx)
+	process := site.New(siteConfig)
+	logger.Metrics().NewGauge("acaciatally_configuration_age_seconds", func() float64 { return process.ConfigurationAge().Seconds() })
+	err := process.Run(ctx)
 	logger.Stopped(err)
 	if closeErr := logger.Close(); closeErr != nil {
 		_, _ = fmt.Fprintln(os.Stderr, closeErr)
--- a/intake/authenticate.go
+++ b/intake/authenticate.go
@@ -10,8 +10,9 @@
 	// DefaultMaxConfigurationAge is the bound on the age of the configuration where the settings have none.
 	DefaultMaxConfigurationAge = 5 * time.Second
 	// maxAgeToReject is the age of the configuration up to which an unknown key is rejected for good. The platform allows entries 3 s to apply a
-	// configuration, so a key that was added earlier has to be accepted; with an older configuration the entry can't tell.
-	maxAgeToReject = 2500 * time.Millisecond
+	// configuration, so a key that was added earlier has to be accepted; with an older configuration the entry can't tell. The rest of the 3 s is for
+	// clocks of different speeds.
+	maxAgeToReject = 2900 * time.Millisecond
 	// oldConfigurationRetryAfter is the time after which callers may retry with a key that can't be checked.
 	oldConfigurationRetryAfter = time.Second
 )
--- a/job/size_test.go
+++ b/job/size_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strings"
 	"testing"
 
 	"github.com/stretchr/testify/require"
@@ -46,7 +47,7 @@
 			content, err := job.EncodeProgress(progress)
 			require.NoError(t, err)
 			require.LessOrEqual(t, len(content), job.MaxProgressBytes(test.spec, test.occurrences, workerBytes))
-			progress.Account = "an account with a name of usual length"
+			progress.Account = acaciatally.AccountName(strings.Repeat("x", 3000))
 			content, err = job.EncodeProgress(progress)
 			require.NoError(t, err)
 			require.LessOrEqual(t, len(content), job.MaxProgressBytes(test.spec, test.occurrences, workerBytes+job.AccountBytes(progress.Account)))
--- a/site/account_test.go
+++ b/site/account_test.go
@@ -2,7 +2,11 @@
 
 import (
 	"bytes"
+	"crypto/sha256"
+	"encoding/base64"
+	"encoding/hex"
 	"encoding/json"
+	"fmt"
 	"io"
 	"net/http"
 	"testing"
@@ -30,7 +34,7 @@
 func (d *deployment) configureAccounts(version int, accounts accountKeys) {
 	list := []map[string]any{}
 	for name, keys := range accounts {
-		list = append(list, map[string]any{"name": name, "apiKeys": keys, "weight": 1, "maximum": map[string]int{"cpu": 0}, "note": "ignored"})
+		list = append(list, emulator.Account(name, 1, keys...))
 	}
 	d.store.Put("op", "config", map[string]any{
 		"version": version, "tenants": list, "services": []map[string]any{{"name": "intake", "healthPath": "/health"}, {"name": "coating", "healthPath": "/health"}},
@@ -81,6 +85,47 @@
 	})
 }
 
+// TestKeysNotDisclosed guards against a key that appears in the log, in an answer or in a record, in clear or as its digest.
+func TestKeysNotDisclosed(t *testing.T) {
+	const valid, unknown = "valid-secret-1", "unknown-secret-2"
+	synctest.Test(t, func(t *testing.T) {
+		d := newDeployment(t, 0)
+		log := &bytes.Buffer{}
+		d.log = log
+		d.addEntry()
+		d.addInstances("intake", 1)
+		d.configureAccounts(2, accountKeys{"a": {valid}, "b": {"b-1"}})
+		time.Sleep(applyTime)
+		var disclosed []byte
+		for _, key := range []string{valid, unknown, "b-1"} {
+			for _, method := range []string{http.MethodPost, http.MethodGet, http.MethodDelete} {
+				_, answer := d.callWithKey(d.entries[0], method, quoteA, key, emulator.Job(emulator.Step(1, 1000)))
+				disclosed = fmt.Append(disclosed, answer)
+			}
+		}
+		d.store.PutRaw(emulator.Row{Table: "op", Key: "config", Value: []byte(`{"version":3,"tenants":[{"name":"a","apiKeys":[{"valid-secret-1":1}]}]}`)})
+		time.Sleep(time.Second)
+		d.store.PutRaw(emulator.Row{Table: "op", Key: "config", Value: []byte(`{"version":4,"tenants":"valid-secret-1"}`)})
+		time.Sleep(time.Second)
+		for _, table := range []string{"Job", "Progress", "Waiting", "Lease", "Owner", "Silence"} {
+			for _, row := range d.store.Rows(table) {
+				disclosed = append(disclosed, row.Value...)
+			}
+		}
+		d.entries[0].stop()
+		<-d.entries[0].done
+		require.Contains(t, log.String(), `"Event":"KeyRefused"`)
+		require.Contains(t, log.String(), `"Event":"ConfigurationPartIgnored"`)
+		disclosed = append(disclosed, log.Bytes()...)
+		for _, key := range []string{valid, unknown} {
+			digest := sha256.Sum256([]byte(key))
+			for _, text := range []string{key, string(digest[:]), hex.EncodeToString(digest[:]), base64.StdEncoding.EncodeToString(digest[:])} {
+				require.NotContains(t, string(disclosed), text)
+			}
+		}
+	})
+}
+
 // TestOwnerThroughTakeover guards against a job of which a new leader or another entry no longer knows the owner, so that other accounts can read or
 // cancel it, and against a refusal of the owner.
 func TestOwnerThroughTakeover(t *testing.T) {
@@ -293,25 +338,58 @@
 	})
 }
 
-// TestKeysAfterLostResponse guards against an entry that refuses valid keys for longer than it has to after one lost response of the store.
-func TestKeysAfterLostResponse(t *testing.T) {
+// TestKeysAfterLostResponses guards against an entry that uses an old configuration for longer than the platform allows, or that refuses valid keys,
+// because responses to the calls with which it waits for changes are lost.
+func TestKeysAfterLostResponses(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		d := newDeployment(t, 2)
-		d.configureAccounts(2, accountKeys{"a": {"a-1"}})
+		d.configureAccounts(2, accountKeys{"a": {"a-1"}, "b": {"b-1"}})
 		time.Sleep(applyTime)
 		e := d.nonLeader()
-		for range 3 {
-			e.faults.HangTable("op")
-			time.Sleep(1100 * time.Millisecond) // the next call gets no answer
-			e.faults.HangTable("")
-			for range 50 {
-				require.Equal(t, http.StatusOK, d.status(e, http.MethodGet, "/quotes/", "a-1"))
-				time.Sleep(100 * time.Millisecond)
+		e.faults.HangFeeds("op", 3)
+		time.Sleep(1100 * time.Millisecond) // until the first of these calls was sent
+		d.configureAccounts(3, accountKeys{"a": {"a-2"}, "b": {"b-1"}})
+		publishedAt := time.Now()
+		for time.Since(publishedAt) < 15*time.Second {
+			require.Equal(t, http.StatusOK, d.status(e, http.MethodGet, "/quotes/", "b-1"), "after %s", time.Since(publishedAt))
+			if time.Since(publishedAt) > applyTime {
+				require.Equal(t, http.StatusOK, d.status(e, http.MethodGet, "/quotes/", "a-2"), "after %s", time.Since(publishedAt))
+				require.Equal(t, http.StatusUnauthorized, d.status(e, http.MethodGet, "/quotes/", "a-1"), "after %s", time.Since(publishedAt))
 			}
+			time.Sleep(100 * time.Millisecond)
 		}
 	})
 }
 
+// TestCallsWithAccounts guards against calls to the store that accounts cause while nothing has failed, and against calls without a pause while the
+// newest configuration can't be decoded.
+func TestCallsWithAccounts(t *testing.T) {
+	callsIn := func(configure func(d *deployment)) (reads, feeds int) {
+		synctest.Test(t, func(t *testing.T) {
+			d := newDeployment(t, 2)
+			configure(d)
+			time.Sleep(10 * time.Second)
+			e := d.nonLeader()
+			reads, feeds = e.faults.Calls("/-/rows-get"), e.faults.Calls("/-/rows-feed")
+			time.Sleep(time.Minute)
+			reads, feeds = e.faults.Calls("/-/rows-get")-reads, e.faults.Calls("/-/rows-feed")-feeds
+		})
+		return reads, feeds
+	}
+	reads, feeds := callsIn(func(*deployment) {})
+	readsWith, feedsWith := callsIn(func(d *deployment) { d.configureAccounts(2, accountKeys{"a": {"a-1"}}) })
+	const phase = 2 // calls by which the minutes may differ
+	require.InDelta(t, reads, readsWith, phase)
+	require.InDelta(t, feeds, feedsWith, phase)
+	readsWith, feedsWith = callsIn(func(d *deployment) {
+		d.configureAccounts(2, accountKeys{"a": {"a-1"}})
+		time.Sleep(time.Second)
+		d.store.PutRaw(emulator.Row{Table: "op", Key: "config", Value: []byte("{")})
+	})
+	require.InDelta(t, reads, readsWith, phase)
+	require.InDelta(t, feeds, feedsWith, phase)
+}
+
 // TestStartDuringOutage guards against an entry that starts while the store is not available and answers about keys, and against one that does not
 // serve afterwards.
 func TestStartDuringOutage(t *testing.T) {
--- a/site/configuration.go
+++ b/site/configuration.go
@@ -14,8 +14,6 @@
 const (
 	followTimeout = time.Second
 	retryDelay    = 100 * time.Millisecond
-	// followsPerMaxAge is how many waits for a change fit within the bound on the configuration's age, so that a lost response does not exceed it.
-	followsPerMaxAge = 4
 )
 
 // OperatorRecords describes the operators' table and how its records are decoded.
@@ -38,13 +36,11 @@
 	routes            atomic.Pointer[intake.Routes]
 	mutex             sync.Mutex
 	waves             map[int]observedWave
-	// confirmedAt is the time in nanoseconds of the clock at which this entry sent the last call whose response showed that no newer configuration
-	// than the current one exists. It is changed after the configuration, so that a reader which loads it first never sees it with an older one.
-	confirmedAt      atomic.Int64
-	maxAge           time.Duration // bound on the configuration's age while accounts are configured
-	undecodable      bool          // the newest configuration can't be decoded
-	unreachable      bool
-	unreachableSince time.Duration // time of the last response before the store became unreachable
+	age               configurationAge
+	applyMutex        sync.Mutex // held while records are applied, which may come from two calls at the same time
+	newestRecord      uint64     // version of the newest record of the configuration that was applied or can't be decoded
+	unreachable       bool
+	unreachableSince  time.Duration // time of the last response before the store became unreachable
 }
 
 // observedWave is a maintenance wave with the time at which this entry first saw it.
@@ -63,8 +59,7 @@
 			acaciatally.Sleep(ctx, retryDelay)
 			continue
 		}
-		w.apply(page.Records)
-		w.confirm(sentAt)
+		w.apply(page.Records, sentAt)
 		w.follow(ctx, page.Version)
 	}
 }
@@ -82,34 +77,10 @@
 			continue
 		}
 		version = page.Version
-		w.apply(page.Records)
-		w.confirm(sentAt)
+		w.apply(page.Records, sentAt)
 	}
 }
 
-// followWait returns how long the store may wait for a change. While the configuration has accounts and is old, as after a lost response or a pause of
-// the process, the store is to answer at once, so that keys can be checked again.
-func (w *operatorWatcher) followWait() time.Duration {
-	configuration := w.configuration.Load()
-	switch {
-	case configuration == nil || configuration.Accounts == nil || w.undecodable: // no answer makes an undecodable configuration newer
-		return followTimeout
-	case w.age() > w.maxAge/2:
-		return 0
-	}
-	return min(followTimeout, w.maxAge/followsPerMaxAge)
-}
-
-// confirm notes that the response to a call sent at a time showed no newer configuration than the current one, unless that can't be decoded.
-func (w *operatorWatcher) confirm(sentAt time.Duration) {
-	if !w.undecodable {
-		w.confirmedAt.Store(int64(sentAt))
-	}
-}
-
-// age returns the age of the configuration: the time since it was certainly the newest one.
-func (w *operatorWatcher) age() time.Duration { return w.now() - time.Duration(w.confirmedAt.Load()) }
-
 // reportReachability logs when the store becomes unreachable or reachable again; err is the result of the last call.
 func (w *operatorWatcher) reportReachability(err error) {
 	if err != nil && !w.unreachable {
@@ -122,7 +93,11 @@
 	}
 }
 
-func (w *operatorWatcher) apply(records []acaciatally.Record) {
+// apply applies the records in the response to a call sent at a time.
+func (w *operatorWatcher) apply(records []acaciatally.Record, sentAt time.Duration) {
+	w.applyMutex.Lock()
+	defer w.applyMutex.Unlock()
+	defer w.age.confirm(sentAt) // after the configuration has been replaced
 	for _, record := range records {
 		if record.Deleted {
 			continue
@@ -163,7 +138,10 @@
 // applyConfiguration applies the configuration in a record unless the current one has the same or a later version.
 func (w *operatorWatcher) applyConfiguration(record acaciatally.Record) {
 	configuration, err := w.records.DecodeConfiguration(record.Value)
-	w.undecodable = err != nil
+	if record.Version >= w.newestRecord { // else it is from the response to an earlier call
+		w.newestRecord = record.Version
+		w.age.unknown.Store(err != nil)
+	}
 	if err != nil {
 		w.eventLog.ConfigurationIgnored(record.Version, err)
 		return
--- a/site/site.go
+++ b/site/site.go
@@ -139,11 +139,11 @@
 	p.config.Store = p.store
 	p.watcher = &operatorWatcher{
 		store: p.store, sinceLastResponse: p.store.sinceLastResponse, records: config.Operators, eventLog: config.EventLog, now: config.Now,
-		waves: map[int]observedWave{}, maxAge: config.MaxConfigurationAge,
+		waves: map[int]observedWave{}, age: configurationAge{now: config.Now, max: config.MaxConfigurationAge},
 	}
 	jobs := intake.New(intake.Config{
 		Store: p.store, Routes: p.watcher.routes.Load, StoreReachable: p.store.reachable, EventLog: config.EventLog,
-		ConfigurationAge: p.watcher.age, MaxConfigurationAge: config.MaxConfigurationAge,
+		ConfigurationAge: p.watcher.age.get, MaxConfigurationAge: config.MaxConfigurationAge,
 		MaxRecordBytes: config.MaxRecordBytes, StartDelay: func() time.Duration { return p.elector.StartDelay() },
 	})
 	p.jobAPI = config.NewJobAPI(jobs, p.ready)
@@ -158,6 +158,9 @@
 	return p
 }
 
+// ConfigurationAge returns the time since the configuration of this entry was certainly the newest one.
+func (p *Process) ConfigurationAge() time.Duration { return p.watcher.age.get() }
+
 // takeoverDelay returns how long after the term this entry waits before it acquires an expired lease. It is longer for entries with
 // less processor time or a slower link.
 func takeoverDelay(config Config) time.Duration {
@@ -236,6 +239,10 @@
 		p.watcher.run(servingCtx)
 		return nil
 	})
+	group.Go(func() error {
+		p.watcher.confirmConfiguration(servingCtx)
+		return nil
+	})
 	group.Go(func() error { return p.elector.Run(stopCtx) })
 	return group.Wait()
 }
