--- a/settings/settings.go
+++ b/settings/settings.go
@@ -40,6 +40,8 @@
 	CallerAddress   netip.AddrPort         `yaml:"CallerAddress"`
 	OperatorAddress netip.AddrPort         `yaml:"OperatorAddress"`
 	PeerAddress     netip.AddrPort         `yaml:"PeerAddress"`
+	Memory          Size                   `yaml:"Memory"`      // memory at which the process is killed; 0 if it is not limited
+	Descriptors     int                    `yaml:"Descriptors"` // descriptors that the process may have open; 0 if only the system limits them
 }
 
 // Operator is a person who may send commands, authenticated by the token.
