Bound the memory and connections of requests on their way in

Change: package ingress, one gate for all listeners of a process, in `attend` and `serve`: bytes are reserved before headers, bodies and jobs are read or decoded; a request without room is refused with 503 before its body is read; when bytes are short the slowest unfinished requests are evicted, when connections are short refused, idle and unfinished ones are closed; headers and bodies have limits of time; receive buffers and listen queues are small. The limits follow from the machine's memory and descriptors and can be set. Tests that changed: entry/caller_server_test.go declares readHeaderTimeout, which is now a setting (5 s as before). Ruled out: time limits alone, and refusing new connections at once (docs/design/request-memory.md).

--- a/command/server.go
+++ b/command/server.go
@@ -4,7 +4,6 @@
 	"crypto/subtle"
 	"encoding/json"
 	"errors"
-	"io"
 	"net/http"
 	"strings"
 
@@ -12,6 +11,7 @@
 
 	"github.com/acaciatally/acaciatally"
 	"github.com/acaciatally/acaciatally/fleet"
+	"github.com/acaciatally/acaciatally/ingress"
 )
 
 const maxRequestBytes = 8 << 10
@@ -44,7 +44,11 @@
 	if !found {
 		return writeFailure(c, http.StatusUnauthorized, &Failure{Message: "operator's token is missing or wrong", Outcome: acaciatally.NotRun})
 	}
-	body, err := io.ReadAll(http.MaxBytesReader(c.Response(), c.Request().Body, maxRequestBytes))
+	body, err := ingress.ReadBody(c.Response(), c.Request(), maxRequestBytes)
+	var notAccepted *acaciatally.NotAcceptedError
+	if errors.As(err, &notAccepted) {
+		return writeFailure(c, http.StatusServiceUnavailable, &Failure{Message: notAccepted.Reason, Outcome: acaciatally.NotRun})
+	}
 	if err != nil {
 		return writeFailure(c, http.StatusRequestEntityTooLarge, &Failure{Message: "command is too long", Outcome: acaciatally.NotRun})
 	}
--- a/console/attend.go
+++ b/console/attend.go
@@ -98,6 +98,7 @@
 			Table: platform.OperatorTable, ConfigurationKey: platform.ConfigurationKey,
 			DecodeConfiguration: platform.DecodeConfiguration, DecodeWave: platform.DecodeWave,
 		},
+		Ingress: settings.Ingress.WithDefaults(settings.Memory, settings.Descriptors), IngressMetrics: logger.Metrics(),
 		WorkerTable: platform.WorkerTable, DecodeWorker: platform.DecodeWorker,
 		NewJobAPI: func(jobs acaciatally.JobService, ready func() bool) site.JobAPI {
 			return platform.NewJobAPI(jobs, ready)
--- a/console/serve.go
+++ b/console/serve.go
@@ -51,6 +51,7 @@
 	}
 	client := hosting.New(hosting.Config{Address: loaded.Platform.Address, Timeout: loaded.Platform.Timeout, Metrics: metrics.GetDefaultSet()})
 	entry.TuneGarbageCollector()
+	entry.LimitMemory(int64(self.Memory))
 	process := entry.New(entry.Config{
 		Settings: loaded, Entry: self, Table: client, Objects: client, List: client, Instances: client, Tasks: client, Logger: logger,
 	})
--- a/entry/caller_server.go
+++ b/entry/caller_server.go
@@ -13,7 +13,6 @@
 )
 
 const (
-	readHeaderTimeout = 5 * time.Second
 	// readTimeout limits the time to read a request; a body of 4 MiB needs 140 KiB/s.
 	readTimeout = 30 * time.Second
 	// keepAliveTimeout is longer than the 45 s of this system's own clients, so that the client side closes idle connections.
@@ -65,11 +64,10 @@
 // newCallerServer returns the server of the caller address, with limits on slow callers and long headers.
 func (p *Process) newCallerServer() *http.Server {
 	return &http.Server{
-		Handler:           p.callerHandler(),
-		ReadHeaderTimeout: readHeaderTimeout,
-		ReadTimeout:       readTimeout,
-		IdleTimeout:       keepAliveTimeout,
-		MaxHeaderBytes:    headerReadFactor * int(p.config.Settings.Traffic.MaxHeader),
+		Handler:        p.callerHandler(),
+		ReadTimeout:    readTimeout,
+		IdleTimeout:    keepAliveTimeout,
+		MaxHeaderBytes: headerReadFactor * int(p.config.Settings.Traffic.MaxHeader),
 	}
 }
 
@@ -79,6 +77,7 @@
 	if err != nil {
 		return err
 	}
+	listener = p.gate.Serve(server, listener)
 	stopped := make(chan error, 1)
 	go func() {
 		<-stop.Done()
--- a/entry/caller_server_test.go
+++ b/entry/caller_server_test.go
@@ -18,6 +18,9 @@
 	"github.com/stretchr/testify/require"
 )
 
+// readHeaderTimeout is the default of Ingress.HeaderTimeout.
+const readHeaderTimeout = 5 * time.Second
+
 // sendRaw sends raw bytes to the first entry and returns everything it receives until the connection closes.
 func (d *deployment) sendRaw(send string) string {
 	h := &host{network: d.network}
--- a/entry/memory.go
+++ b/entry/memory.go
@@ -10,6 +10,9 @@
 	memoryLimit = 512 << 20
 )
 
+// memoryLimitShare is the soft limit as a share of the memory at which the process is killed; it keeps the heap well below.
+const memoryLimitShare = 0.6
+
 // TuneGarbageCollector sets the garbage collector's target percentage and memory limit for an entry process; restore resets them.
 func TuneGarbageCollector() (restore func()) {
 	percent := debug.SetGCPercent(gcPercent)
@@ -19,3 +22,10 @@
 		debug.SetMemoryLimit(limit)
 	}
 }
+
+// LimitMemory lowers the garbage collector's memory limit for a process that is killed at the given memory in bytes; 0 is not limited.
+func LimitMemory(memory int64) {
+	if memory > 0 {
+		debug.SetMemoryLimit(min(memoryLimit, int64(memoryLimitShare*float64(memory))))
+	}
+}
--- a/entry/process.go
+++ b/entry/process.go
@@ -18,6 +18,7 @@
 	"github.com/acaciatally/acaciatally/audit"
 	"github.com/acaciatally/acaciatally/changelog"
 	"github.com/acaciatally/acaciatally/claim"
+	"github.com/acaciatally/acaciatally/ingress"
 	"github.com/acaciatally/acaciatally/settings"
 )
 
@@ -57,6 +58,7 @@
 	inFlight   chan struct{}
 	answersCut *metrics.Counter // caller connections closed in the middle of an answer
 	stopping   atomic.Bool
+	gate       *ingress.Gate
 }
 
 // New returns an entry process; Run starts it.
@@ -65,7 +67,7 @@
 		config.Clock = acaciatally.SystemClock{}
 	}
 	if config.Listen == nil {
-		config.Listen = (&net.ListenConfig{}).Listen
+		config.Listen = ingress.Listen
 	}
 	p := &Process{
 		config:     config,
@@ -73,6 +75,10 @@
 		metrics:    metrics.NewSet(),
 		inFlight:   make(chan struct{}, maxInFlight),
 	}
+	p.gate = ingress.New(ingress.Config{
+		Limits:  config.Settings.Ingress.Limits().WithDefaults(int64(config.Entry.Memory), config.Entry.Descriptors),
+		Metrics: p.metrics, Report: p.logIngress,
+	})
 	limits := config.Settings.Traffic
 	entries := len(config.Settings.Entries)
 	p.log = changelog.New(changelog.Config{
@@ -126,7 +132,7 @@
 	group.Go(func() error { return p.claims.Run(drained) })
 	group.Go(func() error { return p.sweeper.Run(ctx) })
 	group.Go(func() error {
-		server := &http.Server{Handler: p.operatorHandler(), ReadHeaderTimeout: readHeaderTimeout, ReadTimeout: readTimeout}
+		server := &http.Server{Handler: p.operatorHandler(), ReadTimeout: readTimeout}
 		return p.serve(ctx, drained, p.config.Entry.OperatorAddress.String(), server)
 	})
 	return group.Wait()
@@ -169,3 +175,11 @@
 		}
 	}
 }
+
+// logIngress logs that requests were refused or connections closed because of the limits on requests on their way in.
+func (p *Process) logIngress(report ingress.Report) {
+	p.config.Logger.Warn().Int64("bytes", report.Bytes).Int("connections", report.Connections).
+		Int("refusedConnections", report.RefusedConnections).Int("refusedRequests", report.RefusedRequests).
+		Int("closedIdle", report.ClosedIdle).Int("closedUnfinished", report.ClosedUnfinished).Int("slow", report.Slow).
+		Msg("incoming requests limited")
+}
--- a/entry/task_api.go
+++ b/entry/task_api.go
@@ -11,6 +11,7 @@
 
 	"github.com/acaciatally/acaciatally"
 	"github.com/acaciatally/acaciatally/fleet"
+	"github.com/acaciatally/acaciatally/ingress"
 	"github.com/acaciatally/acaciatally/task"
 )
 
@@ -18,6 +19,8 @@
 	// maxTaskBody is the limit of a request body in bytes. It has room for the largest command, which grows by a third in base64.
 	maxTaskBody       = 96 << 10
 	maxTeamNameLength = 64
+	// taskMemoryFactor is how many bytes a submission takes for each byte of its body, beside the body: the decoder's buffer and the command.
+	taskMemoryFactor = 2
 )
 
 // TaskFrontend submits, shows and cancels tasks.
@@ -70,8 +73,15 @@
 		return writeTaskRefusal(c, http.StatusBadRequest, acaciatally.NotRun, "header "+acaciatally.TeamHeader+" is missing or too long")
 	}
 	c.Request().Body = http.MaxBytesReader(c.Response(), c.Request().Body, maxTaskBody)
+	if err := ingress.Extend(c.Request().Context(), taskMemoryFactor*min(max(c.Request().ContentLength, 0), maxTaskBody)); err != nil {
+		return writeTaskError(c, err)
+	}
 	var body TaskRequest
 	if err := c.Bind(&body); err != nil {
+		var notAccepted *acaciatally.NotAcceptedError
+		if errors.As(err, &notAccepted) {
+			return writeTaskError(c, err)
+		}
 		return writeTaskRefusal(c, http.StatusBadRequest, acaciatally.NotRun, "body is not a task or larger than "+strconv.Itoa(maxTaskBody)+" bytes")
 	}
 	if _, found := state.Pools[body.Pool]; !found {
@@ -127,6 +137,12 @@
 }
 
 func writeTaskError(c *echo.Context, err error) error {
+	var notAccepted *acaciatally.NotAcceptedError
+	if errors.As(err, &notAccepted) {
+		err = &acaciatally.Refusal{
+			Outcome: acaciatally.NotRun, Status: http.StatusServiceUnavailable, Reason: notAccepted.Reason, RetryAfter: notAccepted.RetryAfter,
+		}
+	}
 	var refused *acaciatally.Refusal
 	var invalid *task.InvalidSpecError
 	switch {
--- a/eventlog/events.go
+++ b/eventlog/events.go
@@ -5,6 +5,7 @@
 
 	"github.com/acaciatally/acaciatally"
 	"github.com/acaciatally/acaciatally/dispatch"
+	"github.com/acaciatally/acaciatally/ingress"
 )
 
 // JobLoaded logs a job that the leader has loaded.
@@ -98,3 +99,11 @@
 func (l *Logger) WaveChanged(number, left int, completed bool) {
 	l.line("WaveChanged").Int("Wave", number).Int("Left", left).Bool("Completed", completed).Msg("")
 }
+
+// IngressLimited logs that requests were refused or connections closed because of the limits on requests on their way in, with the counts since
+// the start of the process.
+func (l *Logger) IngressLimited(report ingress.Report) {
+	l.warning("IngressLimited", nil).Int64("Bytes", report.Bytes).Int("Connections", report.Connections).
+		Int("RefusedConnections", report.RefusedConnections).Int("RefusedRequests", report.RefusedRequests).
+		Int("ClosedIdle", report.ClosedIdle).Int("ClosedUnfinished", report.ClosedUnfinished).Int("Slow", report.Slow).Msg("")
+}
--- a/identity/identity.go
+++ b/identity/identity.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"fmt"
-	"io"
 	"net/http"
 	"os"
 	"regexp"
@@ -15,6 +14,7 @@
 	"golang.org/x/sync/semaphore"
 
 	"github.com/acaciatally/acaciatally"
+	"github.com/acaciatally/acaciatally/ingress"
 )
 
 // DefaultTeam is the team of requests without a team header.
@@ -142,13 +142,7 @@
 		}
 	}
 	exchange.OnFinish(func(*acaciatally.Exchange) { f.buffered.Release(reserved) })
-	if length > 0 {
-		body = make([]byte, length)
-		_, err = io.ReadFull(exchange.HTTP.Body, body)
-	} else {
-		body, err = io.ReadAll(http.MaxBytesReader(exchange.Writer, exchange.HTTP.Body, f.config.MaxBody))
-	}
-	if err != nil {
+	if body, err = ingress.ReadBody(exchange.Writer, exchange.HTTP, f.config.MaxBody); err != nil {
 		return nil, refuseBodyError(err)
 	}
 	return body, nil
@@ -156,11 +150,16 @@
 
 func refuseBodyError(err error) error {
 	var limit *http.MaxBytesError
+	var notAccepted *acaciatally.NotAcceptedError
 	switch {
 	case errors.As(err, &limit):
 		return refuseLargeBody(limit.Limit)
 	case errors.Is(err, os.ErrDeadlineExceeded):
 		return refuse(http.StatusRequestTimeout, "the body came too slowly")
+	case errors.As(err, &notAccepted):
+		return &acaciatally.Refusal{
+			Outcome: acaciatally.NotRun, Status: http.StatusServiceUnavailable, Reason: notAccepted.Reason, RetryAfter: notAccepted.RetryAfter,
+		}
 	default:
 		return refuse(http.StatusBadRequest, "the body broke off")
 	}
--- /dev/null
+++ b/ingress/ledger_test.go
@@ -0,0 +1,181 @@
+package ingress
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+)
+
+// testLimits are small limits, so that a few requests use them up.
+func testLimits() Limits {
+	return Limits{Bytes: 1000, Connections: 16, SmallRequest: 50, PressureRate: 100}.WithDefaults(0, 0)
+}
+
+var start = time.Unix(1000, 0)
+
+// open admits a connection whose request has reached a phase and holds some bytes.
+func open(t *testing.T, l *ledger, p phase, bytes int64, now time.Time) *account {
+	t.Helper()
+	a, _ := l.admit(now)
+	require.NotNil(t, a)
+	l.enter(a, p, now)
+	_, ok := l.reserve(a, bytes, now)
+	require.True(t, ok)
+	return a
+}
+
+// TestLedgerProperties guards against more bytes or connections than the limits, bytes that are lost or returned twice, and the loss of a request
+// that has arrived, over random sequences of operations.
+func TestLedgerProperties(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		l := &ledger{limits: testLimits()}
+		now := start
+		open := map[*account]bool{}
+		pick := func(t *rapid.T) *account {
+			if len(l.accounts) == 0 {
+				t.Skip("no connection")
+			}
+			return rapid.SampledFrom(l.accounts).Draw(t, "account")
+		}
+		t.Repeat(map[string]func(*rapid.T){
+			"admit": func(t *rapid.T) {
+				a, victim := l.admit(now)
+				if victim != nil && victim.phase == processing {
+					t.Fatalf("a request that is being answered was evicted")
+				}
+				if a != nil {
+					open[a] = true
+				} else if len(l.accounts) < l.limits.Connections {
+					t.Fatalf("refused with %d connections", len(l.accounts))
+				}
+			},
+			"enter": func(t *rapid.T) {
+				l.enter(pick(t), rapid.SampledFrom([]phase{opened, idle, header, body, processing, refused}).Draw(t, "phase"), now)
+			},
+			"receive": func(t *rapid.T) { l.receive(pick(t), rapid.Int64Range(0, 100).Draw(t, "bytes"), now) },
+			"reserve": func(t *rapid.T) {
+				a, bytes := pick(t), rapid.Int64Range(0, 400).Draw(t, "bytes")
+				before, had, evicted := l.bytes, a.bytes, a.evicted
+				victims, ok := l.reserve(a, bytes, now)
+				for _, victim := range victims {
+					if victim == a || victim.phase == processing || victim.phase == idle || victim.phase == opened {
+						t.Fatalf("evicted an account in phase %d", victim.phase)
+					}
+				}
+				if !ok && (l.bytes != before || len(victims) > 0) {
+					t.Fatalf("a refusal changed the ledger")
+				}
+				if ok && a.bytes > l.limits.SmallRequest && bytes > 0 && l.bytes > l.limits.Bytes-l.limits.reserved() {
+					t.Fatalf("a large request uses the part of small ones")
+				}
+				if !ok && !evicted && had+bytes <= l.limits.SmallRequest && before+bytes <= l.limits.Bytes {
+					t.Fatalf("a small request was refused though there is room")
+				}
+			},
+			"release": func(t *rapid.T) { l.release(pick(t)) },
+			"remove": func(t *rapid.T) {
+				a := pick(t)
+				l.remove(a)
+				l.remove(a)
+				delete(open, a)
+			},
+			"time": func(t *rapid.T) {
+				now = now.Add(time.Duration(rapid.IntRange(0, 3000).Draw(t, "ms")) * time.Millisecond)
+			},
+			"": func(t *rapid.T) {
+				total := int64(0)
+				for i, a := range l.accounts {
+					total += a.bytes
+					if a.index != i || !open[a] || (a.evicted && a.bytes != 0) {
+						t.Fatalf("account %d is not valid", i)
+					}
+				}
+				if total != l.bytes || l.bytes < 0 || l.bytes > l.limits.Bytes {
+					t.Fatalf("%d bytes reserved, accounts hold %d, limit %d", l.bytes, total, l.limits.Bytes)
+				}
+				if len(l.accounts) != len(open) || len(l.accounts) > l.limits.maxOpen() {
+					t.Fatalf("%d connections", len(l.accounts))
+				}
+			},
+		})
+		for len(l.accounts) > 0 {
+			l.remove(l.accounts[0])
+		}
+		if l.bytes != 0 {
+			t.Fatalf("%d bytes remain reserved", l.bytes)
+		}
+	})
+}
+
+// TestReserveSmall guards against large requests that keep small ones from being served.
+func TestReserveSmall(t *testing.T) {
+	l := &ledger{limits: testLimits()}
+	open(t, l, body, 700, start)
+	a, _ := l.admit(start)
+	l.enter(a, body, start)
+	_, ok := l.reserve(a, 100, start)
+	require.False(t, ok, "750 of 1000 bytes are for large requests")
+	_, ok = l.reserve(a, 50, start)
+	require.True(t, ok, "a small request")
+}
+
+// TestEvictSlowest guards against the loss of requests that arrive in time, and against evictions that make no room.
+func TestEvictSlowest(t *testing.T) {
+	l := &ledger{limits: testLimits()}
+	now := start.Add(4 * time.Second)
+	small := open(t, l, body, 100, start)
+	answered := open(t, l, processing, 100, start)
+	large := open(t, l, body, 300, start)
+	steady := open(t, l, body, 200, start)
+	l.receive(steady, 350, now) // faster than the rate under pressure
+	fresh := open(t, l, body, 50, now)
+	victims, ok := l.reserve(fresh, 401, now)
+	require.False(t, ok, "the slow ones hold 400 bytes")
+	require.Empty(t, victims)
+	victims, ok = l.reserve(fresh, 260, now)
+	require.True(t, ok)
+	require.Equal(t, []*account{large}, victims, "the one that has held the most for longest")
+	require.False(t, small.evicted || answered.evicted || steady.evicted)
+	_, ok = l.reserve(large, 1, now)
+	require.False(t, ok, "an evicted request gets nothing more")
+}
+
+// TestAdmitOrder guards against a wrong order in which connections are closed to make room.
+func TestAdmitOrder(t *testing.T) {
+	l := &ledger{limits: testLimits()}
+	var inOrder []*account
+	unfinished := open(t, l, body, 100, start)
+	silent := open(t, l, opened, 0, start.Add(time.Second))
+	little := open(t, l, header, 0, start)
+	inOrder = append(inOrder, open(t, l, refused, 0, start.Add(time.Second)), open(t, l, idle, 0, start), open(t, l, idle, 0, start.Add(time.Second)))
+	inOrder = append(inOrder, unfinished, little, silent)
+	for len(l.accounts) < l.limits.Connections {
+		open(t, l, processing, 0, start)
+	}
+	unfinished.bytes, l.bytes = 100_000, 100_000 // so that it weighs more than its connection
+	now := start.Add(3 * time.Second)
+	for i, expected := range inOrder {
+		a, victim := l.admit(now)
+		require.NotNil(t, a, i)
+		require.Same(t, expected, victim, i)
+		l.remove(victim)
+		l.enter(a, processing, now)
+	}
+	a, victim := l.admit(now)
+	require.Nil(t, a, "no request that is being answered is closed")
+	require.Nil(t, victim)
+}
+
+// TestAdmitGrace guards against a connection that is closed before its request can arrive.
+func TestAdmitGrace(t *testing.T) {
+	l := &ledger{limits: testLimits()}
+	for len(l.accounts) < l.limits.Connections {
+		open(t, l, idle, 0, start)
+	}
+	a, _ := l.admit(start.Add(minConnectionAge - 1))
+	require.Nil(t, a)
+	a, _ = l.admit(start.Add(minConnectionAge))
+	require.NotNil(t, a)
+}
--- a/settings/default.go
+++ b/settings/default.go
@@ -6,6 +6,7 @@
 func (s *Settings) Default() {
 	s.Platform.Default()
 	s.Traffic.Default()
+	s.Ingress.Default()
 	s.Control.Default()
 	s.Peers.Default()
 	s.Weights.Default()
@@ -56,6 +57,17 @@
 	defaultDuration(&t.ClaimInterval, 20*time.Millisecond)
 }
 
+// Default sets the omitted limits on requests on their way in, except those that follow from the entry's memory and descriptors.
+func (i *Ingress) Default() {
+	defaultSize(&i.SmallRequest, 16*KiB)
+	defaultDuration(&i.HeaderTimeout, 5*time.Second)
+	defaultDuration(&i.BodyStall, 10*time.Second)
+	defaultSize(&i.BodyRate, 8*KiB)
+	defaultDuration(&i.BodyTimeout, time.Minute)
+	defaultDuration(&i.PressureStall, time.Second)
+	defaultSize(&i.PressureRate, 64*KiB)
+}
+
 // Default sets the omitted intervals of the control path.
 func (c *Control) Default() {
 	defaultDuration(&c.PollInterval, time.Second)
--- a/settings/rules.go
+++ b/settings/rules.go
@@ -26,6 +26,7 @@
 	s.checkPools(problems)
 	s.checkTeams(problems)
 	s.Traffic.check(problems)
+	s.Ingress.check(s.Traffic, problems)
 	s.Control.check(problems)
 	s.Peers.check(problems)
 	s.Weights.check(problems)
@@ -57,6 +58,12 @@
 			problems.addAt(path+".ID", "%q is empty or already used", entry.ID)
 		}
 		ids[entry.ID] = true
+		if least := entryMemoryShare * memoryPerMaxBody * s.Traffic.MaxBody; s.Ingress.Memory == 0 && entry.Memory != 0 && entry.Memory < least {
+			problems.addAt(path+".Memory", "must be at least %d bytes for Traffic.MaxBody, or Ingress.Memory set", least)
+		}
+		if entry.Descriptors < 0 {
+			problems.addAt(path+".Descriptors", "must not be negative")
+		}
 		if !s.hasDataCentre(entry.DataCentre) {
 			problems.addAt(path+".DataCentre", "%q is not in DataCentres", entry.DataCentre)
 		}
@@ -169,6 +176,36 @@
 	checkPositive(problems, "Traffic.ClaimInterval", t.ClaimInterval)
 }
 
+const (
+	// memoryPerMaxBody leaves room for one body of the largest size: a chunked one takes up to 2.5 times its size while it is read, and a quarter
+	// of Ingress.Memory is reserved for small requests.
+	memoryPerMaxBody = 4
+	// entryMemoryShare is the inverse of the share of an entry's memory that Ingress.Memory has by default.
+	entryMemoryShare = 5
+)
+
+// maxHeaderTimeout is the longest time for a header that the server supports.
+const maxHeaderTimeout = 30 * time.Second
+
+func (i Ingress) check(traffic Traffic, problems *problems) {
+	if least := memoryPerMaxBody * traffic.MaxBody; i.Memory != 0 && i.Memory < least {
+		problems.addAt("Ingress.Memory", "must be at least %d times Traffic.MaxBody, %d bytes", memoryPerMaxBody, least)
+	}
+	if i.Connections < 0 {
+		problems.addAt("Ingress.Connections", "must not be negative")
+	}
+	if i.HeaderTimeout > maxHeaderTimeout {
+		problems.addAt("Ingress.HeaderTimeout", "must not be longer than %s", maxHeaderTimeout)
+	}
+	checkPositive(problems, "Ingress.HeaderTimeout", i.HeaderTimeout)
+	checkPositive(problems, "Ingress.BodyStall", i.BodyStall)
+	checkPositive(problems, "Ingress.BodyTimeout", i.BodyTimeout)
+	checkPositive(problems, "Ingress.PressureStall", i.PressureStall)
+	if i.PressureStall > i.BodyStall {
+		problems.addAt("Ingress.PressureStall", "must not be longer than BodyStall %s", i.BodyStall)
+	}
+}
+
 func (c Control) check(problems *problems) {
 	checkPositive(problems, "Control.PollInterval", c.PollInterval)
 	checkPositive(problems, "Control.ViewLimit", c.ViewLimit)
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -10,6 +10,7 @@
 
 	"github.com/acaciatally/acaciatally"
 	"github.com/acaciatally/acaciatally/fleet"
+	"github.com/acaciatally/acaciatally/ingress"
 )
 
 // Settings describes a whole deployment: entries, platform, pools, teams and policies.
@@ -21,6 +22,7 @@
 	Pools       []Pool                   `yaml:"Pools"`
 	Teams       []Team                   `yaml:"Teams"`
 	Traffic     Traffic                  `yaml:"Traffic"`
+	Ingress     Ingress                  `yaml:"Ingress"`
 	Control     Control                  `yaml:"Control"`
 	Peers       Peers                    `yaml:"Peers"`
 	Weights     Weights                  `yaml:"Weights"`
@@ -97,6 +99,29 @@
 	ClaimInterval   time.Duration `yaml:"ClaimInterval"`  // minimum time between two commits of batched claims
 }
 
+// Ingress holds the limits on requests on their way in, over all addresses of an entry for callers and operators. Sizes and numbers that are 0
+// follow from the entry's memory and descriptors.
+type Ingress struct {
+	Memory        Size          `yaml:"Memory"`        // for requests until they are answered; a fifth of the entry's memory if it is 0
+	Connections   int           `yaml:"Connections"`   // of callers and operators
+	SmallRequest  Size          `yaml:"SmallRequest"`  // size up to which a request may use the quarter that is reserved for small ones
+	HeaderTimeout time.Duration `yaml:"HeaderTimeout"` // from the first byte of a header to its end
+	BodyStall     time.Duration `yaml:"BodyStall"`     // longest time without a byte within a body
+	BodyRate      Size          `yaml:"BodyRate"`      // slowest rate of a body, in bytes per second
+	BodyTimeout   time.Duration `yaml:"BodyTimeout"`   // longest time for a body
+	PressureStall time.Duration `yaml:"PressureStall"` // replaces BodyStall while Memory does not suffice
+	PressureRate  Size          `yaml:"PressureRate"`  // replaces BodyRate while Memory does not suffice
+}
+
+// Limits returns the limits in the form that package ingress takes. Those that are not set are 0.
+func (i Ingress) Limits() ingress.Limits {
+	return ingress.Limits{
+		Bytes: int64(i.Memory), Connections: i.Connections, SmallRequest: int64(i.SmallRequest), HeaderTimeout: i.HeaderTimeout,
+		BodyStall: i.BodyStall, BodyRate: int64(i.BodyRate), BodyTimeout: i.BodyTimeout,
+		PressureStall: i.PressureStall, PressureRate: int64(i.PressureRate),
+	}
+}
+
 // Floors are the guaranteed shares of a pool's slots for each urgency class.
 type Floors struct {
 	Urgent     float64 `yaml:"Urgent"`
--- a/site/site.go
+++ b/site/site.go
@@ -9,11 +9,13 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	"github.com/samber/oops"
 	"golang.org/x/sync/errgroup"
 
 	"github.com/acaciatally/acaciatally"
 	"github.com/acaciatally/acaciatally/dispatch"
+	"github.com/acaciatally/acaciatally/ingress"
 	"github.com/acaciatally/acaciatally/intake"
 	"github.com/acaciatally/acaciatally/leadership"
 	"github.com/acaciatally/acaciatally/roster"
@@ -40,9 +42,8 @@
 	// startDelaySettleTime is how long after its first round of decisions a leader goes by the delay of the leader before it as well.
 	startDelaySettleTime = 2 * time.Second
 	// maxCloseDelay is the delay before the listener closes, in which the load balancer notices that this entry is stopping.
-	maxCloseDelay     = 2500 * time.Millisecond
-	readHeaderTimeout = 3 * time.Second
-	idleTimeout       = time.Minute
+	maxCloseDelay = 2500 * time.Millisecond
+	idleTimeout   = time.Minute
 )
 
 // EventLog logs the decisions of this entry and the state changes that it observes.
@@ -60,6 +61,8 @@
 	ConfigurationApplied(version, record uint64, queues int)
 	// ConfigurationIgnored logs that a configuration could not be decoded; record is the version of its record.
 	ConfigurationIgnored(record uint64, err error)
+	// IngressLimited logs that requests were refused or connections closed, because of the limits on requests on their way in.
+	IngressLimited(report ingress.Report)
 }
 
 // JobAPI serves the platform's HTTP API to callers and the load balancer.
@@ -79,6 +82,7 @@
 	ReadyListen   netip.AddrPort
 	Metrics       http.Handler   // nil if metrics are not served
 	MetricsListen netip.AddrPort // listen address of Metrics
+	Ingress       ingress.Limits // with defaults; on requests on their way in to all listeners together
 	GracePeriod   time.Duration  // between the signal to stop and the kill
 	Store         acaciatally.RecordStore
 	Orders        acaciatally.WorkerOrders
@@ -105,6 +109,8 @@
 	Processors        float64              // cores that this entry may use, also a fraction
 	LinkBitsPerSecond float64              // link speed in bits per second; 0 if not limited
 	Now               func() time.Duration // monotonic clock; nil is Uptime
+	// IngressMetrics is the set of the metrics of requests on their way in; nil if they are not measured.
+	IngressMetrics *metrics.Set
 	// Listen opens listeners; nil uses the network. Tests replace it.
 	Listen func(ctx context.Context, network, address string) (listener net.Listener, err error)
 }
@@ -118,6 +124,7 @@
 	// startDelay is the scheduler's StartDelay in nanoseconds while this entry leads.
 	startDelay atomic.Int64
 	jobAPI     JobAPI
+	gate       *ingress.Gate
 }
 
 // New returns a process that is not running yet.
@@ -126,14 +133,18 @@
 		config.Now = Uptime
 	}
 	if config.Listen == nil {
-		config.Listen = (&net.ListenConfig{}).Listen
+		config.Listen = ingress.Listen
 	}
+	config.Ingress = config.Ingress.WithDefaults(0, 0)
 	p := &Process{config: config, store: &monitoredStore{RecordStore: config.Store, now: config.Now}}
 	p.config.Store = p.store
 	p.watcher = &operatorWatcher{
 		store: p.store, sinceLastResponse: p.store.sinceLastResponse, records: config.Operators, eventLog: config.EventLog, now: config.Now,
 		waves: map[int]observedWave{},
 	}
+	p.gate = ingress.New(ingress.Config{
+		Limits: config.Ingress, HeaderTimeout: p.headerTimeout, Report: config.EventLog.IngressLimited, Metrics: config.IngressMetrics,
+	})
 	jobs := intake.New(intake.Config{
 		Store: p.store, Routes: p.watcher.routes.Load, StoreReachable: p.store.reachable, EventLog: config.EventLog,
 		MaxRecordBytes: config.MaxRecordBytes, StartDelay: func() time.Duration { return p.elector.StartDelay() },
@@ -161,6 +172,14 @@
 	return time.Duration(config.TakeoverJitter*float64(maxTakeoverJitter) + (cpuShortfall+linkShortfall)*float64(maxSlowEntryDelay))
 }
 
+// headerTimeout returns the time limit of headers by the operators' configuration; 0 if it has none.
+func (p *Process) headerTimeout() time.Duration {
+	if routes := p.watcher.routes.Load(); routes != nil {
+		return routes.Limits.HeaderTimeout
+	}
+	return 0
+}
+
 // ready reports whether this entry is ready for new connections.
 func (p *Process) ready() bool {
 	return p.watcher.routes.Load() != nil && p.store.reachable()
@@ -243,7 +262,8 @@
 	if err != nil {
 		return err
 	}
-	server := &http.Server{Handler: handler, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout}
+	server := &http.Server{Handler: handler, IdleTimeout: idleTimeout}
+	listener = p.gate.Serve(server, listener)
 	serveResult := make(chan error, 1)
 	go func() { serveResult <- server.Serve(listener) }()
 	select {
