Pause bodies in very small chunks, and keep the buffers of entries' sessions

Cause: reading 262,144 chunks of one byte takes far more processor time than their bytes. With one processor the crowd of flood in one-byte chunks kept the responses of the store from being read in time, and an ordinary job was refused ("the record store does not answer"). The listener for other entries of `serve` had got the small receive buffers of the others.

Change: a chunked body pauses for each 4 KiB of chunk framing, in proportion to the number of unfinished bodies, so that all together use half of the processors at most; requests with a length, or in larger chunks, do not pause. The listener for other entries uses the system's buffers again. Listeners do not use multipath TCP, whose sockets do not pass the size of the buffer on. A test with 500 ordinary connections at the limits of the smallest machine.

TestSmallChunks and TestOrdinaryLoad fail without the pause and with a tenth of the memory for connections; TestEvictedDoNotLinger was seen to fail by itself without its mechanism.

--- a/entry/process.go
+++ b/entry/process.go
@@ -66,8 +66,10 @@
 	if config.Clock == nil {
 		config.Clock = acaciatally.SystemClock{}
 	}
+	peersConfig := config
 	if config.Listen == nil {
 		config.Listen = ingress.Listen
+		peersConfig.Listen = (&net.ListenConfig{}).Listen // sessions with other entries keep the system's receive buffers
 	}
 	p := &Process{
 		config:     config,
@@ -85,7 +87,7 @@
 		Table: config.Table, Objects: config.Objects, Clock: config.Clock, Archive: p.auditTrail, Notify: func(uint64) { p.peers.membership.ViewChanged() },
 	})
 	p.answersCut = p.metrics.NewCounter("acaciatally_answers_cut_total")
-	p.peers = newPeers(config, p.log, p.metrics)
+	p.peers = newPeers(peersConfig, p.log, p.metrics)
 	p.lease = newControlLease(p)
 	p.observers = newObservers(p)
 	p.tasks = newTaskControl(p)
--- a/ingress/conn.go
+++ b/ingress/conn.go
@@ -39,6 +39,8 @@
 	headerBytes atomic.Int64 // received since the end of the last request
 	reserved    atomic.Int64 // memory reserved for headerBytes
 
+	bodyBytes atomic.Int64 // received within the current request after its header, with the framing of chunks
+
 	writeLimitSetAt time.Time // belongs to the writer
 
 	mutex     sync.Mutex
@@ -56,7 +58,9 @@
 	}
 	if c.inRequest.Load() {
 		c.applyLimit()
-		return c.Conn.Read(buffer)
+		n, err = c.Conn.Read(buffer)
+		c.bodyBytes.Add(int64(n))
+		return n, err
 	}
 	if received := c.headerBytes.Load(); received >= readBufferBytes && headerFactor*received > c.reserved.Load() {
 		if err = c.gate.reserve(c, headerFactor*readBufferBytes); err != nil {
@@ -197,6 +201,7 @@
 	})
 	c.headerBytes.Store(0)
 	c.reserved.Store(0)
+	c.bodyBytes.Store(0)
 	c.stopped.Store(rest)
 	c.setLimit(time.Time{})
 	c.inRequest.Store(false)
--- a/ingress/gate.go
+++ b/ingress/gate.go
@@ -33,7 +33,8 @@
 
 // Config configures a Gate.
 type Config struct {
-	Limits Limits // with defaults
+	Limits     Limits  // with defaults
+	Processors float64 // cores that the process may use, also a fraction; 0 is 1
 	// HeaderTimeout returns the configured time limit of headers; nil, or a result of 0, is that of Limits.
 	HeaderTimeout func() time.Duration
 	// Report is called after requests were refused or connections closed, at most once a second. It may be nil.
@@ -64,7 +65,10 @@
 
 // New returns a gate.
 func New(config Config) *Gate {
-	g := &Gate{config: config, ledger: ledger{limits: config.Limits}}
+	if config.Processors <= 0 {
+		config.Processors = 1
+	}
+	g := &Gate{config: config, ledger: ledger{limits: config.Limits, processors: config.Processors}}
 	if config.Metrics != nil {
 		g.register(config.Metrics)
 	}
@@ -119,6 +123,7 @@
 		return unix.SetsockoptInt(int(descriptor), unix.SOL_SOCKET, unix.SO_RCVBUF, receiveBufferBytes) // inherited by accepted connections
 	}
 	config := net.ListenConfig{Control: func(_, _ string, raw syscall.RawConn) error { return control(raw, setBuffer) }}
+	config.SetMultipathTCP(false) // its sockets do not pass the size on
 	listener, err = config.Listen(ctx, network, address)
 	if err != nil {
 		return nil, err
--- a/ingress/gate_test.go
+++ b/ingress/gate_test.go
@@ -10,10 +10,12 @@
 	"net/http"
 	"os"
 	"strings"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
 
+	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 	"golang.org/x/sys/unix"
 
@@ -96,6 +98,7 @@
 		state := s.gate.State()
 		require.Zero(t, state.Bytes, "bytes remain reserved")
 		require.Zero(t, state.Connections, "connections remain counted")
+		require.Zero(t, s.gate.ledger.bodies, "bodies remain counted")
 	})
 }
 
@@ -257,6 +260,31 @@
 	}
 }
 
+// TestSmallChunks guards against bodies in very small chunks that take the processor from others, and against the refusal of a single one
+// in calm.
+func TestSmallChunks(t *testing.T) {
+	text := chunked(strings.Split(strings.Repeat("a", documentedBody/16), "")...) + "0\r\n\r\n"
+	for _, clients := range []int{1, 10} {
+		runServer(t, Config{Processors: 0.192}, func(t *testing.T, s *testServer) {
+			began := time.Now()
+			var all sync.WaitGroup
+			for range clients {
+				c := s.dial()
+				c.send(text)
+				all.Go(func() {
+					status, content, _ := c.response(t)
+					assert.Equal(t, 200, status)
+					assert.Equal(t, fmt.Sprint(documentedBody/16), content)
+				})
+			}
+			all.Wait()
+			took := time.Since(began) // time passes only in pauses
+			cost := time.Duration(clients) * 5 * documentedBody / 16 / framingStep * framingTime
+			require.InEpsilon(t, framingShare*0.192, cost.Seconds()/took.Seconds(), 0.2)
+		})
+	}
+}
+
 // TestHeaderTimeout guards against unfinished headers that stay open, on new and on used connections, and against a configured time limit
 // without effect.
 func TestHeaderTimeout(t *testing.T) {
@@ -395,6 +423,32 @@
 	})
 }
 
+// TestOrdinaryLoad guards against limits that ordinary callers of the smallest machine meet: 500 connections with 20 requests each, of 500 bytes or, on
+// some, the largest body and header.
+func TestOrdinaryLoad(t *testing.T) {
+	runServer(t, Config{Limits: Limits{}.WithDefaults(184<<20, 4100)}, func(t *testing.T, s *testServer) {
+		var all sync.WaitGroup
+		for number := range 500 {
+			c := s.dial()
+			all.Go(func() {
+				for range 20 {
+					text := post("/slow", 500, strings.Repeat("a", 500))
+					if number%50 == 0 {
+						text = strings.Replace(post("/slow", documentedBody, strings.Repeat("a", documentedBody)), "\r\n", "\r\nX: "+strings.Repeat("a", 16000)+"\r\n", 1)
+					}
+					c.send(text)
+					status, _, closes := c.response(t)
+					assert.Equal(t, 200, status)
+					assert.False(t, closes)
+				}
+			})
+		}
+		all.Wait()
+		state := s.gate.State()
+		require.Equal(t, Report{Connections: 500}, state)
+	})
+}
+
 // TestIdleTimeBetweenRequests guards against limits on requests that also end idle connections.
 func TestIdleTimeBetweenRequests(t *testing.T) {
 	runServer(t, Config{}, func(t *testing.T, s *testServer) {
--- a/ingress/handler.go
+++ b/ingress/handler.go
@@ -90,6 +90,7 @@
 	length    int64 // announced; -1 if the body is chunked
 	received  int64
 	reserved  int64
+	framing   int64 // bytes of the framing of chunks for which the body has paused
 	startedAt time.Time
 	deadline  time.Time
 	done      bool  // the whole body was read
@@ -172,10 +173,13 @@
 	b.received += n
 	b.done = err == io.EOF || (b.length >= 0 && b.received >= b.length) //nolint:errorlint // a reader returns io.EOF itself
 	now := time.Now()
+	pause := time.Duration(0)
 	usable := b.conn.gate.update(b.conn, func(l *ledger, a *account, _ time.Time) {
 		l.receive(a, n, now)
 		if b.done {
 			l.enter(a, processing, now)
+		} else {
+			pause = l.framingPause()
 		}
 	})
 	switch {
@@ -187,10 +191,22 @@
 		b.conn.gate.count(func(counts *Report) { counts.Slow++ })
 		b.err = fmt.Errorf("%w (%w)", &acaciatally.NotAcceptedError{Reason: "the body came too slowly", RetryAfter: retryAfter}, os.ErrDeadlineExceeded)
 	case err == nil:
+		b.pause(pause)
 		b.extendDeadline(now)
 	}
 }
 
+// pause sleeps once for each framingStep of the framing of chunks, since reading very small chunks takes more processor time than the
+// bytes of the body.
+func (b *countedBody) pause(duration time.Duration) {
+	if b.length >= 0 {
+		return
+	}
+	for framing := b.conn.bodyBytes.Load() - b.received; framing-b.framing >= framingStep; b.framing += framingStep {
+		time.Sleep(duration)
+	}
+}
+
 // skip reads a small body that the handler has not read. The server would read it after the handler's end, without a limit of time.
 func (b *countedBody) skip() {
 	if b.done || b.err != nil || b.expected || b.length < 0 || b.length > maxSkippedBody {
--- a/ingress/ledger.go
+++ b/ingress/ledger.go
@@ -37,9 +37,11 @@
 // ledger accounts for the bytes and connections of requests on their way in, and decides which of them to close when either runs short.
 // It takes the time as an argument, does no I/O, and is not safe for concurrent use.
 type ledger struct {
-	limits   Limits
-	bytes    int64 // reserved by all accounts
-	accounts []*account
+	limits     Limits
+	processors float64 // cores that the process may use
+	bytes      int64   // reserved by all accounts
+	bodies     int     // accounts whose body is not finished
+	accounts   []*account
 }
 
 // admit adds an account for a new connection. If there are too many connections, it returns the account to be closed instead, or nil for the
@@ -154,6 +156,12 @@
 
 // enter sets the phase of the account's connection.
 func (l *ledger) enter(a *account, p phase, now time.Time) {
+	if a.phase == body {
+		l.bodies--
+	}
+	if p == body {
+		l.bodies++
+	}
 	a.phase, a.startedAt, a.lastByteAt, a.received = p, now, now, 0
 }
 
@@ -169,6 +177,10 @@
 		return
 	}
 	l.release(a)
+	if a.phase == body {
+		l.bodies--
+	}
+	a.phase = refused
 	last := len(l.accounts) - 1
 	l.accounts[a.index] = l.accounts[last]
 	l.accounts[a.index].index = a.index
@@ -176,3 +188,19 @@
 	l.accounts = l.accounts[:last]
 	a.index, a.evicted = -1, true
 }
+
+const (
+	// framingStep is the amount of chunk framing for which a body pauses once.
+	framingStep = 4 << 10
+	// framingTime is the processor time that it takes to read such an amount, on one core.
+	framingTime = 100 * time.Microsecond
+	// framingShare is the share of the processors that all bodies together may use for reading it.
+	framingShare = 0.5
+	maxPause     = time.Second
+)
+
+// framingPause returns how long a body pauses for each framingStep, so that all unfinished bodies together use no more than framingShare of the
+// processors for their framing.
+func (l *ledger) framingPause() time.Duration {
+	return min(maxPause, time.Duration(float64(l.bodies)*float64(framingTime)/(framingShare*l.processors)))
+}
--- a/ingress/ledger_test.go
+++ b/ingress/ledger_test.go
@@ -85,9 +85,12 @@
 				now = now.Add(time.Duration(rapid.IntRange(0, 3000).Draw(t, "ms")) * time.Millisecond)
 			},
 			"": func(t *rapid.T) {
-				total := int64(0)
+				total, bodies := int64(0), 0
 				for i, a := range l.accounts {
 					total += a.bytes
+					if a.phase == body {
+						bodies++
+					}
 					if a.index != i || !open[a] || (a.evicted && a.bytes != 0) {
 						t.Fatalf("account %d is not valid", i)
 					}
@@ -95,6 +98,9 @@
 				if total != l.bytes || l.bytes < 0 || l.bytes > l.limits.Bytes {
 					t.Fatalf("%d bytes reserved, accounts hold %d, limit %d", l.bytes, total, l.limits.Bytes)
 				}
+				if bodies != l.bodies {
+					t.Fatalf("%d bodies counted, not %d", l.bodies, bodies)
+				}
 				if len(l.accounts) != len(open) || len(l.accounts) > l.limits.maxOpen() {
 					t.Fatalf("%d connections", len(l.accounts))
 				}
@@ -179,3 +185,19 @@
 	a, _ = l.admit(start.Add(minConnectionAge))
 	require.NotNil(t, a)
 }
+
+// TestFramingPause guards against chunk framing that uses up the processors, and against a pause that ends a single body in calm.
+func TestFramingPause(t *testing.T) {
+	for _, processors := range []float64{0.192, 0.8, 1} {
+		for _, bodies := range []int{1, 10, 150} {
+			l := &ledger{limits: testLimits(), processors: processors, bodies: bodies}
+			pause := l.framingPause()
+			if pause < maxPause {
+				require.InDelta(t, framingShare*processors, float64(bodies)*framingTime.Seconds()/pause.Seconds(), 0.01)
+			}
+			if bodies == 1 {
+				require.Less(t, pause*5*documentedBody/framingStep, time.Second, "the largest body in chunks of one byte")
+			}
+		}
+	}
+}
--- a/site/site.go
+++ b/site/site.go
@@ -143,7 +143,7 @@
 		waves: map[int]observedWave{},
 	}
 	p.gate = ingress.New(ingress.Config{
-		Limits: config.Ingress, HeaderTimeout: p.headerTimeout, Report: config.EventLog.IngressLimited, Metrics: config.IngressMetrics,
+		Limits: config.Ingress, Processors: config.Processors, HeaderTimeout: p.headerTimeout, Report: config.EventLog.IngressLimited, Metrics: config.IngressMetrics,
 	})
 	jobs := intake.New(intake.Config{
 		Store: p.store, Routes: p.watcher.routes.Load, StoreReachable: p.store.reachable, EventLog: config.EventLog,
