--- a/overload/returns.go
+++ b/overload/returns.go
@@ -9,7 +9,7 @@
 	// minRetryAfter is the least time after which a refused caller returns. Retry-After is in whole seconds.
 	minRetryAfter = time.Second
 	// minReturnInterval spreads returns over at least the whole second to which Retry-After is rounded.
-	minReturnInterval = time.Second
+	minReturnInterval = 2 * time.Second
 	// maxReturnStart bounds the time until the first of the callers refused now returns. Those who would return later are spread over the interval
 	// of the same length after it: a load that lasts longer is no surge, and at a fixed time they would return at the rate of their refusals.
 	maxReturnStart = 30 * time.Second
