--- a/dispatch/plan.go
+++ b/dispatch/plan.go
@@ -42,6 +42,7 @@
 		return
 	}
 	s.place(pools, now)
+	s.logPressure(now)
 }
 
 // takeChangedPools returns the pools in which a task has started or stopped waiting since the last call, and resets the marks.
@@ -100,7 +101,7 @@
 func (s *Scheduler) place(only map[acaciatally.PoolName]bool, now time.Duration) {
 	s.divideShares(now)
 	for pool, jobs := range s.waiting(only, now) {
-		s.placePool(pool, jobs, now)
+		s.placePool(pool, jobs, only == nil, now)
 	}
 }
 
@@ -271,6 +272,7 @@
 	t.assign(c.w, stagePlanned)
 	s.config.EventLog.RunPlanned(t.ref, attempt, c.w.entry.ID, c.free.Processors)
 	c.reserve(t)
+	s.countPlaced(t)
 }
 
 // candidateFor returns the candidate of the set on which the task is to be placed, or nil.
--- a/dispatch/share.go
+++ b/dispatch/share.go
@@ -30,6 +30,7 @@
 	fleet        acaciatally.ResourceVector
 	pools        map[acaciatally.PoolName]*poolShares
 	nextDivideAt time.Duration
+	nextLogAt    time.Duration
 	deferred     []*activeJob // buffer of placeByShare
 	parties      []sharing.Party
 }
@@ -41,7 +42,14 @@
 	weight float64
 	rate   sharing.Window
 	used   acaciatally.ResourceVector // reserved by its assigned tasks in the whole fleet; kept by task.assign and task.release
-	tokens int                        // waiting jobs of a pool that are within its rate, while the jobs of the pool are sorted
+	// While a pool is checked for room to reclaim, leaving is reserved by runs that are being stopped, and coming by tasks that will be placed
+	// there.
+	leaving, coming acaciatally.ResourceVector
+	// servedPart is the part of its demand on the whole fleet that is within its share; see demandByAccount.
+	servedPart float64
+	placed     placedRate
+	heldSince  time.Duration // since when some of its work has waited beyond its rate or share; 0 if none does
+	tokens     int           // waiting jobs of a pool that are within its rate, while the jobs of the pool are sorted
 }
 
 // poolShares is the division of one pool between accounts. Its slices are indexed by accountShare.index.
@@ -57,6 +65,11 @@
 // configureShares applies the weights of a configuration.
 func (s *Scheduler) configureShares() {
 	s.shares.active = s.configuration.Accounts != nil
+	if !s.shares.active {
+		for _, j := range s.jobs {
+			j.beyondRate = false
+		}
+	}
 	for _, a := range s.shares.list {
 		a.weight = s.weightOf(a.name)
 	}
@@ -92,7 +105,7 @@
 	}
 	a := s.shares.accounts[name]
 	if a == nil {
-		a = &accountShare{index: len(s.shares.list), name: name, weight: s.weightOf(name), rate: sharing.Window{Length: s.config.QuotaWindow}}
+		a = &accountShare{index: len(s.shares.list), name: name, weight: s.weightOf(name), servedPart: 1, rate: sharing.Window{Length: s.config.QuotaWindow}}
 		s.shares.accounts[name] = a
 		s.shares.list = append(s.shares.list, a)
 	}
@@ -103,14 +116,13 @@
 // no particular order.
 func (s *Scheduler) observeJob(j *activeJob, age, now time.Duration) {
 	if j.account == nil || age >= maxJobAge {
-		s.observeArrival(j, now) // the arrival of a job so old is not known
+		s.observeArrival(j, 1, now) // the arrival of a job so old is not known
 		return
 	}
 	s.shares.uncounted = append(s.shares.uncounted, j)
 }
 
-// countArrivals marks the newly loaded jobs that are beyond the rate of their account, in the order in which they arrived. Their work is
-// left out of the demand that pools expect.
+// countArrivals marks the newly loaded jobs that are beyond the rate of their account, in the order in which they arrived.
 func (s *Scheduler) countArrivals(now time.Duration) {
 	if len(s.shares.uncounted) == 0 {
 		return
@@ -120,9 +132,7 @@
 	})
 	for _, j := range s.shares.uncounted {
 		j.beyondRate = s.shares.active && !j.account.rate.Admit(j.arrivedAt, s.rateLimit(j.account))
-		if !j.beyondRate {
-			s.observeArrival(j, now)
-		}
+		s.observeLoadWithinShare(j, now)
 	}
 	clear(s.shares.uncounted)
 	s.shares.uncounted = s.shares.uncounted[:0]
@@ -159,6 +169,9 @@
 	for _, p := range s.shares.pools {
 		s.dividePool(p)
 	}
+	for _, a := range s.shares.list {
+		a.placed.observe(now)
+	}
 }
 
 func (s *Scheduler) resetShares() {
@@ -236,7 +249,8 @@
 func (s *Scheduler) dividePool(p *poolShares) {
 	parties, weights := s.shares.parties[:0], 0.0
 	for i, a := range s.shares.list {
-		party := sharing.Party{Weight: a.weight, Held: a.used.Minus(p.used[i]), Demand: p.used[i].Plus(p.waiting[i])}
+		waiting := s.usages[a.name].upToMaximum(p.waiting[i])
+		party := sharing.Party{Weight: a.weight, Held: a.used.Minus(p.used[i]), Demand: p.used[i].Plus(waiting)}
 		parties = append(parties, party)
 		if !party.Demand.IsZero() {
 			weights += a.weight
@@ -250,9 +264,38 @@
 // within reports whether an account uses less than the share to which it is entitled in the pool. Jobs without an account always count as
 // within, and so do those of an account that is new since the last division.
 func (s *Scheduler) within(p *poolShares, a *accountShare) bool {
-	if a == nil || a.index >= len(p.entitled) {
+	if a == nil {
 		return true
 	}
-	entitled := p.entitled[a.index]
+	entitled := p.entitledTo(a)
 	return math.IsInf(entitled, 1) || sharing.DominantShare(a.used, s.shares.fleet) < entitled
 }
+
+// entitledTo returns the dominant share of the fleet to which an account is entitled in the pool.
+func (p *poolShares) entitledTo(a *accountShare) float64 {
+	if a.index >= len(p.entitled) {
+		return math.Inf(1)
+	}
+	return p.entitled[a.index]
+}
+
+// upToMaximum returns the part of waiting work that the account may begin within its maximum. The rest does not count in the division, so that
+// others are entitled to what the account can't use.
+func (u *accountUsage) upToMaximum(waiting acaciatally.ResourceVector) acaciatally.ResourceVector {
+	if !u.limited() {
+		return waiting
+	}
+	part := 1.0
+	limit := func(waiting, maximum, used int) {
+		if maximum > 0 && waiting > 0 {
+			part = min(part, float64(max(0, maximum-used))/float64(waiting))
+		}
+	}
+	limit(waiting.Processors, u.maximum.Processors, u.used.Processors)
+	limit(waiting.Memory, u.maximum.Memory, u.used.Memory)
+	limit(waiting.Accelerators, u.maximum.Accelerators, u.used.Accelerators)
+	if part == 1 {
+		return waiting
+	}
+	return scaled(waiting, part)
+}
--- a/site/account_overload_test.go
+++ b/site/account_overload_test.go
@@ -140,12 +140,11 @@
 		fault func(d *deployment)
 		// settled is when new jobs are admitted again: two seconds after the surge, or after the next leader has taken over (at most 4 s) and
 		// measured its own rates (2 s).
-		settled time.Duration
-		// minUseful is 0 where a takeover delays the jobs. Without refusals 76 % of the jobs are useful without a failure, 67 % with a slow store.
-		minUseful float64
+		settled     time.Duration
+		leadersLost bool
 	}{
-		"no failure": {func(*deployment) {}, surgeEnd + 2*time.Second, 0.8},
-		"leader lost": {fault: func(d *deployment) {
+		"no failure": {func(*deployment) {}, surgeEnd + 2*time.Second, false},
+		"leader lost": {func(d *deployment) {
 			time.Sleep(surgeStart + 3*time.Second)
 			epoch := d.epoch()
 			d.isolate(d.leader())
@@ -156,7 +155,7 @@
 				require.NotNil(d.t, d.publishedOverload(), "the next leader continues before it knows the load")
 				time.Sleep(50 * time.Millisecond)
 			}
-		}, settled: surgeStart + 3*time.Second + 8*time.Second},
+		}, surgeStart + 3*time.Second + 8*time.Second, true},
 		"store slow": {func(d *deployment) {
 			time.Sleep(surgeStart + time.Second)
 			for _, e := range d.entries {
@@ -166,14 +165,14 @@
 			for _, e := range d.entries {
 				e.faults.SetDelay(0)
 			}
-		}, surgeEnd + 2*time.Second, 0.75}, // each acceptance and each record of a run takes a quarter of a second longer
-		"two leaders in turn": {fault: func(d *deployment) {
+		}, surgeEnd + 2*time.Second, false},
+		"two leaders in turn": {func(d *deployment) {
 			time.Sleep(surgeStart + 2*time.Second)
 			heal := d.isolate(d.leader())
 			time.Sleep(3500 * time.Millisecond)
 			d.isolate(d.leader())
 			heal()
-		}, settled: surgeStart + 5500*time.Millisecond + 8*time.Second},
+		}, surgeStart + 5500*time.Millisecond + 8*time.Second, true},
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
@@ -191,7 +190,7 @@
 				}
 				test.fault(d)
 				c.group.Wait()
-				c.check(t, test.settled, test.minUseful)
+				c.check(t, test.settled, test.leadersLost)
 			})
 		})
 	}
@@ -214,9 +213,13 @@
 // uselessAfter is three times the allowed time of the jobs, from which dispatch takes their results to be of no use.
 const uselessAfter = 3 * (600 + 1.6*800) * time.Millisecond
 
+// minUseful is the share of the accepted jobs of the hot account whose results have to be of use. Without refusals it is 0.68 without a failure,
+// 0.65 with the leader lost, 0.55 with the slow store and 0.54 with two leaders lost.
+const minUseful = 0.8
+
 // check requires that only the hot account was refused, only in the surge and its backlog, few of its new jobs once settled, and that what
-// was accepted is completed; minUseful is the share of the accepted jobs of the hot account whose results have to be of use, 0 with takeovers.
-func (c *callers) check(t *testing.T, settled time.Duration, minUseful float64) {
+// was accepted is completed, most of it in time to be of use.
+func (c *callers) check(t *testing.T, settled time.Duration, leadersLost bool) {
 	t.Helper()
 	refusedInSurge, refusedLater, newLater := 0, 0, 0
 	for _, s := range c.log {
@@ -238,7 +241,7 @@
 		}
 	}
 	limit := newLater / 10
-	if minUseful == 0 {
+	if leadersLost {
 		limit = newLater / 5 // a new leader refuses by the state of the one before, and these callers return as well
 	}
 	require.LessOrEqual(t, refusedLater, limit, "new jobs from %v on, beside the callers who return", settled)
