--- a/console/attend.go
+++ b/console/attend.go
@@ -60,7 +60,9 @@
 	if port != 0 {
 		siteConfig.Metrics, siteConfig.MetricsListen = metricsHandler(logger), netip.AddrPortFrom(settings.IP, port)
 	}
-	err := site.New(siteConfig).Run(ctx)
+	process := site.New(siteConfig)
+	logger.Metrics().NewGauge("acaciatally_configuration_age_seconds", func() float64 { return process.ConfigurationAge().Seconds() })
+	err := process.Run(ctx)
 	logger.Stopped(err)
 	if closeErr := logger.Close(); closeErr != nil {
 		_, _ = fmt.Fprintln(os.Stderr, closeErr)
@@ -103,7 +105,7 @@
 			return platform.NewJobAPI(jobs, ready)
 		},
 		MaxLease: settings.Bounds.MaxLease, Retention: 2 * settings.Bounds.StateRetention,
-		MaxEarlyStart: settings.Bounds.MaxEarlyStart, MaxRecordBytes: settings.MaxRecordBytes, EventLog: logger, TakeoverJitter: hashFraction(settings.Name),
+		MaxEarlyStart: settings.Bounds.MaxEarlyStart, MaxRecordBytes: settings.MaxRecordBytes, MaxConfigurationAge: settings.Bounds.KeyRevocation, EventLog: logger, TakeoverJitter: hashFraction(settings.Name),
 		Processors: settings.Processors, LinkBitsPerSecond: settings.LinkBitsPerSecond,
 	}
 }
--- a/site/configuration.go
+++ b/site/configuration.go
@@ -36,6 +36,9 @@
 	routes            atomic.Pointer[intake.Routes]
 	mutex             sync.Mutex
 	waves             map[int]observedWave
+	age               configurationAge
+	applyMutex        sync.Mutex // held while records are applied, which may come from two calls at the same time
+	newestRecord      uint64     // version of the newest record of the configuration that was applied or can't be decoded
 	unreachable       bool
 	unreachableSince  time.Duration // time of the last response before the store became unreachable
 }
@@ -49,20 +52,22 @@
 // run follows the operators' table until ctx ends, and reads it anew whenever the store has compacted the history it needs.
 func (w *operatorWatcher) run(ctx context.Context) {
 	for ctx.Err() == nil {
+		sentAt := w.now()
 		page, err := w.store.Read(ctx, acaciatally.RecordRange{Table: w.records.Table})
 		w.reportReachability(err)
 		if err != nil {
 			acaciatally.Sleep(ctx, retryDelay)
 			continue
 		}
-		w.apply(page.Records)
+		w.apply(page.Records, sentAt)
 		w.follow(ctx, page.Version)
 	}
 }
 
 func (w *operatorWatcher) follow(ctx context.Context, version uint64) {
 	for ctx.Err() == nil {
-		page, err := w.store.Follow(ctx, w.records.Table, version, followTimeout)
+		sentAt := w.now()
+		page, err := w.store.Follow(ctx, w.records.Table, version, w.followWait())
 		if errors.Is(err, acaciatally.ErrHistoryGone) {
 			return
 		}
@@ -72,7 +77,7 @@
 			continue
 		}
 		version = page.Version
-		w.apply(page.Records)
+		w.apply(page.Records, sentAt)
 	}
 }
 
@@ -88,7 +93,11 @@
 	}
 }
 
-func (w *operatorWatcher) apply(records []acaciatally.Record) {
+// apply applies the records in the response to a call sent at a time.
+func (w *operatorWatcher) apply(records []acaciatally.Record, sentAt time.Duration) {
+	w.applyMutex.Lock()
+	defer w.applyMutex.Unlock()
+	defer w.age.confirm(sentAt) // after the configuration has been replaced
 	for _, record := range records {
 		if record.Deleted {
 			continue
@@ -129,6 +138,10 @@
 // applyConfiguration applies the configuration in a record unless the current one has the same or a later version.
 func (w *operatorWatcher) applyConfiguration(record acaciatally.Record) {
 	configuration, err := w.records.DecodeConfiguration(record.Value)
+	if record.Version >= w.newestRecord { // else it is from the response to an earlier call
+		w.newestRecord = record.Version
+		w.age.unknown.Store(err != nil)
+	}
 	if err != nil {
 		w.eventLog.ConfigurationIgnored(record.Version, err)
 		return
@@ -136,7 +149,10 @@
 	if current := w.configuration.Load(); current != nil && configuration.Version <= current.Version {
 		return
 	}
+	w.routes.Store(intake.NewRoutes(configuration)) // before the leader acts by the configuration
 	w.configuration.Store(configuration)
-	w.routes.Store(intake.NewRoutes(configuration))
-	w.eventLog.ConfigurationApplied(configuration.Version, record.Version, len(configuration.Queues))
+	w.eventLog.ConfigurationApplied(configuration.Version, record.Version, len(configuration.Queues), len(configuration.Accounts))
+	for _, warning := range configuration.Warnings {
+		w.eventLog.ConfigurationPartIgnored(record.Version, warning)
+	}
 }
