Find kinds of tasks that slow each other down, and keep them apart

Cause: some kinds of tasks slow each other down on one worker, and placement packs them together.

Change: package interference is the detector, a state machine without I/O: it relates run times to what ran beside each run. The verdicts are stored in the record Interference/Verdicts for the next leader. The flag -interference of attend has the values off, observe and avoid; the default observe has no influence on placement.

--- a/console/attend.go
+++ b/console/attend.go
@@ -14,6 +14,7 @@
 
 	"github.com/acaciatally/acaciatally"
 	"github.com/acaciatally/acaciatally/eventlog"
+	"github.com/acaciatally/acaciatally/interference"
 	"github.com/acaciatally/acaciatally/platform"
 	"github.com/acaciatally/acaciatally/site"
 )
@@ -30,6 +31,8 @@
 	set := newFlagSet(config, "attend [flags]", "  acaciatally attend\n  acaciatally attend -check -settings local.json\n")
 	path := set.String("settings", config.Getenv(platform.SettingsVariable), "settings file that the platform writes")
 	port := set.Uint("metrics", 0, "port of the /metrics server; 0 disables it")
+	interferenceMode := set.String("interference", string(interference.ModeObserve),
+		"what the leader does about kinds of tasks that slow each other down on one worker: off, observe or avoid")
 	checkOnly := set.Bool("check", false, "check the settings and exit")
 	if err = parseFlags(set, arguments); err != nil {
 		return err
@@ -37,14 +40,18 @@
 	if *path == "" {
 		return &usageError{message: "attend needs -settings or " + platform.SettingsVariable}
 	}
+	mode, err := interference.ParseMode(*interferenceMode)
+	if err != nil {
+		return &usageError{message: "-interference: " + err.Error()}
+	}
 	settings, err := platform.LoadSettings(*path)
 	if err != nil || *checkOnly {
 		return err
 	}
-	return runSite(config, *path, uint16(*port), settings)
+	return runSite(config, *path, uint16(*port), mode, settings)
 }
 
-func runSite(config Config, path string, port uint16, settings platform.Settings) error {
+func runSite(config Config, path string, port uint16, mode interference.Mode, settings platform.Settings) error {
 	debug.SetGCPercent(gcPercent)
 	if settings.Memory > 0 {
 		debug.SetMemoryLimit(int64(memoryLimitShare * float64(settings.Memory)))
@@ -57,6 +64,7 @@
 	context.AfterFunc(ctx, func() { logger.Stopping("signal") })
 	go reloadOnHangup(ctx, path, logger)
 	siteConfig := newSiteConfig(settings, logger)
+	siteConfig.Interference = mode
 	if port != 0 {
 		siteConfig.Metrics, siteConfig.MetricsListen = metricsHandler(logger), netip.AddrPortFrom(settings.IP, port)
 	}
--- a/dispatch/event_log.go
+++ b/dispatch/event_log.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/acaciatally/acaciatally"
+	"github.com/acaciatally/acaciatally/interference"
 )
 
 // EventLog logs the decisions about jobs, runs and workers, one line each.
@@ -34,6 +35,10 @@
 	// CommitFailed logs that a commit of the queue's jobs had no effect. failures is the number of commits that have failed in a row, size that
 	// of the largest record in bytes.
 	CommitFailed(queue acaciatally.QueueName, failures, size int, err error)
+	// InterferenceChanged logs that a kind of tasks was found to slow down another one on the same worker, or no longer does so.
+	InterferenceChanged(change interference.Change)
+	// InterferenceMeasured publishes the state of the detection of interference. It writes no line.
+	InterferenceMeasured(stats InterferenceStats)
 	// RecordIgnored logs a record that can't be decoded.
 	RecordIgnored(key acaciatally.RecordKey, version uint64, err error)
 	// LeadershipLost logs that another leader has taken over; epoch is that of this leader.
--- a/dispatch/order_result.go
+++ b/dispatch/order_result.go
@@ -9,6 +9,7 @@
 
 // OrderResult handles the result of an order.
 func (s *Scheduler) OrderResult(order Order, err error, now time.Duration) {
+	s.interference.advance(now)
 	w := s.workers[order.Worker.ID]
 	if order.Kind == OrderStart {
 		s.starts.finish(now-order.sentAt, now)
@@ -65,6 +66,7 @@
 	case err == nil:
 		s.startRate.countStart()
 		t.stage, t.confirmedAt, t.progressedAt = stageRunning, now, now
+		s.interference.started(t, t.startAttempts <= 1, now)
 		s.markStarted(t)
 	case errors.Is(err, errLeadershipExpired):
 		t.stage, t.startAttempts = stageRecorded, t.startAttempts-1
--- a/dispatch/plan.go
+++ b/dispatch/plan.go
@@ -15,6 +15,7 @@
 // Plan opens due occurrences, releases the runs of workers whose lease has expired, stops stalled runs and runs on workers to drain, and
 // places waiting tasks. timeOfDay is the wall-clock time, by which occurrences are scheduled.
 func (s *Scheduler) Plan(now time.Duration, timeOfDay time.Time) {
+	s.interference.advance(now)
 	for _, j := range s.jobs {
 		if j.live() {
 			s.openDueOccurrences(j, now, timeOfDay)
@@ -27,6 +28,7 @@
 		s.endProbations(now)
 		s.stopBrokenGangs()
 		s.drainWorkers(now)
+		s.sweepInterference(now)
 	}
 	pools := s.takeChangedPools()
 	if now >= s.nextPlacementAt {
@@ -248,6 +250,7 @@
 func (s *Scheduler) assign(t *task, c *candidate, attempt int) {
 	t.attempt = attempt
 	t.assign(c.w, stagePlanned)
+	s.interference.countPlacement(t, c)
 	s.config.EventLog.RunPlanned(t.ref, attempt, c.w.entry.ID, c.free.Processors)
 	c.reserve(t)
 }
@@ -268,6 +271,7 @@
 // now or later, because another failure may use up the last attempt.
 func (s *Scheduler) bestCandidate(t *task, candidates []*candidate, now time.Duration) (chosen *candidate) {
 	avoids := len(t.avoidUntil) > 0 && s.hasAlternative(t, candidates, now)
+	t.conflicts = s.interference.conflicts(t)
 	for _, c := range candidates {
 		if avoids && t.avoids(c.w, now) {
 			continue
@@ -325,6 +329,11 @@
 	if dueA, dueB := s.drainSoon[a.w.entry.ID], s.drainSoon[b.w.entry.ID]; t.step.LongRunning && dueA != dueB {
 		return dueB
 	}
+	if len(t.conflicts) > 0 {
+		if countA, countB := a.w.neighbours.count(t.conflicts), b.w.neighbours.count(t.conflicts); countA != countB {
+			return countA < countB
+		}
+	}
 	if t.step.LongRunning && (a.load.numLongRunning > 0) != (b.load.numLongRunning > 0) {
 		return a.load.numLongRunning > 0 // keep long-running tasks together, because they keep their instances in the pool
 	}
--- a/dispatch/report.go
+++ b/dispatch/report.go
@@ -13,6 +13,7 @@
 	if w == nil {
 		return
 	}
+	s.interference.advance(now)
 	w.renewalInFlight, w.nextRenewalAt = false, sent+s.renewInterval()
 	if w.lost || report.StartTime.Before(w.startTime) && !report.StartTime.IsZero() {
 		return // the worker is lost, or the report is from an earlier incarnation
@@ -81,6 +82,7 @@
 		return false
 	}
 	if t.stage == stageOrdered || t.stage == stageInherited {
+		s.interference.started(t, t.stage == stageOrdered && t.startAttempts <= 1, now)
 		t.stage, t.confirmedAt, t.progressedAt = stageRunning, now, now
 		t.startOutcomeUnknown = false
 		s.markStarted(t)
@@ -89,6 +91,7 @@
 	t.tailLatency = 0
 	if t.step.TailObjective > 0 {
 		t.tailLatency = run.TailLatency
+		s.interference.observeResponse(t, now)
 	}
 	if run.Checkpoint != "" {
 		t.checkpoint = run.Checkpoint
@@ -170,6 +173,7 @@
 	switch {
 	case ended.End == acaciatally.EndDone && !t.step.LongRunning:
 		s.observeRunTime(t, now)
+		s.interference.observeEnd(t, now)
 		s.complete(t)
 		return
 	case ended.End == acaciatally.EndFailed:
--- a/dispatch/runner.go
+++ b/dispatch/runner.go
@@ -86,6 +86,13 @@
 	group.Go(func() error { return r.eventLoop(ctx) })
 	group.Go(func() error { return r.followJobs(ctx) })
 	group.Go(func() error { return r.followWorkers(ctx) })
+	if r.scheduler.interference != nil {
+		group.Go(func() error {
+			r.loadInterference(ctx)
+			return nil
+		})
+		defer r.config.Scheduler.EventLog.InterferenceMeasured(InterferenceStats{}) // a former leader has none
+	}
 	err = group.Wait()
 	r.calls.Wait()
 	return err
@@ -160,6 +167,9 @@
 	if record, version, unsaved := r.scheduler.UnsavedSilence(now); unsaved {
 		r.runCall(func() { r.storeSilence(ctx, record, version) })
 	}
+	if record, version, unsaved := r.scheduler.UnsavedInterference(now); unsaved {
+		r.runCall(func() { r.storeInterference(ctx, record, version) })
+	}
 	for _, order := range r.scheduler.Orders(now) {
 		r.runCall(func() { r.order(ctx, order) })
 	}
--- a/dispatch/scheduler.go
+++ b/dispatch/scheduler.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/acaciatally/acaciatally"
+	"github.com/acaciatally/acaciatally/interference"
 	"github.com/acaciatally/acaciatally/job"
 )
 
@@ -18,6 +19,8 @@
 	MaxCommitBytes  int           // size of the progress records in one transaction; 0 is MaxCommitBytes
 	MaxRecordBytes  int           // size of the largest record that the store takes; 0 is job.DefaultRecordBytes
 	EventLog        EventLog
+	// Interference tells what is done about kinds of tasks that slow each other down on one worker; empty is off.
+	Interference interference.Mode
 }
 
 // Scheduler holds the state of all jobs and workers during one term of leadership. In its methods, now is a monotonic clock that includes
@@ -45,6 +48,7 @@
 	starts          startWindow
 	heldStarts      int // start orders that the window held back in the last round
 	startRate       startRate
+	interference    *interferenceTracker
 }
 
 // New returns a scheduler without jobs and workers.
@@ -69,6 +73,8 @@
 		silence:     silence{mayBeStored: map[acaciatally.WorkerID]bool{}},
 		starts:      newStartWindow(),
 		startRate:   newStartRate(),
+
+		interference: newInterferenceTracker(config.Interference),
 	}
 }
 
@@ -197,6 +203,8 @@
 	cpuShare            int // in percent, as confirmed by the worker; 100 is unthrottled
 	cpuShareWanted      int
 	avoidUntil          map[acaciatally.WorkerID]time.Duration // workers on which the task failed, and until when to avoid them
+	observed            *observedRun                           // of the current run; nil if interference is not observed
+	conflicts           []interference.KindID                  // while it is being placed, the kinds to keep it apart from
 	unplacedSince       time.Duration                          // when placing a long-running task first failed or last preempted runs; 0 before
 }
 
@@ -208,6 +216,7 @@
 	t.phase, t.stage, t.worker = job.Assigned, s, w
 	w.runs[t] = true
 	w.load.add(t.step, 1)
+	w.neighbours.assign(t)
 	t.joinSuspects()
 	t.job.dirty = true
 }
@@ -225,6 +234,7 @@
 	if t.worker != nil {
 		delete(t.worker.runs, t)
 		t.worker.load.add(t.step, -1)
+		t.worker.neighbours.release(t)
 		t.leaveSuspects()
 	}
 	t.phase, t.stage, t.worker = job.Waiting, stagePlanned, nil
--- a/dispatch/scheduler_test.go
+++ b/dispatch/scheduler_test.go
@@ -10,6 +10,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/acaciatally/acaciatally"
+	"github.com/acaciatally/acaciatally/interference"
 	"github.com/acaciatally/acaciatally/job"
 )
 
@@ -63,6 +64,12 @@
 	c.count("RecordIgnored")
 }
 
+func (c *countingEventLog) InterferenceChanged(change interference.Change) {
+	c.count(fmt.Sprintf("InterferenceChanged %s %s %t", change.Victim, change.Aggressor, change.Found))
+}
+
+func (c *countingEventLog) InterferenceMeasured(InterferenceStats) { c.count("InterferenceMeasured") }
+
 func (c *countingEventLog) LeadershipLost(uint64) { c.count("LeadershipLost") }
 
 const testPool = acaciatally.PoolName("intake")
--- a/dispatch/worker.go
+++ b/dispatch/worker.go
@@ -36,6 +36,7 @@
 	stoppingOrphans   map[runKey]bool // orphans with a stop order in flight
 	runs              map[*task]bool  // assigned tasks
 	load              load            // of the assigned tasks
+	neighbours        *neighbours     // kinds of tasks on it; nil if interference is not observed
 	suspectRuns       int             // assigned tasks that are suspected of having crashed workers
 	suspects          []suspectRun    // runs that may have crashed the incarnation before, until the first report of this one
 	orderDue          bool            // an order about one of its runs may be due; see Scheduler.Orders
@@ -115,6 +116,7 @@
 		}
 		if !w.listed && (w.lost || len(w.runs) == 0) {
 			s.markLost(w, "removed from the directory", now)
+			w.neighbours.discard()
 			delete(s.workers, id)
 		}
 	}
@@ -127,7 +129,7 @@
 	if w == nil {
 		w = &worker{
 			entry: acaciatally.Worker{ID: id}, orphans: map[runKey]bool{}, stoppingOrphans: map[runKey]bool{},
-			runs: map[*task]bool{}, fenceBump: s.fenceBumps,
+			runs: map[*task]bool{}, fenceBump: s.fenceBumps, neighbours: s.interference.newNeighbours(),
 		}
 		s.workers[id] = w
 	}
--- a/eventlog/events.go
+++ b/eventlog/events.go
@@ -5,6 +5,7 @@
 
 	"github.com/acaciatally/acaciatally"
 	"github.com/acaciatally/acaciatally/dispatch"
+	"github.com/acaciatally/acaciatally/interference"
 )
 
 // JobLoaded logs a job that the leader has loaded.
@@ -54,6 +55,26 @@
 		Int("Slow", window.Slow).Dur("Delay", window.Delay).Msg("")
 }
 
+// InterferenceChanged logs a verdict on two kinds of tasks that was found or dropped.
+func (l *Logger) InterferenceChanged(change interference.Change) {
+	event := "InterferenceDropped"
+	if change.Found {
+		event = "InterferenceFound"
+	}
+	l.line(event).Stringer("Victim", change.Victim).Stringer("Aggressor", change.Aggressor).Float64("Factor", change.Factor).
+		Int("Samples", change.Samples).Msg("")
+}
+
+// InterferenceMeasured publishes the state of the detection of interference as metrics.
+func (l *Logger) InterferenceMeasured(stats dispatch.InterferenceStats) {
+	for name, value := range map[string]int{
+		"kinds": stats.Kinds, "pairs": stats.Pairs, "verdicts": stats.Verdicts, "observations": stats.Observations,
+		"placed_apart": stats.Apart, "placed_together": stats.Together,
+	} {
+		l.metricSet.GetOrCreateGauge("acaciatally_interference_"+name, nil).Set(float64(value))
+	}
+}
+
 // RunEnded logs the end of a run as listed by a worker; counts is false if the run is not the current one of a known task.
 func (l *Logger) RunEnded(ended acaciatally.EndedTask, worker acaciatally.WorkerID, counts bool) {
 	l.count("RunEnded" + string(ended.End))
--- a/site/site.go
+++ b/site/site.go
@@ -15,6 +15,7 @@
 	"github.com/acaciatally/acaciatally"
 	"github.com/acaciatally/acaciatally/dispatch"
 	"github.com/acaciatally/acaciatally/intake"
+	"github.com/acaciatally/acaciatally/interference"
 	"github.com/acaciatally/acaciatally/leadership"
 	"github.com/acaciatally/acaciatally/roster"
 )
@@ -100,6 +101,7 @@
 	MoveTime        time.Duration // from the order until a moved instance serves again
 	MaintenanceTime time.Duration // from the order until a maintained instance serves again
 
+	Interference      interference.Mode // what the leader does about tasks that slow each other down; empty is off
 	EventLog          EventLog
 	TakeoverJitter    float64              // jitter factor of this entry's takeover delay, 0 to 1
 	Processors        float64              // cores that this entry may use, also a fraction
@@ -193,7 +195,7 @@
 		Scheduler: dispatch.Config{
 			Epoch: epoch, WorkerLease: min(maxWorkerLease, p.config.MaxLease), MaxLease: p.config.MaxLease,
 			Retention: p.config.Retention, MaxEarlyStart: p.config.MaxEarlyStart, LeadershipStart: p.config.Now(), EventLog: p.config.EventLog,
-			MaxCommitBytes: commitBytes(p.config.LinkBitsPerSecond), MaxRecordBytes: p.config.MaxRecordBytes,
+			MaxCommitBytes: commitBytes(p.config.LinkBitsPerSecond), MaxRecordBytes: p.config.MaxRecordBytes, Interference: p.config.Interference,
 		},
 	})
 	if err := runner.Run(ctx); err != nil {
