Test and document interference between tasks

Cause: the mechanism needs proofs at the scheduler, the runner and a whole process, figures of its cost, and pages for operators.

The weights decay once a second at most. -interference is checked before the settings.

--- a/console/attend.go
+++ b/console/attend.go
@@ -37,13 +37,13 @@
 	if err = parseFlags(set, arguments); err != nil {
 		return err
 	}
-	if *path == "" {
-		return &usageError{message: "attend needs -settings or " + platform.SettingsVariable}
-	}
 	mode, err := interference.ParseMode(*interferenceMode)
 	if err != nil {
 		return &usageError{message: "-interference: " + err.Error()}
 	}
+	if *path == "" {
+		return &usageError{message: "attend needs -settings or " + platform.SettingsVariable}
+	}
 	settings, err := platform.LoadSettings(*path)
 	if err != nil || *checkOnly {
 		return err
--- a/console/console_test.go
+++ b/console/console_test.go
@@ -52,6 +52,7 @@
 		"help of subcommand": {arguments: "do|-help", code: console.ExitSuccess, output: "examples:"},
 		"version":            {arguments: "-version", code: console.ExitSuccess, output: "acaciatally"},
 		"unknown subcommand": {arguments: "sreve", code: console.ExitUsage, output: "unknown subcommand"},
+		"unknown mode":       {arguments: "attend|-interference|on", code: console.ExitUsage, output: `"on" is not one of off, observe and avoid`},
 		"unknown flag":       {arguments: "do|-addrss|x", code: console.ExitUsage, output: "flag provided but not defined"},
 		"serve without file": {arguments: "serve", code: console.ExitUsage, output: "needs -settings"},
 		"check valid files":  {arguments: "check|../examples/authority.yaml|../examples/cavalcanti.yaml", code: console.ExitSuccess, output: "ok"},
--- a/eventlog/logger_test.go
+++ b/eventlog/logger_test.go
@@ -14,7 +14,9 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/acaciatally/acaciatally"
+	"github.com/acaciatally/acaciatally/dispatch"
 	"github.com/acaciatally/acaciatally/eventlog"
+	"github.com/acaciatally/acaciatally/interference"
 )
 
 // blockedWriter is an output that blocks until it is released.
@@ -152,3 +154,30 @@
 		require.NoError(t, logger.Close())
 	})
 }
+
+// TestInterferenceMetrics guards against interference that operators can't see, and against the values of a former leader that stay.
+func TestInterferenceMetrics(t *testing.T) {
+	output := &lockedBuffer{}
+	logger := eventlog.New(output, "entry-1")
+	change := interference.Change{Victim: interference.Kind{Image: "loom"}, Aggressor: interference.Kind{Queue: "plans", Step: 2}, Factor: 1.5, Samples: 40}
+	logger.InterferenceChanged(change)
+	change.Found = true
+	logger.InterferenceChanged(change)
+	text := func() string {
+		var metrics bytes.Buffer
+		logger.Metrics().WritePrometheus(&metrics)
+		return metrics.String()
+	}
+	stats := dispatch.InterferenceStats{Stats: interference.Stats{Verdicts: 1, Observations: 70}, Apart: 3}
+	logger.InterferenceMeasured(stats)
+	for _, line := range []string{
+		"acaciatally_interference_verdicts 1", "acaciatally_interference_observations 70", "acaciatally_interference_placed_apart 3",
+		`acaciatally_events_total{event="InterferenceFound"} 1`, `acaciatally_events_total{event="InterferenceDropped"} 1`,
+	} {
+		require.Contains(t, text(), line)
+	}
+	logger.InterferenceMeasured(dispatch.InterferenceStats{})
+	require.Contains(t, text(), "acaciatally_interference_verdicts 0")
+	require.NoError(t, logger.Close())
+	require.Contains(t, output.String(), `"Event":"InterferenceFound","Victim":"loom","Aggressor":"plans/2","Factor":1.5,"Samples":40`)
+}
--- a/interference/evidence.go
+++ b/interference/evidence.go
@@ -13,6 +13,8 @@
 	// halfLife is the time after which an observation counts half as much. Tasks that are kept apart give no new evidence, so this is also what
 	// ends a verdict whose cause is gone: after at most 6 half-lives, in which maxSamples become droppedSamples.
 	halfLife = 2 * time.Minute
+	// decayInterval is the minimum time between two reductions of the weights of one victim's evidence, which cost more than an observation.
+	decayInterval = time.Second
 	// maxSamples limits the weighted number of runs beside the other kind, beyond which older ones count less.
 	maxSamples = 320
 	// droppedSamples is the weighted number of runs beside the other kind below which a verdict is dropped.
@@ -146,7 +148,7 @@
 
 // decay reduces the weight of earlier observations to that of the given time.
 func (k *kindState) decay(now time.Duration) {
-	if now <= k.decayedAt {
+	if now < k.decayedAt+decayInterval {
 		return
 	}
 	factor := float32(math.Exp2(-float64(now-k.decayedAt) / float64(halfLife)))
--- a/interference/kind.go
+++ b/interference/kind.go
@@ -106,3 +106,11 @@
 	delete(d.ids, d.kinds[removed].kind)
 	d.kinds[removed] = nil
 }
+
+// References returns how often Acquire and Retain were called for a kind without Release.
+func (d *Detector) References(kind Kind) int {
+	if id := d.Find(kind); id != NoKind {
+		return d.kinds[id].references
+	}
+	return 0
+}
--- a/site/deployment_test.go
+++ b/site/deployment_test.go
@@ -17,6 +17,7 @@
 
 	"github.com/acaciatally/acaciatally"
 	"github.com/acaciatally/acaciatally/eventlog"
+	"github.com/acaciatally/acaciatally/interference"
 	"github.com/acaciatally/acaciatally/platform"
 	"github.com/acaciatally/acaciatally/platform/emulator"
 	"github.com/acaciatally/acaciatally/site"
@@ -47,8 +48,9 @@
 	instanceCount    int
 	serverGoroutines sync.WaitGroup
 	log              io.Writer
-	processors       float64 // cores of the entries added from now on
-	linkBits         float64 // link speed of the entries added from now on, in bits per second; 0 is unlimited
+	processors       float64           // cores of the entries added from now on
+	interference     interference.Mode // of the entries added from now on
+	linkBits         float64           // link speed of the entries added from now on, in bits per second; 0 is unlimited
 }
 
 type entry struct {
@@ -208,7 +210,7 @@
 		},
 		MaxLease: maxLease, Retention: time.Minute, MoveTime: instanceDowntime, MaintenanceTime: instanceDowntime,
 		EventLog: logger, TakeoverJitter: float64(number) / 10, Processors: d.processors, LinkBitsPerSecond: d.linkBits,
-		Now: func() time.Duration { return time.Since(d.startedAt) },
+		Now: func() time.Duration { return time.Since(d.startedAt) }, Interference: d.interference,
 		Listen: func(_ context.Context, _, address string) (net.Listener, error) {
 			return d.network.Listen(netip.MustParseAddrPort(address)), nil
 		},
