Prove what is left of interference: kinds beyond the limit, early drops, record changes

Cause: the tests of early drops and of changes of the record had not been seen to fail, and nothing ran more kinds at once than are tracked.

--- a/dispatch/neighbours_test.go
+++ b/dispatch/neighbours_test.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -91,3 +92,28 @@
 	_, beside = window.neighbours(n, victim, nil, 54*time.Second)
 	require.Equal(t, []interference.Presence{{Kind: before, Share: 0.375}}, beside)
 }
+
+// TestMoreKindsThanTracked guards against a crash or wrong counters once more kinds are running than the detector tracks.
+func TestMoreKindsThanTracked(t *testing.T) {
+	const kinds = interference.MaxKinds + 50
+	scheduler, _ := interferenceScheduler(interference.ModeAvoid)
+	w := testWorker(1)
+	w.Capacity = acaciatally.ResourceVector{Processors: 1000 * kinds, Memory: 10 * kinds}
+	reportIdle(scheduler, w)
+	for i := range kinds {
+		require.Len(t, placeOne(scheduler, acaciatally.JobID(fmt.Sprintf("%08x", i)), imageStep(fmt.Sprint(i))), 1)
+	}
+	report := acaciatally.WorkerReport{StartTime: w.StartTime}
+	for i := range kinds {
+		report.Ended = append(report.Ended, acaciatally.EndedTask{
+			Number: uint64(i + 1), Task: acaciatally.TaskRef{Job: acaciatally.JobID(fmt.Sprintf("%08x", i))}, Attempt: 1, End: acaciatally.EndDone,
+		})
+	}
+	scheduler.Report("i-1", report, time.Second, time.Second)
+	require.Equal(t, interference.MaxKinds, scheduler.interference.detector.Stats().Kinds)
+	require.Equal(t, interference.MaxKinds, scheduler.interference.detector.Stats().Observations)
+	require.Zero(t, scheduler.workers["i-1"].neighbours.processors)
+	scheduler.sweepInterference(time.Second + presenceRetention + time.Second)
+	require.Len(t, placeOne(scheduler, "new", imageStep("new")), 1)
+	require.NotEqual(t, interference.NoKind, scheduler.interference.detector.Find(interference.Kind{Image: "new"}), "kinds that no longer run are replaced")
+}
--- a/interference/detector_test.go
+++ b/interference/detector_test.go
@@ -158,7 +158,9 @@
 // TestSeparatedKinds guards against dropping a true verdict too early where the kinds are kept apart, which would bring them together again.
 func TestSeparatedKinds(t *testing.T) {
 	s := newSimulation(1, 6)
-	s.slowdown, s.apart = interferes(0, 3, 2), 0.95
+	s.slowdown = interferes(0, 3, 2)
+	s.run(40*time.Second, 0.6)
+	s.apart = 1
 	s.run(5*time.Minute, 0.6)
 	require.Len(t, s.found(), 1)
 	require.Len(t, s.changes, 1)
