--- a/dispatch/plan.go
+++ b/dispatch/plan.go
@@ -16,6 +16,7 @@
 // places waiting tasks. timeOfDay is the wall-clock time, by which occurrences are scheduled.
 func (s *Scheduler) Plan(now time.Duration, timeOfDay time.Time) {
 	s.countArrivals(now)
+	s.interference.advance(now)
 	for _, j := range s.jobs {
 		if j.live() {
 			s.openDueOccurrences(j, now, timeOfDay)
@@ -33,6 +34,7 @@
 		s.stopBrokenGangs()
 		s.drainWorkers(now)
 		s.reportUsage(now)
+		s.sweepInterference(now)
 	}
 	pools := s.takeChangedPools()
 	if now >= s.nextPlacementAt {
@@ -270,6 +272,7 @@
 func (s *Scheduler) assign(t *task, c *candidate, attempt int) {
 	t.attempt = attempt
 	t.assign(c.w, stagePlanned)
+	s.interference.countPlacement(t, c)
 	s.config.EventLog.RunPlanned(t.ref, attempt, c.w.entry.ID, c.free.Processors)
 	c.reserve(t)
 	s.countPlaced(t)
@@ -291,6 +294,7 @@
 // now or later, because another failure may use up the last attempt.
 func (s *Scheduler) bestCandidate(t *task, candidates []*candidate, now time.Duration) (chosen *candidate) {
 	avoids := len(t.avoidUntil) > 0 && s.hasAlternative(t, candidates, now)
+	t.conflicts = s.interference.conflicts(t)
 	for _, c := range candidates {
 		if avoids && t.avoids(c.w, now) {
 			continue
@@ -348,6 +352,11 @@
 	if dueA, dueB := s.drainSoon[a.w.entry.ID], s.drainSoon[b.w.entry.ID]; t.step.LongRunning && dueA != dueB {
 		return dueB
 	}
+	if len(t.conflicts) > 0 {
+		if countA, countB := a.w.neighbours.count(t.conflicts), b.w.neighbours.count(t.conflicts); countA != countB {
+			return countA < countB
+		}
+	}
 	if t.step.LongRunning && (a.load.numLongRunning > 0) != (b.load.numLongRunning > 0) {
 		return a.load.numLongRunning > 0 // keep long-running tasks together, because they keep their instances in the pool
 	}
--- a/dispatch/report.go
+++ b/dispatch/report.go
@@ -13,6 +13,7 @@
 	if w == nil {
 		return
 	}
+	s.interference.advance(now)
 	w.renewalInFlight, w.nextRenewalAt = false, sent+s.renewInterval()
 	if w.lost || report.StartTime.Before(w.startTime) && !report.StartTime.IsZero() {
 		return // the worker is lost, or the report is from an earlier incarnation
@@ -83,6 +84,7 @@
 		return false
 	}
 	if t.stage == stageOrdered || t.stage == stageInherited {
+		s.interference.started(t, t.stage == stageOrdered && t.startAttempts <= 1, now)
 		t.stage, t.confirmedAt, t.progressedAt = stageRunning, now, now
 		t.startOutcomeUnknown = false
 		s.markStarted(t)
@@ -91,6 +93,7 @@
 	t.tailLatency = 0
 	if t.step.TailObjective > 0 {
 		t.tailLatency = run.TailLatency
+		s.interference.observeResponse(t, now)
 	}
 	if run.Checkpoint != "" {
 		t.checkpoint = run.Checkpoint
@@ -173,6 +176,7 @@
 	switch {
 	case ended.End == acaciatally.EndDone && !t.step.LongRunning:
 		s.observeRunTime(t, now)
+		s.interference.observeEnd(t, now)
 		s.complete(t, now)
 		return
 	case ended.End == acaciatally.EndFailed:
--- a/dispatch/scheduler.go
+++ b/dispatch/scheduler.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/acaciatally/acaciatally"
+	"github.com/acaciatally/acaciatally/interference"
 	"github.com/acaciatally/acaciatally/job"
 )
 
@@ -24,6 +25,8 @@
 	QuotaWindow time.Duration
 	// QuotaSlack is how many more jobs may arrive in each window, for accounts with few and irregular arrivals; 0 is 20.
 	QuotaSlack int
+	// Interference tells what is done about kinds of tasks that slow each other down on one worker; empty is off.
+	Interference interference.Mode
 }
 
 // Scheduler holds the state of all jobs and workers during one term of leadership. In its methods, now is a monotonic clock that includes
@@ -56,6 +59,7 @@
 	heldStarts      int // start orders that the window held back in the last round
 	startRate       startRate
 	shares          shares
+	interference    *interferenceTracker
 }
 
 // New returns a scheduler without jobs and workers.
@@ -91,6 +95,8 @@
 		starts:      newStartWindow(),
 		startRate:   newStartRate(),
 		shares:      shares{accounts: map[acaciatally.AccountName]*accountShare{}, pools: map[acaciatally.PoolName]*poolShares{}},
+
+		interference: newInterferenceTracker(config.Interference),
 	}
 }
 
@@ -230,6 +236,8 @@
 	cpuShare            int // in percent, as confirmed by the worker; 100 is unthrottled
 	cpuShareWanted      int
 	avoidUntil          map[acaciatally.WorkerID]time.Duration // workers on which the task failed, and until when to avoid them
+	observed            *observedRun                           // of the current run; nil if interference is not observed
+	conflicts           []interference.KindID                  // while it is being placed, the kinds to keep it apart from
 	unplacedSince       time.Duration                          // when placing a long-running task first failed or last preempted runs; 0 before
 }
 
@@ -245,6 +253,7 @@
 		a.used = a.used.Plus(t.step.Reserved())
 	}
 	t.job.usage.add(t.step.Resources, 1)
+	w.neighbours.assign(t)
 	t.joinSuspects()
 	t.job.dirty = true
 }
@@ -266,6 +275,7 @@
 			a.used = a.used.Minus(t.step.Reserved())
 		}
 		t.job.usage.add(t.step.Resources, -1)
+		t.worker.neighbours.release(t)
 		t.leaveSuspects()
 	}
 	t.phase, t.stage, t.worker = job.Waiting, stagePlanned, nil
--- a/site/deployment_test.go
+++ b/site/deployment_test.go
@@ -18,6 +18,7 @@
 
 	"github.com/acaciatally/acaciatally"
 	"github.com/acaciatally/acaciatally/eventlog"
+	"github.com/acaciatally/acaciatally/interference"
 	"github.com/acaciatally/acaciatally/platform"
 	"github.com/acaciatally/acaciatally/platform/emulator"
 	"github.com/acaciatally/acaciatally/site"
@@ -48,10 +49,11 @@
 	instanceCount    int
 	serverGoroutines sync.WaitGroup
 	log              io.Writer
-	processors       float64 // cores of the entries added from now on
-	linkBits         float64 // link speed of the entries added from now on, in bits per second; 0 is unlimited
 	// adaptConfig changes the configuration of the entries' processes added from now on; nil leaves it.
-	adaptConfig func(config *site.Config)
+	adaptConfig  func(config *site.Config)
+	processors   float64           // cores of the entries added from now on
+	interference interference.Mode // of the entries added from now on
+	linkBits     float64           // link speed of the entries added from now on, in bits per second; 0 is unlimited
 }
 
 type entry struct {
@@ -216,7 +218,7 @@
 		},
 		MaxLease: maxLease, Retention: time.Minute, MoveTime: instanceDowntime, MaintenanceTime: instanceDowntime,
 		EventLog: logger, TakeoverJitter: float64(number) / 10, Processors: d.processors, LinkBitsPerSecond: d.linkBits,
-		Now: func() time.Duration { return time.Since(d.startedAt) + time.Duration(e.paused.Load()) },
+		Now: func() time.Duration { return time.Since(d.startedAt) + time.Duration(e.paused.Load()) }, Interference: d.interference,
 		Listen: func(_ context.Context, _, address string) (net.Listener, error) {
 			return d.network.Listen(netip.MustParseAddrPort(address)), nil
 		},
