Learn slow and unreliable workers and place runs there last

Cause: workers that run five times slower got as many runs as others; jobs of several tasks were late because one of them ran there. Workers that fail half of their runs did too: each success ends their probation (health.go).

Change: package speed compares run times, and the pace of running runs, with those of the same kind (queue and step, or the caller's estimate times its ratio where that varies less), relative to the median of the pool. The runs of a step count once. Scheduler.prefers puts slow and unreliable workers after others; a job that is in time does not go to a slow worker on which it would be late, until waiting makes it late. Unreliable is a worker whose failed tasks succeed later, so jobs that always fail blame none.

Placement without slow workers is identical (TestPlacementWithoutSlowWorkers).

--- a/dispatch/demand.go
+++ b/dispatch/demand.go
@@ -132,6 +132,7 @@
 	}
 	t.runTime = now - t.confirmedAt
 	updateMean(&s.runTimes[queue].task, t.runTime)
+	s.observeSpeed(t, now)
 }
 
 // observeStepTime updates the step times of the queue when all tasks of a step are done.
--- a/dispatch/event_log.go
+++ b/dispatch/event_log.go
@@ -35,6 +35,8 @@
 	AccountAtMaximum(account acaciatally.AccountName, used, maximum acaciatally.ResourceVector)
 	// AccountUsage sets the metrics of the accounts that have a maximum or runs; nil removes them.
 	AccountUsage(usage map[acaciatally.AccountName]AccountUsage)
+	// SlowWorkers sets the metric of the number of workers that are slower than the others of their pool.
+	SlowWorkers(count int)
 	// EndsUnacknowledged logs that a worker still lists ends that this leader has not recorded: their count, and for how long it has listed
 	// the oldest.
 	EndsUnacknowledged(worker acaciatally.WorkerID, count int, age time.Duration)
--- a/dispatch/plan.go
+++ b/dispatch/plan.go
@@ -32,6 +32,7 @@
 		s.endProbations(now)
 		s.stopBrokenGangs()
 		s.drainWorkers(now)
+		s.assessSpeeds(now)
 		s.reportUsage(now)
 	}
 	pools := s.takeChangedPools()
@@ -204,6 +205,7 @@
 	free         acaciatally.ResourceVector
 	trial        *gangTrial // nil unless a gang is being placed
 	trialMembers int        // members of that gang that the trial has placed on the worker
+	deferred     bool       // the worker is slow or unreliable
 }
 
 // candidates returns the workers of a pool that may get new runs, sorted by ID.
@@ -219,7 +221,7 @@
 }
 
 func newCandidate(w *worker) *candidate {
-	return &candidate{w: w, load: w.load, free: w.entry.Capacity.Minus(w.load.used)}
+	return &candidate{w: w, load: w.load, free: w.entry.Capacity.Minus(w.load.used), deferred: w.speed.Deferred()}
 }
 
 // reserve subtracts a task from the candidate's free capacity.
@@ -281,6 +283,9 @@
 	if c == nil && t.step.LongRunning {
 		c = s.anyCandidate(t, set.candidates, now)
 	}
+	if c != nil && s.tooSlow(t, c.w, set.candidates, now) {
+		return nil // there is room, so nothing is marked as unplaceable
+	}
 	if c == nil && len(t.avoidUntil) == 0 && !t.suspected() && t.job.accepted.Queue.Advice == nil {
 		set.markUnplaceable(t.step)
 	}
@@ -331,6 +336,9 @@
 	if t.suspected() && a.load.runs != b.load.runs {
 		return a.load.runs < b.load.runs // if it crashes the worker, few others are lost
 	}
+	if a.deferred != b.deferred {
+		return b.deferred
+	}
 	if near := acaciatally.Rack(t.step.NearRack); near != "" && (a.w.entry.Rack == near) != (b.w.entry.Rack == near) {
 		return a.w.entry.Rack == near
 	}
--- a/dispatch/report.go
+++ b/dispatch/report.go
@@ -37,6 +37,7 @@
 		listed[runKey{ended.Task, ended.Attempt}] = true
 		s.handleEnd(w, ended, now)
 	}
+	w.speed.BeginReport()
 	orphans := map[runKey]bool{}
 	for _, run := range report.Running {
 		if !s.handleRunning(w, run, now) {
@@ -88,6 +89,7 @@
 		s.markStarted(t)
 	}
 	t.observeProgress(run.Percent, now)
+	s.observePace(t, now)
 	t.tailLatency = 0
 	if t.step.TailObjective > 0 {
 		t.tailLatency = run.TailLatency
@@ -173,6 +175,7 @@
 	switch {
 	case ended.End == acaciatally.EndDone && !t.step.LongRunning:
 		s.observeRunTime(t, now)
+		s.observeSuccess(t, now)
 		s.complete(t, now)
 		return
 	case ended.End == acaciatally.EndFailed:
@@ -189,6 +192,7 @@
 // worker and have to restart quickly.
 func (t *task) avoidWorker(now time.Duration) {
 	if !t.step.LongRunning {
+		t.failedOn = append(t.failedOn, t.worker.entry.ID)
 		t.avoidWorkerFor(avoidTime, now)
 	}
 }
--- a/dispatch/runner.go
+++ b/dispatch/runner.go
@@ -91,6 +91,9 @@
 	if len(r.scheduler.usages) > 0 {
 		r.config.Scheduler.EventLog.AccountUsage(nil)
 	}
+	if r.scheduler.speeds.slow > 0 {
+		r.config.Scheduler.EventLog.SlowWorkers(0)
+	}
 	return err
 }
 
--- a/dispatch/scheduler.go
+++ b/dispatch/scheduler.go
@@ -5,6 +5,7 @@
 
 	"github.com/acaciatally/acaciatally"
 	"github.com/acaciatally/acaciatally/job"
+	"github.com/acaciatally/acaciatally/speed"
 )
 
 // Config configures a Scheduler.
@@ -56,6 +57,7 @@
 	heldStarts      int // start orders that the window held back in the last round
 	startRate       startRate
 	shares          shares
+	speeds          speeds
 }
 
 // New returns a scheduler without jobs and workers.
@@ -91,6 +93,7 @@
 		starts:      newStartWindow(),
 		startRate:   newStartRate(),
 		shares:      shares{accounts: map[acaciatally.AccountName]*accountShare{}, pools: map[acaciatally.PoolName]*poolShares{}},
+		speeds:      speeds{kinds: map[kindKey]*speed.Kind{}},
 	}
 }
 
@@ -206,11 +209,12 @@
 	attempt             int
 	worker              *worker // worker of the current run; nil without a run
 	failures            int
-	crashes             int           // workers that have crashed under a run of the task since it last ran for some time
-	unconfirmedCrashes  int           // the same for runs that may not have started
-	crashStreak         int           // latest runs in a row under which workers have crashed within crashStreakWindow, or after similar times
-	crashDelay          time.Duration // how long the last of these runs had gone on; 0 if an earlier leader counted it
-	countedAsSuspect    bool          // it is counted in suspectRuns of its worker
+	failedOn            []acaciatally.WorkerID // workers on which runs have failed under this leader
+	crashes             int                    // workers that have crashed under a run of the task since it last ran for some time
+	unconfirmedCrashes  int                    // the same for runs that may not have started
+	crashStreak         int                    // latest runs in a row under which workers have crashed within crashStreakWindow, or after similar times
+	crashDelay          time.Duration          // how long the last of these runs had gone on; 0 if an earlier leader counted it
+	countedAsSuspect    bool                   // it is counted in suspectRuns of its worker
 	checkpoint          string
 	stopReason          stopReason
 	stopInFlight        bool          // a stop order is in flight
--- a/dispatch/scheduler_test.go
+++ b/dispatch/scheduler_test.go
@@ -63,6 +63,8 @@
 	c.count("AccountUsage")
 }
 
+func (c *countingEventLog) SlowWorkers(int) { c.count("SlowWorkers") }
+
 func (c *countingEventLog) EndsUnacknowledged(acaciatally.WorkerID, int, time.Duration) {
 	c.count("EndsUnacknowledged")
 }
--- /dev/null
+++ b/dispatch/speed_test.go
@@ -0,0 +1,362 @@
+package dispatch
+
+import (
+	"fmt"
+	"math"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/acaciatally/acaciatally"
+)
+
+// speedTrial is a simulation in which runs take longer on some workers, or have skewed times, and in which workers report progress.
+type speedTrial struct {
+	*simulation
+	factor  func(worker int, now time.Duration) float64 // factor on run times; nil is 1
+	fails   func(worker int, id acaciatally.JobID) bool // whether a run fails, at half of its time; nil is never
+	skew    float64                                     // standard deviation of the logarithm of run times; 0 is the usual even distribution
+	wrong   bool                                        // callers' estimates are 0.2 to 5 times the real times
+	started []string                                    // task and worker of each run, in order
+	runsOn  map[int]int                                 // runs started on each worker
+	failed  int
+	trialed map[acaciatally.WorkerID][]*trialRun
+	numbers map[acaciatally.WorkerID]int // index in workers
+	each    func(now time.Duration)      // called at each step of the simulation; may be nil
+}
+
+// trialRun is a run of a trial; done is the work done at the last step of the simulation.
+type trialRun struct {
+	order Order
+	work  time.Duration
+	done  time.Duration
+	fails bool
+}
+
+func newSpeedTrial(t *testing.T) *speedTrial {
+	t.Helper()
+	trial := &speedTrial{
+		simulation: newSimulation(t, trialWorkers), runsOn: map[int]int{},
+		trialed: map[acaciatally.WorkerID][]*trialRun{}, numbers: map[acaciatally.WorkerID]int{},
+	}
+	for i, w := range trial.workers {
+		trial.numbers[w.ID] = i
+	}
+	return trial
+}
+
+// run returns the share of jobs completed in time.
+func (r *speedTrial) run(perSecond int, duration time.Duration) float64 {
+	for now := simulationStep; now < duration+simulationDrain; now += simulationStep {
+		for now < duration && r.submitted < int(now.Seconds()*float64(perSecond)) {
+			r.submit(now)
+			r.distort(acaciatally.JobID(fmt.Sprintf("%08x", r.submitted-1)))
+		}
+		for number, w := range r.workers {
+			if report, due := r.report(number, w, now); due {
+				r.scheduler.Report(w.ID, report, now, now)
+			}
+		}
+		r.countInTime(now)
+		if r.each != nil {
+			r.each(now)
+		}
+		orders := startDue(r.scheduler, now)
+		slices.SortFunc(orders, func(a, b Order) int { return strings.Compare(a.Start.Task.String(), b.Start.Task.String()) })
+		for _, order := range orders {
+			number := r.numbers[order.Worker.ID]
+			r.started = append(r.started, fmt.Sprint(order.Start.Task, order.Start.Attempt, order.Worker.ID))
+			r.runsOn[number]++
+			run := &trialRun{order: order, work: r.runTimes[order.Start.Task], fails: r.fails != nil && r.fails(number, order.Start.Task.Job)}
+			r.trialed[order.Worker.ID] = append(r.trialed[order.Worker.ID], run)
+		}
+	}
+	return float64(r.jobsInTime) / float64(r.submitted)
+}
+
+// distort changes the run times and the estimates of a job as the trial wants.
+func (r *speedTrial) distort(id acaciatally.JobID) {
+	j := r.scheduler.jobs[id]
+	arrived := r.dueBy[id]
+	for step := range j.accepted.Spec.Steps {
+		arrived -= time.Duration(1.6 * float64(r.longest(id, step)))
+		if r.wrong {
+			j.accepted.Spec.Steps[step].Estimate = time.Duration(float64(meanRunTime) * math.Exp(math.Log(5)*(2*r.random.Float64()-1)))
+		}
+		for index := 0; r.skew > 0 && index < tasksPerStep; index++ {
+			ref := acaciatally.TaskRef{Job: id, Step: step, Index: index}
+			r.runTimes[ref] = time.Duration(float64(meanRunTime) / 2 * math.Exp(r.skew*r.random.NormFloat64()))
+		}
+	}
+	r.dueBy[id] = arrived
+	for step := range j.accepted.Spec.Steps {
+		r.dueBy[id] += time.Duration(1.6 * float64(r.longest(id, step)))
+	}
+}
+
+// longest returns the longest time of the step's tasks.
+func (r *speedTrial) longest(id acaciatally.JobID, step int) (longest time.Duration) {
+	for index := range tasksPerStep {
+		longest = max(longest, r.runTimes[acaciatally.TaskRef{Job: id, Step: step, Index: index}])
+	}
+	return longest
+}
+
+// report returns the report of a worker, which is due when a run has ended and about once a second.
+func (r *speedTrial) report(number int, w acaciatally.Worker, now time.Duration) (report acaciatally.WorkerReport, due bool) {
+	report = acaciatally.WorkerReport{Clock: now, StartTime: w.StartTime}
+	factor := 1.0
+	if r.factor != nil {
+		factor = r.factor(number, now)
+	}
+	left := r.trialed[w.ID][:0]
+	for _, run := range r.trialed[w.ID] {
+		run.done += time.Duration(float64(simulationStep) / factor)
+		end := acaciatally.EndDone
+		if run.fails && run.done >= run.work/2 {
+			end = acaciatally.EndFailed
+			r.failed++
+		} else if run.done < run.work {
+			left = append(left, run)
+			report.Running = append(report.Running, acaciatally.RunningTask{
+				Task: run.order.Start.Task, Attempt: run.order.Start.Attempt, Percent: int(fullPercent * run.done / run.work),
+			})
+			continue
+		}
+		r.endNumbers[w.ID]++
+		report.Ended = append(report.Ended, acaciatally.EndedTask{
+			Number: r.endNumbers[w.ID], Task: run.order.Start.Task, Attempt: run.order.Start.Attempt, End: end,
+		})
+	}
+	r.trialed[w.ID] = left
+	offset := time.Duration(number) * 7 * simulationStep
+	return report, len(report.Ended) > 0 || (now+offset)%busyPollWait < simulationStep
+}
+
+const (
+	trialWorkers = 20
+	slowWorkers  = 4 // of trialWorkers
+	trialFactor  = 5
+)
+
+// slowFrom returns a factor that slows down the last workers in a time.
+func slowFrom(from, until time.Duration) func(int, time.Duration) float64 {
+	return func(number int, now time.Duration) float64 {
+		if number >= trialWorkers-slowWorkers && now >= from && now < until {
+			return trialFactor
+		}
+		return 1
+	}
+}
+
+func (r *speedTrial) slowRuns() (count int) {
+	for number := trialWorkers - slowWorkers; number < trialWorkers; number++ {
+		count += r.runsOn[number]
+	}
+	return count
+}
+
+// TestSlowWorkers guards against jobs that are late because some workers have become five times slower, with wrong estimates and with skewed
+// run times. Without the mechanism, fewer jobs are in time.
+func TestSlowWorkers(t *testing.T) {
+	for name, skew := range map[string]float64{"even": 0, "skewed": 0.5} {
+		t.Run(name, func(t *testing.T) {
+			run := func(disabled bool) (inTime float64, runs int) {
+				trial := newSpeedTrial(t)
+				trial.scheduler.speeds.disabled = disabled
+				trial.skew, trial.wrong, trial.factor = skew, true, slowFrom(5*time.Second, time.Minute)
+				return trial.run(24, 20*time.Second), trial.slowRuns()
+			}
+			without, runsWithout := run(true)
+			with, runsWith := run(false)
+			t.Logf("in time: %.3f, without %.3f; runs on slow workers: %d, without %d", with, without, runsWith, runsWithout)
+			require.Less(t, without, 0.9, "the trial shows nothing if slow workers do no harm")
+			require.Less(t, 1-with, (1-without)/2)
+		})
+	}
+}
+
+// TestPlacementWithoutSlowWorkers guards against another placement where no worker is slow: runs are packed exactly as without the mechanism.
+func TestPlacementWithoutSlowWorkers(t *testing.T) {
+	for name, skew := range map[string]float64{"even": 0, "skewed": 0.5, "heavy-tailed": 1} {
+		for load, perSecond := range map[string]int{"half": 18, "high": 30} {
+			t.Run(name+" "+load, func(t *testing.T) {
+				run := func(disabled bool) []string {
+					trial := newSpeedTrial(t)
+					trial.scheduler.speeds.disabled = disabled
+					trial.skew, trial.wrong = skew, true
+					trial.run(perSecond, 15*time.Second)
+					return trial.started
+				}
+				require.Equal(t, run(true), run(false))
+			})
+		}
+	}
+}
+
+// TestSlowNoticedEarly guards against a slow worker that is noticed only when the runs end that began there while it was slow: it takes reports of
+// their pace, of which there is one each 0.9 s, and runs of three steps. A worker that is fast again is noticed as well.
+func TestSlowNoticedEarly(t *testing.T) {
+	const from, until = 5 * time.Second, 12 * time.Second
+	trial := newSpeedTrial(t)
+	trial.factor = slowFrom(from, until)
+	slowAt, fastAt := map[int]time.Duration{}, map[int]time.Duration{}
+	trial.each = func(now time.Duration) {
+		for number, w := range trial.workers {
+			switch slow := trial.scheduler.workers[w.ID].speed.Slow(); {
+			case slow && slowAt[number] == 0:
+				slowAt[number] = now
+			case !slow && slowAt[number] > 0 && fastAt[number] == 0:
+				fastAt[number] = now
+			}
+		}
+	}
+	trial.run(30, 20*time.Second)
+	t.Log(slowAt, fastAt)
+	require.Len(t, slowAt, slowWorkers)
+	require.Len(t, fastAt, slowWorkers)
+	early := 0
+	for number := range slowAt {
+		require.GreaterOrEqual(t, number, trialWorkers-slowWorkers)
+		require.Less(t, slowAt[number], from+trialFactor*meanRunTime)
+		if slowAt[number] < from+1200*time.Millisecond {
+			early++
+		}
+	}
+	require.GreaterOrEqual(t, early, slowWorkers/2)
+}
+
+// TestUnreliableWorkers guards against workers that fail half of their runs and get as many as others, because each success ends their probation.
+func TestUnreliableWorkers(t *testing.T) {
+	run := func(disabled bool) int {
+		trial := newSpeedTrial(t)
+		trial.scheduler.speeds.disabled = disabled
+		trial.fails = func(number int, _ acaciatally.JobID) bool {
+			return number >= trialWorkers-slowWorkers && trial.random.IntN(2) == 0
+		}
+		trial.run(18, 20*time.Second)
+		return trial.failed
+	}
+	without, with := run(true), run(false)
+	t.Logf("failed runs: %d, without %d", with, without)
+	require.Less(t, with, without/2)
+}
+
+// TestJobsThatAlwaysFail guards against workers that are taken for unreliable because of jobs that fail on every worker.
+func TestJobsThatAlwaysFail(t *testing.T) {
+	trial := newSpeedTrial(t)
+	trial.fails = func(_ int, id acaciatally.JobID) bool { return id[len(id)-1] < '6' }
+	trial.run(18, 20*time.Second)
+	require.Greater(t, trial.failed, 100)
+	for _, w := range trial.scheduler.workers {
+		require.False(t, w.speed.Unreliable())
+	}
+}
+
+// slowDown lets the scheduler find the worker slow by a factor of five, from the pace of runs.
+func slowDown(scheduler *Scheduler, slow acaciatally.WorkerID, now time.Duration) {
+	for id, w := range scheduler.workers {
+		difference := 0.0
+		if id == slow {
+			difference = math.Log(trialFactor)
+		}
+		for i := range 6 {
+			w.speed.ObserveEnd(acaciatally.TaskRef{Job: acaciatally.JobID(fmt.Sprint("earlier-", i))}, difference, 0.01, now)
+		}
+	}
+	scheduler.assessSpeeds(now)
+}
+
+// TestSlowWorkerTakesWork guards against a slow worker that leaves its pool short of capacity, and against urgent work on it: while nothing else has
+// room, it takes jobs that are in time there, tasks that no other worker may take, and, once waiting has made them late, also others.
+func TestSlowWorkerTakesWork(t *testing.T) {
+	patient, urgent := testStep(1, 1000), testStep(1, 1000)
+	patient.Estimate, urgent.Estimate = 10*time.Millisecond, time.Second
+	bound := urgent
+	bound.Label = "special"
+	tests := map[string]struct {
+		step   acaciatally.Step
+		full   bool // the other worker has no room
+		worker acaciatally.WorkerID
+		after  time.Duration // when the task is placed
+	}{
+		"room elsewhere":    {urgent, false, "i-1", 0},
+		"in time there":     {patient, true, "i-2", 0},
+		"late there":        {urgent, true, "i-2", 950 * time.Millisecond}, // the objective and 1.6 times the estimate, less startMargin times the estimate
+		"no other may take": {bound, true, "i-2", 0},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			scheduler, eventLog := newScheduler()
+			slow := testWorker(2)
+			slow.Labels = append(slow.Labels, "special")
+			slow.Capacity.Processors = 2000 // packing alone would prefer it
+			reportIdle(scheduler, testWorker(1), slow)
+			slowDown(scheduler, slow.ID, 0)
+			require.Equal(t, 1, eventLog.counts["WorkerChanged slow: runs take 5.0 times as long as in its pool"])
+			if test.full {
+				loadJob(scheduler, "a", 0, testStep(1, 8000))
+				require.Equal(t, acaciatally.WorkerID("i-1"), startDue(scheduler, 0)[0].Worker.ID)
+			}
+			loadJob(scheduler, "b", 0, test.step)
+			for now := time.Duration(0); now <= 3*time.Second; now += 50 * time.Millisecond {
+				for _, id := range []acaciatally.WorkerID{"i-1", "i-2"} {
+					scheduler.workers[id].reportedAt = now
+				}
+				if orders := startDue(scheduler, now); len(orders) > 0 {
+					require.Equal(t, test.worker, orders[0].Worker.ID)
+					require.InDelta(t, test.after, now, float64(checkInterval))
+					return
+				}
+			}
+			t.Fatal("not placed")
+		})
+	}
+}
+
+// TestSlowWorkerStartsAnew guards against a worker that stays slow after a restart or a move to another pool, and against a leader that knows the
+// start of runs that it has not started.
+func TestSlowWorkerStartsAnew(t *testing.T) {
+	restarted, moved := testWorker(2), testWorker(2)
+	restarted.StartTime = restarted.StartTime.Add(time.Second)
+	moved.Pool = "other"
+	for name, entry := range map[string]acaciatally.Worker{"restarted": restarted, "moved": moved} {
+		t.Run(name, func(t *testing.T) {
+			scheduler, _ := newScheduler()
+			reportIdle(scheduler, testWorker(1), testWorker(2))
+			slowDown(scheduler, "i-2", 0)
+			require.True(t, scheduler.workers["i-2"].speed.Deferred())
+			scheduler.SetDirectory([]acaciatally.Worker{testWorker(1), entry}, time.Second)
+			require.False(t, scheduler.workers["i-2"].speed.Deferred())
+		})
+	}
+}
+
+// TestInheritedRunTellsNoTime guards against a new leader that takes the time since its first report for the run time of a run that an earlier leader
+// started, which makes other workers look slow.
+func TestInheritedRunTellsNoTime(t *testing.T) {
+	for name, inherited := range map[string]bool{"own": false, "inherited": true} {
+		t.Run(name, func(t *testing.T) {
+			scheduler, _ := newScheduler()
+			reportIdle(scheduler, testWorker(1))
+			loadJob(scheduler, "a", 0, testStep(1, 1000))
+			order := startDue(scheduler, 100*time.Millisecond)[0]
+			if inherited {
+				task := scheduler.findTask(order.Start.Task)
+				task.stage, task.startSentAt, task.confirmedAt = stageInherited, 0, 0
+			}
+			report := acaciatally.WorkerReport{StartTime: testWorker(1).StartTime, Running: []acaciatally.RunningTask{
+				{Task: order.Start.Task, Attempt: order.Start.Attempt, Percent: 90},
+			}}
+			scheduler.Report("i-1", report, 900*time.Millisecond, 900*time.Millisecond)
+			report.Running, report.Ended = nil, []acaciatally.EndedTask{
+				{Number: 1, Task: order.Start.Task, Attempt: order.Start.Attempt, End: acaciatally.EndDone},
+			}
+			scheduler.Report("i-1", report, time.Second, time.Second)
+			require.Equal(t, inherited, len(scheduler.speeds.kinds) == 0)
+		})
+	}
+}
--- a/dispatch/worker.go
+++ b/dispatch/worker.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/acaciatally/acaciatally"
+	"github.com/acaciatally/acaciatally/speed"
 )
 
 const (
@@ -42,6 +43,7 @@
 	suspects          []suspectRun  // runs that may have crashed the incarnation before, until the first report of this one
 	orderDue          bool          // an order about one of its runs may be due; see Scheduler.Orders
 	health            health
+	speed             speed.Worker
 	throttledAt       time.Duration // when the CPU share of its runs was last changed
 	idleSince         time.Duration // when a run was last seen on it
 	renewalInFlight   bool          // a renewal is in flight
@@ -147,6 +149,9 @@
 	if !entry.StartTime.IsZero() && !w.entry.StartTime.IsZero() && entry.StartTime.After(w.entry.StartTime) {
 		s.handleRestart(w, entry.StartTime, now)
 	}
+	if w.entry.Pool != entry.Pool {
+		w.speed = speed.Worker{}
+	}
 	if !w.listed {
 		w.lost = false // it was considered lost while it was not listed
 	}
@@ -220,7 +225,7 @@
 	s.raiseFence(w)
 	w.suspects = s.suspectsOn(w)
 	w.lost, w.reported, w.restartedAt, w.reportClock, w.reportedAt, w.leaseUntil, w.acknowledged = false, false, now, 0, 0, 0, 0
-	w.unackedEnds, w.lastReportHadEnds, w.health = nil, false, health{}
+	w.unackedEnds, w.lastReportHadEnds, w.health, w.speed = nil, false, health{}, speed.Worker{}
 	w.orphans = map[runKey]bool{}
 }
 
--- a/eventlog/events.go
+++ b/eventlog/events.go
@@ -114,6 +114,11 @@
 		Int("MaxAccelerators", maximum.Accelerators).Msg("")
 }
 
+// SlowWorkers sets the gauge of the workers that are slower than the others of their pool.
+func (l *Logger) SlowWorkers(count int) {
+	l.metricSet.GetOrCreateGauge("acaciatally_slow_workers", nil).Set(float64(count))
+}
+
 // EndsUnacknowledged logs that a worker still lists ends that the leader has not recorded, and for how long it has listed the oldest.
 func (l *Logger) EndsUnacknowledged(worker acaciatally.WorkerID, count int, age time.Duration) {
 	l.line("EndsUnacknowledged").Str("Worker", string(worker)).Int("Count", count).Dur("Age", age).Msg("")
--- /dev/null
+++ b/speed/kind_test.go
@@ -0,0 +1,41 @@
+package speed
+
+import (
+	"math"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// TestCompare guards against run times that are compared with the mean of uneven jobs although their estimates tell, or with estimates that
+// tell nothing, and against outliers that move the mean.
+func TestCompare(t *testing.T) {
+	var uneven, wrong Kind
+	for i := range 40 {
+		factor := math.Pow(10, float64(i%2))
+		time1, time2 := time.Duration(float64(time.Second)*factor), time.Duration(float64(100*time.Millisecond)*factor)
+		uneven.Observe(time1, time2, 0)
+		wrong.Observe(time.Second, time2, 0)
+	}
+	difference, _, known := uneven.Compare(10*time.Second, time.Second)
+	require.True(t, known)
+	require.InDelta(t, 0, difference, 0.4)
+	difference, _, _ = wrong.Compare(time.Second, time.Second)
+	require.InDelta(t, 0, difference, 0.1)
+	wrong.Observe(time.Hour, time.Second, 0)
+	difference, _, _ = wrong.Compare(time.Second, time.Second)
+	require.InDelta(t, 0, difference, 0.1)
+}
+
+// TestKindBeforeSamples guards against verdicts from the first runs of a kind.
+func TestKindBeforeSamples(t *testing.T) {
+	var kind Kind
+	for range minKindSamples {
+		_, _, known := kind.Compare(time.Second, time.Second)
+		require.False(t, known)
+		kind.Observe(time.Second, time.Second, 0)
+	}
+	_, _, known := kind.Compare(time.Second, time.Second)
+	require.True(t, known)
+}
