Expect step times by the number of the step where steps differ

Cause: the expected time of each step was the mean of its queue. Where the first step of a job takes 0.2 s, the second 2 s and estimates tell nothing, 1.6 s were expected of the first (dispatch.TestStepsOfDifferentLength), so jobs whose long step was still to come were taken to be in time, and the others late.

--- a/dispatch/demand.go
+++ b/dispatch/demand.go
@@ -84,6 +84,8 @@
 type runTimeMeans struct {
 	task time.Duration
 	step stepTimes
+	// stepKinds is the same by the number of the step.
+	stepKinds stepKinds
 }
 
 func updateMean(mean *time.Duration, sample time.Duration) {
@@ -140,5 +142,6 @@
 	known := s.runTimes[j.accepted.Queue.Name]
 	if longest, done := longestRunTime(tasks); done && longest > 0 && known != nil {
 		known.step.observe(longest, tasks[0].step.Estimate)
+		known.stepKinds.observe(tasks[0].ref.Step, longest, tasks[0].step.Estimate)
 	}
 }
--- a/dispatch/estimate.go
+++ b/dispatch/estimate.go
@@ -128,13 +128,13 @@
 
 // expectedStepTimes returns the expected time of each step of the job.
 func (s *Scheduler) expectedStepTimes(j *activeJob) []time.Duration {
-	known := stepTimes{}
-	if means := s.runTimes[j.accepted.Queue.Name]; means != nil {
-		known = means.step
+	means := s.runTimes[j.accepted.Queue.Name]
+	if means == nil {
+		means = &runTimeMeans{}
 	}
 	expected := make([]time.Duration, len(j.accepted.Spec.Steps))
 	for number, step := range j.accepted.Spec.Steps {
-		expected[number] = known.expect(step.Estimate)
+		expected[number] = means.stepKinds.expect(number, step.Estimate, &means.step)
 	}
 	return expected
 }
--- a/dispatch/speed_test.go
+++ b/dispatch/speed_test.go
@@ -16,16 +16,17 @@
 // speedTrial is a simulation in which runs take longer on some workers, or have skewed times, and in which workers report progress.
 type speedTrial struct {
 	*simulation
-	factor  func(worker int, now time.Duration) float64 // factor on run times; nil is 1
-	fails   func(worker int, id acaciatally.JobID) bool // whether a run fails, at half of its time; nil is never
-	skew    float64                                     // standard deviation of the logarithm of run times; 0 is the usual even distribution
-	wrong   bool                                        // callers' estimates are 0.2 to 5 times the real times
-	started []string                                    // task and worker of each run, in order
-	runsOn  map[int]int                                 // runs started on each worker
-	failed  int
-	trialed map[acaciatally.WorkerID][]*trialRun
-	numbers map[acaciatally.WorkerID]int // index in workers
-	each    func(now time.Duration)      // called at each step of the simulation; may be nil
+	factor    func(worker int, now time.Duration) float64 // factor on run times; nil is 1
+	fails     func(worker int, id acaciatally.JobID) bool // whether a run fails, at half of its time; nil is never
+	skew      float64                                     // standard deviation of the logarithm of run times; 0 is the usual even distribution
+	wrong     bool                                        // callers' estimates are 0.2 to 5 times the real times
+	started   []string                                    // task and worker of each run, in order
+	runsOn    map[int]int                                 // runs started on each worker
+	failed    int
+	trialed   map[acaciatally.WorkerID][]*trialRun
+	numbers   map[acaciatally.WorkerID]int // index in workers
+	stepTimes []time.Duration              // run times of the tasks of each step, instead of random ones
+	each      func(now time.Duration)      // called at each step of the simulation; may be nil
 }
 
 // trialRun is a run of a trial; done is the work done at the last step of the simulation.
@@ -86,6 +87,9 @@
 		if r.wrong {
 			j.accepted.Spec.Steps[step].Estimate = time.Duration(float64(meanRunTime) * math.Exp(math.Log(5)*(2*r.random.Float64()-1)))
 		}
+		for index := 0; r.stepTimes != nil && index < tasksPerStep; index++ {
+			r.runTimes[acaciatally.TaskRef{Job: id, Step: step, Index: index}] = r.stepTimes[step]
+		}
 		for index := 0; r.skew > 0 && index < tasksPerStep; index++ {
 			ref := acaciatally.TaskRef{Job: id, Step: step, Index: index}
 			r.runTimes[ref] = time.Duration(float64(meanRunTime) / 2 * math.Exp(r.skew*r.random.NormFloat64()))
