--- a/dispatch/demand.go
+++ b/dispatch/demand.go
@@ -84,6 +84,8 @@
 type runTimeMeans struct {
 	task time.Duration
 	step stepTimes
+	// stepKinds is the same by the number of the step.
+	stepKinds stepKinds
 }
 
 func updateMean(mean *time.Duration, sample time.Duration) {
@@ -132,6 +134,7 @@
 	}
 	t.runTime = now - t.confirmedAt
 	updateMean(&s.runTimes[queue].task, t.runTime)
+	s.observeSpeed(t, now)
 }
 
 // observeStepTime updates the step times of the queue when all tasks of a step are done.
@@ -139,5 +142,6 @@
 	known := s.runTimes[j.accepted.Queue.Name]
 	if longest, done := longestRunTime(tasks); done && longest > 0 && known != nil {
 		known.step.observe(longest, tasks[0].step.Estimate)
+		known.stepKinds.observe(tasks[0].ref.Step, longest, tasks[0].step.Estimate)
 	}
 }
