Hold workers for large tasks and gangs of accounts below their share

Cause: where small tasks of an account above its share took each core as it became free, an account with large tasks or with gangs got nothing at all, however far it was below its share: TestLargeTasksUnderShares and TestGangUnderShares measured a use of 0. The time for which a job was short was counted by job, and jobs that became late lost their mark before it was over.

Change: while an account has been below its share for 1 s and no run can be stopped for its task, a worker whose runs on lent room end within 2 s takes no more work on lent room until the task fits; at most a quarter of a pool's workers, and for a gang all that it needs or none. The shortage is counted by account and pool. The settings of the rate are passed on by site.Config.

TestSharesOverPools fails if use in other pools is left out.

--- a/dispatch/plan.go
+++ b/dispatch/plan.go
@@ -73,15 +73,18 @@
 }
 
 // hasWaiting reports whether a task is ready to start and has no run.
-func (j *activeJob) hasWaiting() bool {
+func (j *activeJob) hasWaiting() bool { return j.waitingStep() != nil }
+
+// waitingStep returns the first step of which a task is ready to start and has no run, or nil.
+func (j *activeJob) waitingStep() *acaciatally.Step {
 	for _, o := range j.openOccurrences {
 		for number, tasks := range o.steps {
 			if slices.ContainsFunc(tasks, isWaiting) && o.ready(&j.accepted.Spec, number) {
-				return true
+				return &j.accepted.Spec.Steps[number]
 			}
 		}
 	}
-	return false
+	return nil
 }
 
 func isWaiting(t *task) bool { return t.phase == job.Waiting }
@@ -162,6 +165,7 @@
 	candidates  []*candidate
 	maxFree     acaciatally.ResourceVector   // per resource, the largest free amount of any candidate before placement
 	unplaceable []acaciatally.ResourceVector // sizes that fit no candidate; free capacity only shrinks during placement
+	onLentRoom  bool                         // from now on all work runs on lent room, and the candidates that are held are blocked
 }
 
 // candidateSet returns the set of candidates in a pool.
@@ -204,6 +208,7 @@
 	free         acaciatally.ResourceVector
 	trial        *gangTrial // nil unless a gang is being placed
 	trialMembers int        // members of that gang that the trial has placed on the worker
+	blocked      bool       // held for other work than the one that is being placed
 }
 
 // candidates returns the workers of a pool that may get new runs, sorted by ID.
@@ -292,7 +297,7 @@
 func (s *Scheduler) bestCandidate(t *task, candidates []*candidate, now time.Duration) (chosen *candidate) {
 	avoids := len(t.avoidUntil) > 0 && s.hasAlternative(t, candidates, now)
 	for _, c := range candidates {
-		if avoids && t.avoids(c.w, now) {
+		if c.blocked || avoids && t.avoids(c.w, now) {
 			continue
 		}
 		if c.fits(t, now) && s.permitted(t, c.w.entry.ID, now) && (chosen == nil || s.prefers(t, c, chosen)) {
--- a/dispatch/reclaim.go
+++ b/dispatch/reclaim.go
@@ -10,18 +10,20 @@
 )
 
 const (
-	// reclaimAfter is how long a job of an account below its share waits before lent room is reclaimed for it. Usually runs end sooner.
+	// reclaimAfter is how long an account below its share waits before lent room is reclaimed for it. Usually runs end sooner.
 	reclaimAfter = time.Second
 	// reclaimTime is the time over which the runs of a pool are stopped if all of them have to be. It bounds the orders and the work that is
 	// repeated from checkpoints, should the demand of accounts change again.
 	reclaimTime = 2 * time.Second
 	// maxUnplacedSteps is the number of steps that find no run to stop after which one check ends. It bounds the time that a check takes.
 	maxUnplacedSteps = 8
-	// shortageGap is the time between two checks after which a job counts as newly short.
+	// shortageGap is the time between two checks after which an account counts as newly short.
 	shortageGap = 3 * checkInterval
 )
 
-// shortage is the time for which a job has had tasks to place while its account used less than its share.
+// shortage is the time for which an account has had tasks to place in a pool, within its rate, while it used less than its share by at least
+// one of them. It is not counted by job, since the jobs of an account exchange their marks: the first ones are within the rate, and those that
+// become late are not.
 type shortage struct {
 	since, seenAt time.Duration
 }
@@ -44,43 +46,55 @@
 type reclaimCheck struct {
 	scheduler *Scheduler
 	pool      *poolShares
+	set       *candidateSet
 	now       time.Duration
 	places    []reclaimPlace
 	left      int // runs that may still be stopped
 	unplaced  int // steps that found no run to stop
-	// unplaceable are sizes for which there is no room to reclaim. What can be stopped only shrinks during a check.
+	// unplaceable are sizes for which there is no room to reclaim or to hold. Both only shrink during a check.
 	unplaceable []acaciatally.ResourceVector
 	chosen      []*task
+	holdPlaces  []holdPlace
+	holding     []*worker // to be held from now on
 }
 
-// reclaim stops runs of accounts that use more than their share of the pool, if they have saved a checkpoint, for jobs of accounts that use
-// less and have waited for reclaimAfter. The jobs are those within the rate of their account, in the order of work, after they were placed. The
+// reclaim stops runs of accounts that use more than their share of the pool, if they have saved a checkpoint, for jobs of accounts that
+// have used less for reclaimAfter although work of theirs waited. The jobs are those within the rate of their account, in the order of work, after they were placed. The
 // room goes to whatever comes first in the order of work, which may be other jobs; the runs that are stopped come after all of them.
 func (s *Scheduler) reclaim(p *poolShares, jobs []*activeJob, set *candidateSet, now time.Duration) {
 	if s.heldStarts > 0 {
 		return
 	}
-	check := reclaimCheck{scheduler: s, pool: p, now: now}
+	check := reclaimCheck{scheduler: s, pool: p, set: set, now: now}
 	for _, j := range jobs {
 		if check.unplaced == maxUnplacedSteps {
 			return
 		}
-		if j.account == nil || j.hasLongRunning || j.lateness == overdue || !s.within(p, j.account) || !j.hasWaiting() {
+		a := j.account
+		if a == nil || a.index >= len(p.short) || j.hasLongRunning || j.lateness == overdue || !s.within(p, a) {
 			continue
 		}
-		j.short.observe(now)
-		if now >= j.short.since+reclaimAfter && check.begin(set) {
+		step := j.waitingStep()
+		if step == nil || !s.belowShareWith(p, a, a.used, step) {
+			continue
+		}
+		p.short[a.index].observe(now)
+		if now >= p.short[a.index].since+reclaimAfter {
+			check.begin()
 			check.forJob(j)
 		}
 	}
+	for _, w := range check.holding {
+		w.heldUntil = now + holdTime
+	}
 }
 
-// begin collects the runs that may be stopped, once, and returns whether there is room to reclaim.
-func (r *reclaimCheck) begin(set *candidateSet) bool {
+// begin collects the runs that may be stopped, once.
+func (r *reclaimCheck) begin() {
 	if r.places != nil {
-		return len(r.places) > 0
+		return
 	}
-	r.places = make([]reclaimPlace, 0, len(set.candidates))
+	r.places = make([]reclaimPlace, 0, len(r.set.candidates))
 	for _, a := range r.scheduler.shares.list {
 		a.leaving, a.coming = acaciatally.ResourceVector{}, acaciatally.ResourceVector{}
 	}
@@ -92,7 +106,7 @@
 		}
 	}
 	runs := 0
-	for _, c := range set.candidates {
+	for _, c := range r.set.candidates {
 		if !c.w.health.admits(c.load.runs-c.load.numLongRunning, r.now) {
 			continue
 		}
@@ -112,7 +126,6 @@
 		}
 	}
 	r.left = max(1, runs*int(checkInterval)/int(reclaimTime))
-	return len(r.places) > 0
 }
 
 // leave counts what the task's run reserves as leaving.
@@ -136,20 +149,26 @@
 	for _, o := range j.openOccurrences {
 		for number, tasks := range o.steps {
 			step := &j.accepted.Spec.Steps[number]
-			if step.Gang || slices.ContainsFunc(r.unplaceable, step.Reserved().Fits) || !o.ready(&j.accepted.Spec, number) {
-				continue // the members of a gang would need room on several workers at the same time
+			if slices.ContainsFunc(r.unplaceable, step.Reserved().Fits) || !o.ready(&j.accepted.Spec, number) {
+				continue
+			}
+			if step.Gang {
+				if all(tasks, isWaiting) && j.usage.hasHeadroom(step.Resources.Times(len(tasks)).Plus(a.coming)) && !r.holdForGang(tasks) {
+					r.unplaced++
+				}
+				continue
 			}
 			for _, t := range tasks {
 				if !isWaiting(t) {
 					continue
 				}
-				if r.left == 0 || !r.scheduler.belowShareWith(r.pool, a, a.used.Plus(a.coming).Minus(a.leaving), step) {
+				if !r.scheduler.belowShareWith(r.pool, a, a.used.Plus(a.coming).Minus(a.leaving), step) {
 					return
 				}
 				if !j.usage.hasHeadroom(step.Resources.Plus(a.coming)) {
 					return // it waits for its account's maximum, not for others
 				}
-				if !r.forTask(t) {
+				if !r.forTask(t) && !r.holdFor(t) {
 					r.markUnplaceable(t)
 					break
 				}
--- a/dispatch/scheduler.go
+++ b/dispatch/scheduler.go
@@ -143,11 +143,10 @@
 	estimate         estimate
 	hasLongRunning   bool          // has tasks that run until the job is cancelled
 	account          *accountShare // of the job's owner; nil without one
-	short            shortage
-	beyondRate       bool // beyond the rate of its account; runs only on lent room
-	hasGang          bool // has a step whose tasks run all at the same time or not at all
-	placementDue     bool // a task has started or stopped waiting since the last placement
-	hasCancelRecord  bool // a cancel request is recorded
+	beyondRate       bool          // beyond the rate of its account; runs only on lent room
+	hasGang          bool          // has a step whose tasks run all at the same time or not at all
+	placementDue     bool          // a task has started or stopped waiting since the last placement
+	hasCancelRecord  bool          // a cancel request is recorded
 	unrecordedEnds   []endRef
 	refusedUntil     time.Duration // when its record may be sent again that the store has refused; 0 if it has not
 	endRecordedAt    time.Duration // when the commit of the final state was applied; 0 before
--- a/dispatch/share.go
+++ b/dispatch/share.go
@@ -59,7 +59,8 @@
 	used        []acaciatally.ResourceVector // reserved by the other runs of each account
 	waiting     []acaciatally.ResourceVector // for their ready tasks whose result can still be of use
 	public      acaciatally.ResourceVector   // both, for the jobs without an account
-	entitled    []float64                    // dominant share of the fleet to which each account is entitled
+	short       []shortage
+	entitled    []float64 // dominant share of the fleet to which each account is entitled
 }
 
 // configureShares applies the weights of a configuration.
@@ -199,6 +200,7 @@
 func (p *poolShares) grow(accounts int) {
 	for len(p.entitled) < accounts {
 		p.used, p.waiting = append(p.used, acaciatally.ResourceVector{}), append(p.waiting, acaciatally.ResourceVector{})
+		p.short = append(p.short, shortage{})
 		p.entitled = append(p.entitled, math.Inf(1))
 	}
 }
--- a/dispatch/share_benchmark_test.go
+++ b/dispatch/share_benchmark_test.go
@@ -6,6 +6,8 @@
 	"testing"
 	"time"
 
+	"github.com/stretchr/testify/require"
+
 	"github.com/acaciatally/acaciatally"
 	"github.com/acaciatally/acaciatally/job"
 )
@@ -14,7 +16,7 @@
 func BenchmarkFullPools(b *testing.B) {
 	for _, accounts := range []int{0, 20} {
 		b.Run(fmt.Sprintf("accounts=%d", accounts), func(b *testing.B) {
-			scheduler, now := fullPools(accounts)
+			scheduler, now := fullPools(accounts, accounts, 1000)
 			b.ReportAllocs()
 			for b.Loop() {
 				now += 100 * time.Microsecond
@@ -26,7 +28,7 @@
 
 // BenchmarkDivision measures one division of the same pools between 20 accounts, which takes place once per divideInterval.
 func BenchmarkDivision(b *testing.B) {
-	scheduler, now := fullPools(20)
+	scheduler, now := fullPools(20, 20, 1000)
 	b.ReportAllocs()
 	for b.Loop() {
 		now += divideInterval
@@ -34,8 +36,30 @@
 	}
 }
 
-// fullPools returns a scheduler whose pools are full, with a backlog.
-func fullPools(accounts int) (scheduler *Scheduler, now time.Duration) {
+// BenchmarkReclaim measures a placement of the same pools that looks for room to reclaim and workers to hold: one account fills them with runs
+// without checkpoints, and the other 19 wait with large tasks.
+func BenchmarkReclaim(b *testing.B) {
+	scheduler, now := fullPools(20, 1, 9000)
+	for range 12 {
+		now += checkInterval
+		scheduler.place(nil, now)
+	}
+	held := 0
+	for _, w := range scheduler.workers {
+		if w.held(now) {
+			held++
+		}
+	}
+	require.Positive(b, held)
+	b.ReportAllocs()
+	for b.Loop() {
+		now += 100 * time.Microsecond
+		scheduler.place(nil, now)
+	}
+}
+
+// fullPools returns a scheduler whose pools are full, with a backlog of other tasks.
+func fullPools(accounts, runningAccounts, waitingProcessors int) (scheduler *Scheduler, now time.Duration) {
 	const pools, workers, waiting = 5, 350, 3000
 	scheduler, _ = newScheduler()
 	configuration := &acaciatally.Configuration{Version: 1}
@@ -65,10 +89,14 @@
 		queue := testQueue()
 		queue.Pool = acaciatally.PoolName(fmt.Sprintf("pool-%d", i%pools))
 		queue.Name = acaciatally.QueueName("queue-" + string(queue.Pool))
-		accepted := job.Accepted{Spec: acaciatally.JobSpec{Steps: []acaciatally.Step{testStep(4, 1000), testStep(4, 1000)}}, Queue: queue}
+		processors, owners := 1000, runningAccounts
+		if i >= running {
+			processors, owners = waitingProcessors, accounts
+		}
+		accepted := job.Accepted{Spec: acaciatally.JobSpec{Steps: []acaciatally.Step{testStep(4, processors), testStep(4, 1000)}}, Queue: queue}
 		accepted.Spec.Steps[1].After = []int{0}
 		if accounts > 0 {
-			accepted.Account = acaciatally.AccountName(fmt.Sprintf("account-%d", (i/pools)%accounts))
+			accepted.Account = acaciatally.AccountName(fmt.Sprintf("account-%d", (i/pools)%owners))
 		}
 		age := time.Duration(i%800) * time.Millisecond
 		scheduler.LoadJob(acaciatally.JobID(fmt.Sprintf("%08x", i)), accepted, job.Progress{State: acaciatally.JobQueued}, age, now)
--- a/dispatch/share_simulation_test.go
+++ b/dispatch/share_simulation_test.go
@@ -181,6 +181,12 @@
 		longest := time.Duration(0)
 		for index := range step.Count {
 			runTime := time.Duration(float64(load.runTime) * (0.5 + s.random.Float64()))
+			if step.Gang {
+				runTime = max(runTime, longest) // the members end together
+				for earlier := range index {
+					s.runTimes[acaciatally.TaskRef{Job: id, Step: number, Index: earlier}] = runTime
+				}
+			}
 			s.runTimes[acaciatally.TaskRef{Job: id, Step: number, Index: index}] = runTime
 			longest = max(longest, runTime)
 		}
@@ -312,3 +318,59 @@
 	s.run(20*time.Second, 0)
 	require.GreaterOrEqual(t, s.shareInTime(1), 0.9)
 }
+
+// TestSharesOverPools guards against shares that are counted in each pool by itself: an account that fills one pool alone would get half of
+// another one as well, where an account of the same weight has nothing else.
+func TestSharesOverPools(t *testing.T) {
+	other := testQueue()
+	other.Name, other.Pool = "others", "other"
+	s := newShareSimulation(t, map[acaciatally.AccountName]float64{"a": 1000, "b": 1000},
+		simulatedLoad{account: "a", perSecond: constant(30), queue: other, step: testStep(4, 1000), runTime: meanRunTime},
+		simulatedLoad{account: "a", perSecond: constant(30), queue: testQueue(), step: testStep(4, 1000), runTime: meanRunTime},
+		simulatedLoad{account: "b", perSecond: constant(30), queue: testQueue(), step: testStep(4, 1000), runTime: meanRunTime},
+	)
+	s.scheduler.PartitionClaimed("others", 1)
+	for i := range simulatedWorkers / 2 {
+		s.workers[i].Pool = "other"
+	}
+	s.scheduler.SetDirectory(s.workers, 0)
+	s.run(8*time.Second, 4*time.Second)
+	require.GreaterOrEqual(t, s.meanUse(0), 0.45)
+	require.GreaterOrEqual(t, s.meanUse(2), 0.45)
+}
+
+// TestLargeTasksUnderShares guards against an account with large tasks that gets nothing, because the small tasks of another account take all
+// room as it becomes free, although that account uses more than its share; and against the opposite.
+func TestLargeTasksUnderShares(t *testing.T) {
+	for _, begins := range []acaciatally.AccountName{"large", "small"} {
+		t.Run(string(begins)+" first", func(t *testing.T) {
+			perSecond := func(account acaciatally.AccountName, perSecond float64) func(now time.Duration) float64 {
+				if account == begins {
+					return constant(perSecond)
+				}
+				return during(4*time.Second, time.Hour, 0, perSecond)
+			}
+			s := newShareSimulation(t, map[acaciatally.AccountName]float64{"large": 1000, "small": 1000},
+				simulatedLoad{account: "large", perSecond: perSecond("large", 30), queue: testQueue(), step: testStep(1, 6000), runTime: meanRunTime},
+				simulatedLoad{account: "small", perSecond: perSecond("small", 150), queue: testQueue(), step: testStep(1, 1000), runTime: meanRunTime},
+			)
+			s.run(12*time.Second, 8*time.Second)
+			require.InDelta(t, 0.5, s.meanUse(0), 0.1)
+			require.InDelta(t, 0.5, s.meanUse(1), 0.1)
+		})
+	}
+}
+
+// TestGangUnderShares guards against an account with gangs that gets nothing, because the small tasks of another account, which uses more than
+// its share, take the room on one of the workers as it becomes free.
+func TestGangUnderShares(t *testing.T) {
+	gang := testStep(4, 4000)
+	gang.Gang = true
+	s := newShareSimulation(t, map[acaciatally.AccountName]float64{"gangs": 1000, "small": 1000},
+		simulatedLoad{account: "gangs", perSecond: during(4*time.Second, time.Hour, 0, 6), queue: testQueue(), step: gang, runTime: meanRunTime},
+		simulatedLoad{account: "small", perSecond: constant(150), queue: testQueue(), step: testStep(1, 1000), runTime: meanRunTime},
+	)
+	s.run(14*time.Second, 8*time.Second)
+	require.GreaterOrEqual(t, s.meanUse(0), 0.2)
+	require.GreaterOrEqual(t, s.meanUse(1), 0.4)
+}
--- a/dispatch/work_order.go
+++ b/dispatch/work_order.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"slices"
 	"time"
 
 	"github.com/acaciatally/acaciatally"
@@ -33,7 +34,11 @@
 	p := s.poolShares(pool)
 	within, beyond := s.splitByRate(jobs)
 	s.placeByShare(p, within, set, now)
-	s.placeByShare(p, beyond, set, now)
+	if len(beyond) > 0 {
+		set.onLentRoom = true
+		set.blockHeld(true, now)
+		s.placeByShare(p, beyond, set, now)
+	}
 	if all {
 		s.reclaim(p, within, set, now)
 	}
@@ -88,15 +93,33 @@
 				deferred = append(deferred, j)
 			}
 		}
-		for _, j := range deferred {
-			s.placeJob(j, set, nil, now)
-		}
+		s.placeOnLentRoom(deferred, set, now)
 		clear(deferred)
 		s.shares.deferred = deferred[:0]
 		jobs = jobs[size:]
 	}
 }
 
+// placeOnLentRoom places jobs of accounts that use at least their share. Workers that are held for other work are left out, so what does not fit
+// here may still fit for the jobs that follow.
+func (s *Scheduler) placeOnLentRoom(jobs []*activeJob, set *candidateSet, now time.Duration) {
+	if len(jobs) == 0 {
+		return
+	}
+	known := set.unplaceable
+	blocks := !set.onLentRoom && set.blockHeld(true, now)
+	if blocks {
+		set.unplaceable = slices.Clone(known)
+	}
+	for _, j := range jobs {
+		s.placeJob(j, set, nil, now)
+	}
+	if blocks {
+		set.blockHeld(false, now)
+		set.unplaceable = known
+	}
+}
+
 // sameGroup reports whether the rules of the order of work before the shares do not tell two jobs apart.
 func sameGroup(a, b *activeJob) bool {
 	return a.hasLongRunning == b.hasLongRunning && a.accepted.Queue.Priority == b.accepted.Queue.Priority && (a.lateness == overdue) == (b.lateness == overdue)
--- a/site/site.go
+++ b/site/site.go
@@ -96,6 +96,10 @@
 	// MaxRecordBytes is the size of the largest record that the store takes; 0 is job.DefaultRecordBytes.
 	MaxRecordBytes int
 
+	QuotaOverage float64       // part of its weight by which an account may exceed its rate of jobs; 0 is 0.1
+	QuotaWindow  time.Duration // time over which the rate is counted; 0 is 5 s
+	QuotaSlack   int           // jobs by which an account may exceed its rate in each window; 0 is 20
+
 	OrdersPerSecond float64       // the platform's rate limit for orders on instances, over all entries; 0 is unlimited
 	MoveTime        time.Duration // from the order until a moved instance serves again
 	MaintenanceTime time.Duration // from the order until a maintained instance serves again
@@ -194,6 +198,7 @@
 			Epoch: epoch, WorkerLease: min(maxWorkerLease, p.config.MaxLease), MaxLease: p.config.MaxLease,
 			Retention: p.config.Retention, MaxEarlyStart: p.config.MaxEarlyStart, LeadershipStart: p.config.Now(), EventLog: p.config.EventLog,
 			MaxCommitBytes: commitBytes(p.config.LinkBitsPerSecond), MaxRecordBytes: p.config.MaxRecordBytes,
+			QuotaOverage: p.config.QuotaOverage, QuotaWindow: p.config.QuotaWindow, QuotaSlack: p.config.QuotaSlack,
 		},
 	})
 	if err := runner.Run(ctx); err != nil {
