Pass the settings of accounts' rates to the scheduler

Cause: the settings quotaOverage, quotaWindowS and quotaSlack were read but the scheduler used its defaults.

Change: console passes them by site.Config to dispatch.Config. The defaults of dispatch apply only if no window is given, so that a slack or an overage of 0 can be set.

Measured: go test passes for dispatch, console and site; no test runs a process with other values than the defaults.

--- a/console/attend.go
+++ b/console/attend.go
@@ -91,6 +91,7 @@
 	return site.Config{
 		Adviser: adviser, Fleet: fleet, WaveStatus: platform.WaveStatus, MoveTime: settings.Bounds.MoveTime,
 		MaintenanceTime: settings.Bounds.MaintenanceTime, OrdersPerSecond: settings.ControlOrderRate,
+		QuotaWindow: settings.Bounds.QuotaWindow, QuotaOverage: settings.Bounds.QuotaOverage, QuotaSlack: settings.Bounds.QuotaSlack,
 		Name: settings.Name, CallerListen: settings.CallerListen, ReadyListen: settings.ReadyListen, GracePeriod: settings.Bounds.GracePeriod,
 		Store:  platform.NewStore(platform.StoreConfig{Address: settings.Store, LinkBitsPerSecond: settings.LinkBitsPerSecond}),
 		Orders: platform.NewWorkerClient(nil),
--- a/dispatch/scheduler.go
+++ b/dispatch/scheduler.go
@@ -18,11 +18,11 @@
 	MaxCommitBytes  int           // size of the progress records in one transaction; 0 is MaxCommitBytes
 	MaxRecordBytes  int           // size of the largest record that the store takes; 0 is job.DefaultRecordBytes
 	EventLog        EventLog
-	// QuotaOverage is the part of its weight by which an account may exceed its rate of jobs; 0 is 0.1.
-	QuotaOverage float64
-	// QuotaWindow is the time over which the rate is counted; 0 is 5 s.
+	// QuotaWindow is the time over which the rate of an account's jobs is counted; if it is 0, the defaults apply to all three.
 	QuotaWindow time.Duration
-	// QuotaSlack is how many more jobs may arrive in each window, for accounts with few and irregular arrivals; 0 is 20.
+	// QuotaOverage is the part of its weight by which an account may exceed its rate of jobs.
+	QuotaOverage float64
+	// QuotaSlack is how many more jobs may arrive in each window, for accounts with few and irregular arrivals.
 	QuotaSlack int
 }
 
@@ -65,14 +65,8 @@
 	if config.MaxRecordBytes == 0 {
 		config.MaxRecordBytes = job.DefaultRecordBytes
 	}
-	if config.QuotaOverage == 0 {
-		config.QuotaOverage = defaultQuotaOverage
-	}
 	if config.QuotaWindow == 0 {
-		config.QuotaWindow = defaultQuotaWindow
-	}
-	if config.QuotaSlack == 0 {
-		config.QuotaSlack = defaultQuotaSlack
+		config.QuotaWindow, config.QuotaOverage, config.QuotaSlack = defaultQuotaWindow, defaultQuotaOverage, defaultQuotaSlack
 	}
 	return &Scheduler{
 		config:      config,
--- a/site/site.go
+++ b/site/site.go
@@ -100,9 +100,9 @@
 	// MaxConfigurationAge is the age of the configuration beyond which keys of accounts can't be checked; 0 is intake.DefaultMaxConfigurationAge.
 	MaxConfigurationAge time.Duration
 
-	QuotaOverage float64       // part of its weight by which an account may exceed its rate of jobs; 0 is 0.1
-	QuotaWindow  time.Duration // time over which the rate is counted; 0 is 5 s
-	QuotaSlack   int           // jobs by which an account may exceed its rate in each window; 0 is 20
+	QuotaWindow  time.Duration // time over which the rate of an account's jobs is counted; if it is 0, the defaults apply to all three
+	QuotaOverage float64       // part of its weight by which an account may exceed its rate of jobs
+	QuotaSlack   int           // jobs by which an account may exceed its rate in each window
 
 	OrdersPerSecond float64       // the platform's rate limit for orders on instances, over all entries; 0 is unlimited
 	MoveTime        time.Duration // from the order until a moved instance serves again
