Keep large tasks and small shares from being squeezed out, and describe the shares

Cause: drawn mixes of task sizes showed four ways in which an account got little or nothing of its share. A task for which more runs had to be stopped than one check may stop was never given any; a worker was held although its runs belonged to accounts that would replace them; a worker where only short and stopped runs together make room was not held; and an account with begun jobs took its last part of a share, as a whole task, before an account of which nothing ran.

Change: a check may overdraw its number of stops for one task, which later checks make up for. Workers are held where the task fits without runs without which their accounts keep their shares. Whole tasks within shares come before those that exceed a share by a part.

TestReclaimRate fails without the account of overdrawn stops (72 stops a second instead of 48).

--- a/dispatch/hold.go
+++ b/dispatch/hold.go
@@ -1,10 +1,12 @@
 package dispatch
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
 	"github.com/acaciatally/acaciatally"
+	"github.com/acaciatally/acaciatally/ordering"
 )
 
 const (
@@ -19,12 +21,13 @@
 // holdPlace is a worker that may be held.
 type holdPlace struct {
 	c    *candidate
-	room acaciatally.ResourceVector // free now or when the runs on lent room that end soon have ended
+	free acaciatally.ResourceVector // now, or once the runs that are being stopped have ended
+	runs []*task                    // that end soon, or may be stopped once the task fits with their capacity
 }
 
-// holdFor holds a worker for a task that fits nowhere: until the task fits there, no work runs on lent room on the worker. Otherwise small tasks
+// holdFor holds a worker for a task that fits nowhere: until the task fits there, no work runs on lent capacity on the worker. Otherwise small tasks
 // of an account above its share take room as soon as it becomes free, and there is never enough for a large one. It returns whether there is
-// such a worker. Of several, one that is held already or has the most free processors is chosen, so that the choice stays the same.
+// such a worker.
 func (r *reclaimCheck) holdFor(t *task) bool {
 	if len(r.holding) >= max(1, len(r.set.candidates)/maxHeldPart) {
 		return false
@@ -53,16 +56,10 @@
 // holdPlaceFor holds a worker for a task, and returns whether there is one.
 func (r *reclaimCheck) holdPlaceFor(t *task) bool {
 	r.collectHoldPlaces()
-	best := -1
-	for i := range r.holdPlaces {
-		c := r.holdPlaces[i].c
-		if !r.holdPlaces[i].room.Fits(t.step.Reserved()) || !c.mayTake(t) || t.avoids(c.w, r.now) || !r.scheduler.permitted(t, c.w.entry.ID, r.now) {
-			continue
-		}
-		if best < 0 || betterToHold(c, r.holdPlaces[best].c, r.now) {
-			best = i
-		}
-	}
+	best := slices.IndexFunc(r.holdPlaces, func(place holdPlace) bool {
+		c := place.c
+		return c.mayTake(t) && !t.avoids(c.w, r.now) && r.scheduler.permitted(t, c.w.entry.ID, r.now) && r.fitsLater(&place, t)
+	})
 	if best < 0 {
 		return false
 	}
@@ -70,17 +67,15 @@
 	if !slices.Contains(r.holding, place.c.w) {
 		r.holding = append(r.holding, place.c.w)
 	}
-	place.room = place.room.Minus(t.step.Reserved())
+	place.free = place.free.Minus(t.step.Reserved())
 	a := t.job.account
 	a.coming = a.coming.Plus(t.step.Reserved())
 	return true
 }
 
-func betterToHold(a, b *candidate, now time.Duration) bool {
-	if heldA, heldB := a.w.held(now), b.w.held(now); heldA != heldB {
-		return heldA
-	}
-	return a.free.Processors > b.free.Processors
+// compareToHold sorts workers that are held already first, and then those with the most free processors, so that the choice stays the same.
+func compareToHold(a, b *candidate, now time.Duration) int {
+	return cmp.Or(ordering.CompareBools(b.w.held(now), a.w.held(now)), cmp.Compare(b.free.Processors, a.free.Processors))
 }
 
 // held reports whether the worker is held for a task of an account below its share.
@@ -96,26 +91,44 @@
 		if !c.w.health.admits(0, r.now) {
 			continue
 		}
-		place := holdPlace{c: c, room: c.free}
+		place := holdPlace{c: c, free: c.free}
 		for t := range c.w.runs {
-			if r.onLentRoom(t) && t.endsWithin(holdRunsEnding, r.now) {
-				place.room = place.room.Plus(t.step.Reserved())
+			switch {
+			case t.stopReason != "":
+				place.free = place.free.Plus(t.step.Reserved())
+			case t.job.account != nil && (t.endsWithin(holdRunsEnding, r.now) || t.reclaimable()):
+				place.runs = append(place.runs, t)
 			}
 		}
 		r.holdPlaces = append(r.holdPlaces, place)
 	}
+	slices.SortStableFunc(r.holdPlaces, func(a, b holdPlace) int { return compareToHold(a.c, b.c, r.now) })
 }
 
-// onLentRoom reports whether the task's run takes lent room. The room of other runs goes to work of their own accounts when they end.
-func (r *reclaimCheck) onLentRoom(t *task) bool {
-	return t.job.beyondRate || !r.scheduler.within(r.pool, t.job.account)
+// fitsLater reports whether a task fits at a place without runs on lent capacity: those without which their accounts keep their shares. The
+// capacity of other runs goes to work of their own accounts when they end.
+func (r *reclaimCheck) fitsLater(place *holdPlace, t *task) bool {
+	free := place.free
+	r.chosen = r.chosen[:0]
+	for _, run := range place.runs {
+		if free.Fits(t.step.Reserved()) {
+			break
+		}
+		if r.keepsShareWithout(run) && (run.endsWithin(holdRunsEnding, r.now) || r.mayStop(run, t.job)) {
+			free = free.Plus(run.step.Reserved())
+			run.leave()
+			r.chosen = append(r.chosen, run)
+		}
+	}
+	for _, run := range r.chosen {
+		run.job.account.leaving = run.job.account.leaving.Minus(run.step.Reserved())
+	}
+	return free.Fits(t.step.Reserved())
 }
 
 // endsWithin reports whether the task's run is expected to end within a time: by its progress, and before it has reported any by its estimate.
 func (t *task) endsWithin(limit, now time.Duration) bool {
 	switch {
-	case t.stopReason != "":
-		return true
 	case t.step.LongRunning:
 		return false
 	case t.timePerPercent > 0:
--- a/dispatch/plan.go
+++ b/dispatch/plan.go
@@ -109,9 +109,9 @@
 }
 
 // placeJob places the ready tasks of a job. If one task of a step can't be placed, the other tasks of the step are skipped. Long-running
-// tasks are tried even if no candidate has enough free capacity, since they may preempt other runs. If p is not nil, other tasks are placed
-// only while the job's account uses less than its share of the pool; placeJob returns false if it stopped for that reason.
-func (s *Scheduler) placeJob(j *activeJob, set *candidateSet, p *poolShares, now time.Duration) (within bool) {
+// tasks are tried even if no candidate has enough free capacity, since they may preempt other runs. Other tasks are placed
+// only while the limit allows it; placeJob returns false if it stopped for that reason.
+func (s *Scheduler) placeJob(j *activeJob, set *candidateSet, limit shareLimit, now time.Duration) (within bool) {
 	if s.heldStarts > 0 && !j.hasLongRunning {
 		return true
 	}
@@ -123,7 +123,7 @@
 			}
 			if step.Gang {
 				if all(tasks, isWaiting) {
-					if p != nil && !step.LongRunning && !s.within(p, j.account) {
+					if !s.allows(limit, j.account, step, len(tasks)) {
 						return false
 					}
 					s.placeGang(tasks, set, now)
@@ -134,7 +134,7 @@
 				if !isWaiting(t) {
 					continue
 				}
-				if p != nil && !step.LongRunning && !s.within(p, j.account) {
+				if !s.allows(limit, j.account, step, 1) {
 					return false
 				}
 				if !s.placeTask(t, set, now) {
@@ -162,10 +162,10 @@
 
 // candidateSet is the set of candidates in a pool.
 type candidateSet struct {
-	candidates  []*candidate
-	maxFree     acaciatally.ResourceVector   // per resource, the largest free amount of any candidate before placement
-	unplaceable []acaciatally.ResourceVector // sizes that fit no candidate; free capacity only shrinks during placement
-	onLentRoom  bool                         // from now on all work runs on lent room, and the candidates that are held are blocked
+	candidates     []*candidate
+	maxFree        acaciatally.ResourceVector   // per resource, the largest free amount of any candidate before placement
+	unplaceable    []acaciatally.ResourceVector // sizes that fit no candidate; free capacity only shrinks during placement
+	onLentCapacity bool                         // from now on all work runs on lent capacity, and the candidates that are held are blocked
 }
 
 // candidateSet returns the set of candidates in a pool.
--- a/dispatch/pressure.go
+++ b/dispatch/pressure.go
@@ -153,7 +153,7 @@
 			}
 			if count > 0 && o.ready(&j.accepted.Spec, number) {
 				w.amount += float64(count) * s.workOf(j, step)
-				w.held = w.held || j.beyondRate || !s.belowShareWith(pool, j.account, j.account.used, step)
+				w.held = w.held || j.beyondRate || !s.belowShareWith(pool, j.account, j.account.used, step.Reserved())
 			}
 		}
 	}
--- a/dispatch/reclaim.go
+++ b/dispatch/reclaim.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 	"time"
 
@@ -10,11 +11,13 @@
 )
 
 const (
-	// reclaimAfter is how long an account below its share waits before lent room is reclaimed for it. Usually runs end sooner.
+	// reclaimAfter is how long an account below its share waits before lent capacity is reclaimed for it. Usually runs end sooner.
 	reclaimAfter = time.Second
 	// reclaimTime is the time over which the runs of a pool are stopped if all of them have to be. It bounds the orders and the work that is
 	// repeated from checkpoints, should the demand of accounts change again.
 	reclaimTime = 2 * time.Second
+	// shareTolerance is the relative error that an entitlement may have.
+	shareTolerance = 1e-6
 	// maxUnplacedSteps is the number of steps that find no run to stop after which one check ends. It bounds the time that a check takes.
 	maxUnplacedSteps = 8
 	// shortageGap is the time between two checks after which an account counts as newly short.
@@ -35,21 +38,21 @@
 	h.seenAt = now
 }
 
-// reclaimPlace is a worker on which lent room may be reclaimed.
+// reclaimPlace is a worker on which lent capacity may be reclaimed.
 type reclaimPlace struct {
 	c    *candidate
 	free acaciatally.ResourceVector // now, or once the runs that are being stopped have ended
 	runs []*task                    // that may be stopped, those with the least progress first
 }
 
-// reclaimCheck is one check of a pool for lent room to reclaim.
+// reclaimCheck is one check of a pool for lent capacity to reclaim.
 type reclaimCheck struct {
 	scheduler *Scheduler
 	pool      *poolShares
 	set       *candidateSet
 	now       time.Duration
 	places    []reclaimPlace
-	left      int // runs that may still be stopped
+	left      int // runs that may still be stopped; the last task may take more, which later checks make up for
 	unplaced  int // steps that found no run to stop
 	// unplaceable are sizes for which there is no room to reclaim or to hold. Both only shrink during a check.
 	unplaceable []acaciatally.ResourceVector
@@ -58,9 +61,10 @@
 	holding     []*worker // to be held from now on
 }
 
-// reclaim stops runs of accounts that use more than their share of the pool, if they have saved a checkpoint, for jobs of accounts that
-// have used less for reclaimAfter although work of theirs waited. The jobs are those within the rate of their account, in the order of work, after they were placed. The
-// room goes to whatever comes first in the order of work, which may be other jobs; the runs that are stopped come after all of them.
+// reclaim stops runs of accounts that use more than their share of the pool, if they have saved a checkpoint, for jobs of accounts that have used
+// less for reclaimAfter although work of theirs waited. The jobs are those within the rate of their account, in the order of work, after they
+// were placed. The capacity goes to whatever comes first in the order of work, which may be other jobs; the runs that are stopped come after
+// all of them.
 func (s *Scheduler) reclaim(p *poolShares, jobs []*activeJob, set *candidateSet, now time.Duration) {
 	if s.heldStarts > 0 {
 		return
@@ -68,14 +72,14 @@
 	check := reclaimCheck{scheduler: s, pool: p, set: set, now: now}
 	for _, j := range jobs {
 		if check.unplaced == maxUnplacedSteps {
-			return
+			break
 		}
 		a := j.account
 		if a == nil || a.index >= len(p.short) || j.hasLongRunning || j.lateness == overdue || !s.within(p, a) {
 			continue
 		}
 		step := j.waitingStep()
-		if step == nil || !s.belowShareWith(p, a, a.used, step) {
+		if step == nil || !s.belowShareWith(p, a, a.used, step.Reserved()) {
 			continue
 		}
 		p.short[a.index].observe(now)
@@ -84,6 +88,9 @@
 			check.forJob(j)
 		}
 	}
+	if check.places != nil {
+		p.reclaimsLeft = check.left
+	}
 	for _, w := range check.holding {
 		w.heldUntil = now + holdTime
 	}
@@ -125,7 +132,8 @@
 			r.places = append(r.places, place)
 		}
 	}
-	r.left = max(1, runs*int(checkInterval)/int(reclaimTime))
+	perCheck := max(1, runs*int(checkInterval)/int(reclaimTime))
+	r.left = min(perCheck, r.pool.reclaimsLeft+perCheck)
 }
 
 // leave counts what the task's run reserves as leaving.
@@ -162,7 +170,7 @@
 				if !isWaiting(t) {
 					continue
 				}
-				if !r.scheduler.belowShareWith(r.pool, a, a.used.Plus(a.coming).Minus(a.leaving), step) {
+				if !r.scheduler.belowShareWith(r.pool, a, a.used.Plus(a.coming).Minus(a.leaving), step.Reserved()) {
 					return
 				}
 				if !j.usage.hasHeadroom(step.Resources.Plus(a.coming)) {
@@ -185,16 +193,16 @@
 	}
 }
 
-// belowShareWith reports whether an account that uses the given resources is within its share of a pool with one more task of a step, or uses
+// belowShareWith reports whether an account that uses the given resources is within its share of a pool with more, or uses
 // nothing.
-func (s *Scheduler) belowShareWith(p *poolShares, a *accountShare, used acaciatally.ResourceVector, step *acaciatally.Step) bool {
-	return used.IsZero() || sharing.DominantShare(used.Plus(step.Reserved()), s.shares.fleet) <= p.entitledTo(a)
+func (s *Scheduler) belowShareWith(p *poolShares, a *accountShare, used, more acaciatally.ResourceVector) bool {
+	return used.IsZero() || sharing.DominantShare(used.Plus(more), s.shares.fleet) <= p.entitledTo(a)*(1+shareTolerance)
 }
 
 // forTask reclaims room for a task on the worker where the fewest runs have to be stopped, and returns whether there will be room for it.
 func (r *reclaimCheck) forTask(t *task) bool {
 	a, reserved := t.job.account, t.step.Reserved()
-	best, fewest := -1, r.left+1
+	best, fewest := -1, math.MaxInt
 	for i := range r.places {
 		if victims, enough := r.victims(&r.places[i], t); enough && len(victims) < fewest {
 			best, fewest = i, len(victims)
@@ -229,7 +237,7 @@
 	free := place.free
 	r.chosen = r.chosen[:0]
 	for _, run := range place.runs {
-		if free.Fits(reserved) || len(r.chosen) > r.left {
+		if free.Fits(reserved) || r.left <= 0 {
 			break
 		}
 		if r.mayStop(run, t.job) {
@@ -251,6 +259,12 @@
 	if run.stopReason != "" || a == j.account || !run.job.beyondRate && run.job.accepted.Queue.Priority < j.accepted.Queue.Priority {
 		return false
 	}
+	return r.keepsShareWithout(run)
+}
+
+// keepsShareWithout reports whether the account of a run keeps its share without the run.
+func (r *reclaimCheck) keepsShareWithout(run *task) bool {
+	a := run.job.account
 	return r.share(a.used.Minus(a.leaving).Minus(run.step.Reserved())) >= r.pool.entitledTo(a)
 }
 
--- a/dispatch/scheduler.go
+++ b/dispatch/scheduler.go
@@ -137,7 +137,7 @@
 	estimate         estimate
 	hasLongRunning   bool          // has tasks that run until the job is cancelled
 	account          *accountShare // of the job's owner; nil without one
-	beyondRate       bool          // beyond the rate of its account; runs only on lent room
+	beyondRate       bool          // beyond the rate of its account; runs only on lent capacity
 	hasGang          bool          // has a step whose tasks run all at the same time or not at all
 	placementDue     bool          // a task has started or stopped waiting since the last placement
 	hasCancelRecord  bool          // a cancel request is recorded
@@ -181,7 +181,7 @@
 	stopDraining    stopReason = "worker is being drained"
 	stopStalled     stopReason = "no progress"
 	stopPreempted   stopReason = "preempted"
-	stopReclaimed   stopReason = "lent room is reclaimed"
+	stopReclaimed   stopReason = "lent capacity is reclaimed"
 	stopUnconfirmed stopReason = "start not confirmed"
 	stopCopyEnded   stopReason = "another copy ended first"
 	stopGangBroken  stopReason = "a member of its gang has no run"
--- a/dispatch/share.go
+++ b/dispatch/share.go
@@ -31,7 +31,8 @@
 	pools        map[acaciatally.PoolName]*poolShares
 	nextDivideAt time.Duration
 	nextLogAt    time.Duration
-	deferred     []*activeJob // buffer of placeByShare
+	deferred     [2][]*activeJob // buffers of placeByShare
+	passes       int             // passes over the jobs of a pool
 	parties      []sharing.Party
 }
 
@@ -49,6 +50,7 @@
 	servedPart float64
 	placed     placedRate
 	heldSince  time.Duration // since when some of its work has waited beyond its rate or share; 0 if none does
+	stoppedIn  int           // the last pass of shares.passes in which its jobs were stopped
 	tokens     int           // waiting jobs of a pool that are within its rate, while the jobs of the pool are sorted
 }
 
@@ -60,7 +62,9 @@
 	waiting     []acaciatally.ResourceVector // for their ready tasks whose result can still be of use
 	public      acaciatally.ResourceVector   // both, for the jobs without an account
 	short       []shortage
-	entitled    []float64 // dominant share of the fleet to which each account is entitled
+	// reclaimsLeft is how many more runs the last check might have stopped; it is negative if it stopped more than its part.
+	reclaimsLeft int
+	entitled     []float64 // dominant share of the fleet to which each account is entitled
 }
 
 // configureShares applies the weights of a configuration.
--- a/dispatch/work_order.go
+++ b/dispatch/work_order.go
@@ -14,7 +14,8 @@
 //  2. jobs within the rate of their account, before those beyond it;
 //  3. by the priority of the queue;
 //  4. jobs whose result can still be of use, before overdue ones;
-//  5. jobs of accounts that use less than their share and jobs without an account, before the others;
+//  5. jobs without an account, and those of accounts that use nothing or are still within their share with one task more; then those of accounts
+//     that use less than their share; then the others;
 //  6. in time or late, begun or not, and the time by which they have to start, as compareJobs sorts them.
 //
 // Without accounts rules 2 and 5 make no difference, and the order is that of compareJobs. Work that comes last by rule 2 or 5 runs on lent
@@ -22,12 +23,12 @@
 // first of its waiting jobs by that order are within the rate, as many as have arrived within it.
 
 // placePool places the waiting jobs of a pool, which are sorted by compareJobs, in the order of work. all tells that this is a placement
-// of all pools, which takes place every checkInterval; then lent room is reclaimed.
+// of all pools, which takes place every checkInterval; then lent capacity is reclaimed.
 func (s *Scheduler) placePool(pool acaciatally.PoolName, jobs []*activeJob, all bool, now time.Duration) {
 	set := s.candidateSet(pool, now)
 	if !s.shares.active {
 		for _, j := range jobs {
-			s.placeJob(j, set, nil, now)
+			s.placeJob(j, set, shareLimit{}, now)
 		}
 		return
 	}
@@ -35,7 +36,7 @@
 	within, beyond := s.splitByRate(jobs)
 	s.placeByShare(p, within, set, now)
 	if len(beyond) > 0 {
-		set.onLentRoom = true
+		set.onLentCapacity = true
 		set.blockHeld(true, now)
 		s.placeByShare(p, beyond, set, now)
 	}
@@ -87,32 +88,62 @@
 		for size < len(jobs) && sameGroup(jobs[0], jobs[size]) {
 			size++
 		}
-		deferred := s.shares.deferred[:0]
-		for _, j := range jobs[:size] {
-			if !s.placeJob(j, set, p, now) {
-				deferred = append(deferred, j)
-			}
-		}
-		s.placeOnLentRoom(deferred, set, now)
-		clear(deferred)
-		s.shares.deferred = deferred[:0]
+		rest := s.placeWithin(jobs[:size], shareLimit{p, true}, set, s.shares.deferred[0][:0], now)
+		s.shares.deferred[0] = rest
+		rest = s.placeWithin(rest, shareLimit{p, false}, set, s.shares.deferred[1][:0], now)
+		s.shares.deferred[1] = rest
+		s.placeOnLentCapacity(rest, set, now)
+		clear(s.shares.deferred[0])
+		clear(s.shares.deferred[1])
 		jobs = jobs[size:]
 	}
 }
 
-// placeOnLentRoom places jobs of accounts that use at least their share. Workers that are held for other work are left out, so what does not fit
+// placeWithin places jobs as far as a limit allows, and appends those that it stopped to rest, with the later ones of the same accounts: smaller tasks
+// do not overtake larger ones of their account.
+func (s *Scheduler) placeWithin(jobs []*activeJob, limit shareLimit, set *candidateSet, rest []*activeJob, now time.Duration) []*activeJob {
+	s.shares.passes++
+	for _, j := range jobs {
+		a := j.account
+		if a != nil && a.stoppedIn == s.shares.passes {
+			rest = append(rest, j)
+			continue
+		}
+		if !s.placeJob(j, set, limit, now) {
+			a.stoppedIn = s.shares.passes
+			rest = append(rest, j)
+		}
+	}
+	return rest
+}
+
+// shareLimit tells up to which share of a pool accounts get capacity; the zero value is no limit.
+type shareLimit struct {
+	pool  *poolShares
+	whole bool // only tasks with which the account is still within its share, or its first one
+}
+
+// allows reports whether a limit allows tasks of a step, which are placed together. Long-running tasks come before the shares.
+func (s *Scheduler) allows(limit shareLimit, a *accountShare, step *acaciatally.Step, count int) bool {
+	if limit.pool == nil || a == nil || step.LongRunning || !s.within(limit.pool, a) {
+		return limit.pool == nil || a == nil || step.LongRunning
+	}
+	return !limit.whole || s.belowShareWith(limit.pool, a, a.used, step.Reserved().Times(count))
+}
+
+// placeOnLentCapacity places jobs of accounts that use at least their share. Workers that are held for other work are left out, so what does not fit
 // here may still fit for the jobs that follow.
-func (s *Scheduler) placeOnLentRoom(jobs []*activeJob, set *candidateSet, now time.Duration) {
+func (s *Scheduler) placeOnLentCapacity(jobs []*activeJob, set *candidateSet, now time.Duration) {
 	if len(jobs) == 0 {
 		return
 	}
 	known := set.unplaceable
-	blocks := !set.onLentRoom && set.blockHeld(true, now)
+	blocks := !set.onLentCapacity && set.blockHeld(true, now)
 	if blocks {
 		set.unplaceable = slices.Clone(known)
 	}
 	for _, j := range jobs {
-		s.placeJob(j, set, nil, now)
+		s.placeJob(j, set, shareLimit{}, now)
 	}
 	if blocks {
 		set.blockHeld(false, now)
--- a/dispatch/worker.go
+++ b/dispatch/worker.go
@@ -41,7 +41,7 @@
 	suspects          []suspectRun // runs that may have crashed the incarnation before, until the first report of this one
 	orderDue          bool         // an order about one of its runs may be due; see Scheduler.Orders
 	health            health
-	heldUntil         time.Duration // until when it takes no work on lent room; see reclaimCheck.holdFor
+	heldUntil         time.Duration // until when it takes no work on lent capacity; see reclaimCheck.holdFor
 	throttledAt       time.Duration // when the CPU share of its runs was last changed
 	idleSince         time.Duration // when a run was last seen on it
 	renewalInFlight   bool          // a renewal is in flight
