--- a/console/attend.go
+++ b/console/attend.go
@@ -60,7 +60,9 @@
 	if port != 0 {
 		siteConfig.Metrics, siteConfig.MetricsListen = metricsHandler(logger), netip.AddrPortFrom(settings.IP, port)
 	}
-	err := site.New(siteConfig).Run(ctx)
+	process := site.New(siteConfig)
+	logger.Metrics().NewGauge("acaciatally_configuration_age_seconds", func() float64 { return process.ConfigurationAge().Seconds() })
+	err := process.Run(ctx)
 	logger.Stopped(err)
 	if closeErr := logger.Close(); closeErr != nil {
 		_, _ = fmt.Fprintln(os.Stderr, closeErr)
@@ -99,6 +101,7 @@
 			Table: platform.OperatorTable, ConfigurationKey: platform.ConfigurationKey,
 			DecodeConfiguration: platform.DecodeConfiguration, DecodeWave: platform.DecodeWave,
 		},
+		Ingress: settings.Ingress.WithDefaults(settings.Memory, settings.Descriptors), IngressMetrics: logger.Metrics(),
 		WorkerTable: platform.WorkerTable, DecodeWorker: platform.DecodeWorker,
 		NewJobAPI: func(jobs acaciatally.JobService, ready func() bool) site.JobAPI {
 			return platform.NewJobAPI(jobs, ready)
--- a/dispatch/scheduler.go
+++ b/dispatch/scheduler.go
@@ -42,6 +42,7 @@
 	busyWorkers     int             // workers with runs
 	fenceBumps      uint64          // incremented to invalidate orders that are still in flight
 	arrivals        map[acaciatally.PoolName]*arrivals
+	accountJobs     map[acaciatally.AccountName]*accountJobs
 	runTimes        map[acaciatally.QueueName]*runTimeMeans
 	permissions     map[stepKey]*stepPermissions
 	suspects        map[acaciatally.InstanceID]suspectRuns // of workers that could not be reached
@@ -146,6 +147,7 @@
 	endRecordedAt    time.Duration // when the commit of the final state was applied; 0 before
 	hasWaitingRecord bool          // its record in job.WaitingTable may still exist
 	recordsDeleted   bool          // all records but the progress record are deleted
+	counted          bool          // it is counted in accountJobs.begun
 }
 
 // occurrence is one execution of a job's steps.
--- a/site/site.go
+++ b/site/site.go
@@ -9,13 +9,16 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	"github.com/samber/oops"
 	"golang.org/x/sync/errgroup"
 
 	"github.com/acaciatally/acaciatally"
 	"github.com/acaciatally/acaciatally/dispatch"
+	"github.com/acaciatally/acaciatally/ingress"
 	"github.com/acaciatally/acaciatally/intake"
 	"github.com/acaciatally/acaciatally/leadership"
+	"github.com/acaciatally/acaciatally/overload"
 	"github.com/acaciatally/acaciatally/roster"
 )
 
@@ -40,9 +43,8 @@
 	// startDelaySettleTime is how long after its first round of decisions a leader goes by the delay of the leader before it as well.
 	startDelaySettleTime = 2 * time.Second
 	// maxCloseDelay is the delay before the listener closes, in which the load balancer notices that this entry is stopping.
-	maxCloseDelay     = 2500 * time.Millisecond
-	readHeaderTimeout = 3 * time.Second
-	idleTimeout       = time.Minute
+	maxCloseDelay = 2500 * time.Millisecond
+	idleTimeout   = time.Minute
 )
 
 // EventLog logs the decisions of this entry and the state changes that it observes.
@@ -51,6 +53,9 @@
 	dispatch.EventLog
 	leadership.EventLog
 	roster.EventLog
+	// AccountsUnderPressure logs the admission that this entry publishes as the leader, at most once a second; nil if no account is under
+	// pressure any more.
+	AccountsUnderPressure(state *overload.State)
 	// Stopping logs why the process stops.
 	Stopping(reason string)
 	// DependencyChanged logs that an external dependency has become unreachable or reachable again. sinceLastResponse is the time since its
@@ -62,6 +67,8 @@
 	ConfigurationIgnored(record uint64, err error)
 	// ConfigurationPartIgnored logs that a part of a configuration is not valid and does not take effect; record is the version of its record.
 	ConfigurationPartIgnored(record uint64, err error)
+	// IngressLimited logs that requests were refused or connections closed, because of the limits on requests on their way in.
+	IngressLimited(report ingress.Report)
 }
 
 // JobAPI serves the platform's HTTP API to callers and the load balancer.
@@ -81,6 +88,7 @@
 	ReadyListen   netip.AddrPort
 	Metrics       http.Handler   // nil if metrics are not served
 	MetricsListen netip.AddrPort // listen address of Metrics
+	Ingress       ingress.Limits // with defaults; on requests on their way in to all listeners together
 	GracePeriod   time.Duration  // between the signal to stop and the kill
 	Store         acaciatally.RecordStore
 	Orders        acaciatally.WorkerOrders
@@ -113,6 +121,8 @@
 	Processors        float64              // cores that this entry may use, also a fraction
 	LinkBitsPerSecond float64              // link speed in bits per second; 0 if not limited
 	Now               func() time.Duration // monotonic clock; nil is Uptime
+	// IngressMetrics is the set of the metrics of requests on their way in; nil if they are not measured.
+	IngressMetrics *metrics.Set
 	// Listen opens listeners; nil uses the network. Tests replace it.
 	Listen func(ctx context.Context, network, address string) (listener net.Listener, err error)
 }
@@ -125,7 +135,10 @@
 	elector *leadership.Elector
 	// startDelay is the scheduler's StartDelay in nanoseconds while this entry leads.
 	startDelay atomic.Int64
-	jobAPI     JobAPI
+	// overload is the admission that this entry publishes while it leads.
+	overload atomic.Pointer[overload.State]
+	jobAPI   JobAPI
+	gate     *ingress.Gate
 }
 
 // New returns a process that is not running yet.
@@ -134,21 +147,26 @@
 		config.Now = Uptime
 	}
 	if config.Listen == nil {
-		config.Listen = (&net.ListenConfig{}).Listen
+		config.Listen = ingress.Listen
 	}
 	if config.MaxConfigurationAge == 0 {
 		config.MaxConfigurationAge = intake.DefaultMaxConfigurationAge
 	}
+	config.Ingress = config.Ingress.WithDefaults(0, 0)
 	p := &Process{config: config, store: &monitoredStore{RecordStore: config.Store, now: config.Now}}
 	p.config.Store = p.store
 	p.watcher = &operatorWatcher{
 		store: p.store, sinceLastResponse: p.store.sinceLastResponse, records: config.Operators, eventLog: config.EventLog, now: config.Now,
-		waves: map[int]observedWave{}, maxAge: config.MaxConfigurationAge,
+		waves: map[int]observedWave{}, age: configurationAge{now: config.Now, max: config.MaxConfigurationAge},
 	}
+	p.gate = ingress.New(ingress.Config{
+		Limits: config.Ingress, Processors: config.Processors, HeaderTimeout: p.headerTimeout, Report: config.EventLog.IngressLimited, Metrics: config.IngressMetrics,
+	})
 	jobs := intake.New(intake.Config{
 		Store: p.store, Routes: p.watcher.routes.Load, StoreReachable: p.store.reachable, EventLog: config.EventLog,
-		ConfigurationAge: p.watcher.age, MaxConfigurationAge: config.MaxConfigurationAge,
+		ConfigurationAge: p.watcher.age.get, MaxConfigurationAge: config.MaxConfigurationAge,
 		MaxRecordBytes: config.MaxRecordBytes, StartDelay: func() time.Duration { return p.elector.StartDelay() },
+		Overload: func() *overload.State { return p.elector.Overload() },
 	})
 	p.jobAPI = config.NewJobAPI(jobs, p.ready)
 	p.elector = leadership.NewElector(leadership.ElectorConfig{
@@ -158,10 +176,14 @@
 		},
 		Store: p.store, Now: config.Now, EventLog: config.EventLog, Lead: p.runLeader,
 		StartDelay: func() time.Duration { return time.Duration(p.startDelay.Load()) },
+		Overload:   p.overload.Load,
 	})
 	return p
 }
 
+// ConfigurationAge returns the time since the configuration of this entry was certainly the newest one.
+func (p *Process) ConfigurationAge() time.Duration { return p.watcher.age.get() }
+
 // takeoverDelay returns how long after the term this entry waits before it acquires an expired lease. It is longer for entries with
 // less processor time or a slower link.
 func takeoverDelay(config Config) time.Duration {
@@ -173,6 +195,14 @@
 	return time.Duration(config.TakeoverJitter*float64(maxTakeoverJitter) + (cpuShortfall+linkShortfall)*float64(maxSlowEntryDelay))
 }
 
+// headerTimeout returns the time limit of headers by the operators' configuration; 0 if it has none.
+func (p *Process) headerTimeout() time.Duration {
+	if routes := p.watcher.routes.Load(); routes != nil {
+		return routes.Limits.HeaderTimeout
+	}
+	return 0
+}
+
 // ready reports whether this entry is ready for new connections.
 func (p *Process) ready() bool {
 	return p.watcher.routes.Load() != nil && p.store.reachable()
@@ -187,15 +217,20 @@
 	}
 	delay := startDelay{inherited: p.elector.StartDelay()}
 	p.startDelay.Store(int64(delay.inherited))
+	accounts := newAccountAdmission(p.elector.Overload(), p.config.EventLog)
+	p.overload.Store(accounts.published)
 	round := func(scheduler *dispatch.Scheduler, now time.Duration) {
 		if fleet != nil {
 			fleet.round(ctx, scheduler, now)
 		}
 		if now >= delay.nextAt {
 			p.startDelay.Store(int64(delay.update(scheduler.StartDelay(now), now)))
+			p.overload.Store(accounts.update(scheduler.AccountLoads(now), now))
 		}
 	}
 	defer p.startDelay.Store(0)
+	defer p.overload.Store(nil)
+	defer accounts.stop()
 	runner = dispatch.NewRunner(dispatch.RunnerConfig{
 		Round: round,
 		Store: p.config.Store, Orders: p.config.Orders, Adviser: p.config.Adviser, WorkerTable: p.config.WorkerTable, DecodeWorker: p.config.DecodeWorker,
@@ -241,6 +276,10 @@
 		p.watcher.run(servingCtx)
 		return nil
 	})
+	group.Go(func() error {
+		p.watcher.confirmConfiguration(servingCtx)
+		return nil
+	})
 	group.Go(func() error { return p.elector.Run(stopCtx) })
 	return group.Wait()
 }
@@ -256,7 +295,8 @@
 	if err != nil {
 		return err
 	}
-	server := &http.Server{Handler: handler, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout}
+	server := &http.Server{Handler: handler, IdleTimeout: idleTimeout}
+	listener = p.gate.Serve(server, listener)
 	serveResult := make(chan error, 1)
 	go func() { serveResult <- server.Serve(listener) }()
 	select {
