--- a/dispatch/plan.go
+++ b/dispatch/plan.go
@@ -76,15 +76,18 @@
 }
 
 // hasWaiting reports whether a task is ready to start and has no run.
-func (j *activeJob) hasWaiting() bool {
+func (j *activeJob) hasWaiting() bool { return j.waitingStep() != nil }
+
+// waitingStep returns the first step of which a task is ready to start and has no run, or nil.
+func (j *activeJob) waitingStep() *acaciatally.Step {
 	for _, o := range j.openOccurrences {
 		for number, tasks := range o.steps {
 			if slices.ContainsFunc(tasks, isWaiting) && o.ready(&j.accepted.Spec, number) {
-				return true
+				return &j.accepted.Spec.Steps[number]
 			}
 		}
 	}
-	return false
+	return nil
 }
 
 func isWaiting(t *task) bool { return t.phase == job.Waiting }
@@ -109,9 +112,9 @@
 }
 
 // placeJob places the ready tasks of a job. If one task of a step can't be placed, the other tasks of the step are skipped. Long-running
-// tasks are tried even if no candidate has enough free capacity, since they may preempt other runs. If p is not nil, other tasks are placed
-// only while the job's account uses less than its share of the pool; placeJob returns false if it stopped for that reason.
-func (s *Scheduler) placeJob(j *activeJob, set *candidateSet, p *poolShares, now time.Duration) (within bool) {
+// tasks are tried even if no candidate has enough free capacity, since they may preempt other runs. Other tasks are placed
+// only while the limit allows it; placeJob returns false if it stopped for that reason.
+func (s *Scheduler) placeJob(j *activeJob, set *candidateSet, limit shareLimit, now time.Duration) (within bool) {
 	if s.heldStarts > 0 && !j.hasLongRunning {
 		return true
 	}
@@ -123,7 +126,7 @@
 			}
 			if step.Gang {
 				if all(tasks, isWaiting) {
-					if p != nil && !step.LongRunning && !s.within(p, j.account) {
+					if !s.allows(limit, j.account, step, len(tasks)) {
 						return false
 					}
 					s.placeGang(tasks, set, now)
@@ -134,7 +137,7 @@
 				if !isWaiting(t) {
 					continue
 				}
-				if p != nil && !step.LongRunning && !s.within(p, j.account) {
+				if !s.allows(limit, j.account, step, 1) {
 					return false
 				}
 				if !s.placeTask(t, set, now) {
@@ -162,9 +165,10 @@
 
 // candidateSet is the set of candidates in a pool.
 type candidateSet struct {
-	candidates  []*candidate
-	maxFree     acaciatally.ResourceVector   // per resource, the largest free amount of any candidate before placement
-	unplaceable []acaciatally.ResourceVector // sizes that fit no candidate; free capacity only shrinks during placement
+	candidates     []*candidate
+	maxFree        acaciatally.ResourceVector   // per resource, the largest free amount of any candidate before placement
+	unplaceable    []acaciatally.ResourceVector // sizes that fit no candidate; free capacity only shrinks during placement
+	onLentCapacity bool                         // from now on all work runs on lent capacity, and the candidates that are held are blocked
 }
 
 // candidateSet returns the set of candidates in a pool.
@@ -208,6 +212,7 @@
 	trial        *gangTrial // nil unless a gang is being placed
 	trialMembers int        // members of that gang that the trial has placed on the worker
 	deferred     bool       // the worker is slow or unreliable
+	blocked      bool       // held for other work than the one that is being placed
 }
 
 // candidates returns the workers of a pool that may get new runs, sorted by ID.
@@ -301,7 +306,7 @@
 	avoids := len(t.avoidUntil) > 0 && s.hasAlternative(t, candidates, now)
 	t.conflicts = s.interference.conflicts(t)
 	for _, c := range candidates {
-		if avoids && t.avoids(c.w, now) {
+		if c.blocked || avoids && t.avoids(c.w, now) {
 			continue
 		}
 		if c.fits(t, now) && s.permitted(t, c.w.entry.ID, now) && (chosen == nil || s.prefers(t, c, chosen)) {
--- a/dispatch/scheduler.go
+++ b/dispatch/scheduler.go
@@ -20,11 +20,11 @@
 	MaxCommitBytes  int           // size of the progress records in one transaction; 0 is MaxCommitBytes
 	MaxRecordBytes  int           // size of the largest record that the store takes; 0 is job.DefaultRecordBytes
 	EventLog        EventLog
-	// QuotaOverage is the part of its weight by which an account may exceed its rate of jobs; 0 is 0.1.
-	QuotaOverage float64
-	// QuotaWindow is the time over which the rate is counted; 0 is 5 s.
+	// QuotaWindow is the time over which the rate of an account's jobs is counted; if it is 0, the defaults apply to all three.
 	QuotaWindow time.Duration
-	// QuotaSlack is how many more jobs may arrive in each window, for accounts with few and irregular arrivals; 0 is 20.
+	// QuotaOverage is the part of its weight by which an account may exceed its rate of jobs.
+	QuotaOverage float64
+	// QuotaSlack is how many more jobs may arrive in each window, for accounts with few and irregular arrivals.
 	QuotaSlack int
 	// Interference tells what is done about kinds of tasks that slow each other down on one worker; empty is off.
 	Interference interference.Mode
@@ -72,14 +72,8 @@
 	if config.MaxRecordBytes == 0 {
 		config.MaxRecordBytes = job.DefaultRecordBytes
 	}
-	if config.QuotaOverage == 0 {
-		config.QuotaOverage = defaultQuotaOverage
-	}
 	if config.QuotaWindow == 0 {
-		config.QuotaWindow = defaultQuotaWindow
-	}
-	if config.QuotaSlack == 0 {
-		config.QuotaSlack = defaultQuotaSlack
+		config.QuotaWindow, config.QuotaOverage, config.QuotaSlack = defaultQuotaWindow, defaultQuotaOverage, defaultQuotaSlack
 	}
 	return &Scheduler{
 		config:      config,
@@ -153,11 +147,10 @@
 	estimate         estimate
 	hasLongRunning   bool          // has tasks that run until the job is cancelled
 	account          *accountShare // of the job's owner; nil without one
-	short            shortage
-	beyondRate       bool // beyond the rate of its account; runs only on lent room
-	hasGang          bool // has a step whose tasks run all at the same time or not at all
-	placementDue     bool // a task has started or stopped waiting since the last placement
-	hasCancelRecord  bool // a cancel request is recorded
+	beyondRate       bool          // beyond the rate of its account; runs only on lent capacity
+	hasGang          bool          // has a step whose tasks run all at the same time or not at all
+	placementDue     bool          // a task has started or stopped waiting since the last placement
+	hasCancelRecord  bool          // a cancel request is recorded
 	unrecordedEnds   []endRef
 	refusedUntil     time.Duration // when its record may be sent again that the store has refused; 0 if it has not
 	endRecordedAt    time.Duration // when the commit of the final state was applied; 0 before
@@ -199,7 +192,7 @@
 	stopDraining    stopReason = "worker is being drained"
 	stopStalled     stopReason = "no progress"
 	stopPreempted   stopReason = "preempted"
-	stopReclaimed   stopReason = "lent room is reclaimed"
+	stopReclaimed   stopReason = "lent capacity is reclaimed"
 	stopUnconfirmed stopReason = "start not confirmed"
 	stopCopyEnded   stopReason = "another copy ended first"
 	stopGangBroken  stopReason = "a member of its gang has no run"
--- a/dispatch/share.go
+++ b/dispatch/share.go
@@ -31,7 +31,8 @@
 	pools        map[acaciatally.PoolName]*poolShares
 	nextDivideAt time.Duration
 	nextLogAt    time.Duration
-	deferred     []*activeJob // buffer of placeByShare
+	deferred     [2][]*activeJob // buffers of placeByShare
+	passes       int             // passes over the jobs of a pool
 	parties      []sharing.Party
 }
 
@@ -49,6 +50,7 @@
 	servedPart float64
 	placed     placedRate
 	heldSince  time.Duration // since when some of its work has waited beyond its rate or share; 0 if none does
+	stoppedIn  int           // the last pass of shares.passes in which its jobs were stopped
 	tokens     int           // waiting jobs of a pool that are within its rate, while the jobs of the pool are sorted
 }
 
@@ -59,7 +61,10 @@
 	used        []acaciatally.ResourceVector // reserved by the other runs of each account
 	waiting     []acaciatally.ResourceVector // for their ready tasks whose result can still be of use
 	public      acaciatally.ResourceVector   // both, for the jobs without an account
-	entitled    []float64                    // dominant share of the fleet to which each account is entitled
+	short       []shortage
+	// reclaimsLeft is how many more runs the last check might have stopped; it is negative if it stopped more than its part.
+	reclaimsLeft int
+	entitled     []float64 // dominant share of the fleet to which each account is entitled
 }
 
 // configureShares applies the weights of a configuration.
@@ -199,6 +204,7 @@
 func (p *poolShares) grow(accounts int) {
 	for len(p.entitled) < accounts {
 		p.used, p.waiting = append(p.used, acaciatally.ResourceVector{}), append(p.waiting, acaciatally.ResourceVector{})
+		p.short = append(p.short, shortage{})
 		p.entitled = append(p.entitled, math.Inf(1))
 	}
 }
--- a/dispatch/worker.go
+++ b/dispatch/worker.go
@@ -45,6 +45,7 @@
 	orderDue          bool          // an order about one of its runs may be due; see Scheduler.Orders
 	health            health
 	speed             speed.Worker
+	heldUntil         time.Duration // until when it takes no work on lent capacity; see reclaimCheck.holdFor
 	throttledAt       time.Duration // when the CPU share of its runs was last changed
 	idleSince         time.Duration // when a run was last seen on it
 	renewalInFlight   bool          // a renewal is in flight
--- a/site/site.go
+++ b/site/site.go
@@ -109,6 +109,10 @@
 	// MaxConfigurationAge is the age of the configuration beyond which keys of accounts can't be checked; 0 is intake.DefaultMaxConfigurationAge.
 	MaxConfigurationAge time.Duration
 
+	QuotaWindow  time.Duration // time over which the rate of an account's jobs is counted; if it is 0, the defaults apply to all three
+	QuotaOverage float64       // part of its weight by which an account may exceed its rate of jobs
+	QuotaSlack   int           // jobs by which an account may exceed its rate in each window
+
 	OrdersPerSecond float64       // the platform's rate limit for orders on instances, over all entries; 0 is unlimited
 	MoveTime        time.Duration // from the order until a moved instance serves again
 	MaintenanceTime time.Duration // from the order until a maintained instance serves again
@@ -239,6 +243,7 @@
 			Epoch: epoch, WorkerLease: min(maxWorkerLease, p.config.MaxLease), MaxLease: p.config.MaxLease,
 			Retention: p.config.Retention, MaxEarlyStart: p.config.MaxEarlyStart, LeadershipStart: p.config.Now(), EventLog: p.config.EventLog,
 			MaxCommitBytes: commitBytes(p.config.LinkBitsPerSecond), MaxRecordBytes: p.config.MaxRecordBytes, Interference: p.config.Interference,
+			QuotaOverage: p.config.QuotaOverage, QuotaWindow: p.config.QuotaWindow, QuotaSlack: p.config.QuotaSlack,
 		},
 	})
 	if err := runner.Run(ctx); err != nil {
