Hold workers also where accounts exceed their shares by a part of a task

Cause: go test drew a mix in which an account whose share is one large task got nothing: all others exceeded their shares by less than one of their runs, so none of their runs counted as lent.

Change: for holding a worker, runs that end soon count if their account is above its share at all, and work with which an account exceeds its share by a part of a task takes no room on a held worker. No more runs are stopped than before.

--- a/dispatch/hold.go
+++ b/dispatch/hold.go
@@ -105,8 +105,8 @@
 	slices.SortStableFunc(r.holdPlaces, func(a, b holdPlace) int { return compareToHold(a.c, b.c, r.now) })
 }
 
-// fitsLater reports whether a task fits at a place without runs on lent capacity: those without which their accounts keep their shares. The
-// capacity of other runs goes to work of their own accounts when they end.
+// fitsLater reports whether a task fits at a place without runs of accounts above their shares. The capacity of other runs goes to work of their own
+// accounts when they end.
 func (r *reclaimCheck) fitsLater(place *holdPlace, t *task) bool {
 	free := place.free
 	r.chosen = r.chosen[:0]
@@ -114,7 +114,7 @@
 		if free.Fits(t.step.Reserved()) {
 			break
 		}
-		if r.keepsShareWithout(run) && (run.endsWithin(holdRunsEnding, r.now) || r.mayStop(run, t.job)) {
+		if r.aboveShare(run.job.account) && run.endsWithin(holdRunsEnding, r.now) || r.mayStop(run, t.job) {
 			free = free.Plus(run.step.Reserved())
 			run.leave()
 			r.chosen = append(r.chosen, run)
--- a/dispatch/reclaim.go
+++ b/dispatch/reclaim.go
@@ -259,13 +259,12 @@
 	if run.stopReason != "" || a == j.account || !run.job.beyondRate && run.job.accepted.Queue.Priority < j.accepted.Queue.Priority {
 		return false
 	}
-	return r.keepsShareWithout(run)
+	return r.share(a.used.Minus(a.leaving).Minus(run.step.Reserved())) >= r.pool.entitledTo(a)
 }
 
-// keepsShareWithout reports whether the account of a run keeps its share without the run.
-func (r *reclaimCheck) keepsShareWithout(run *task) bool {
-	a := run.job.account
-	return r.share(a.used.Minus(a.leaving).Minus(run.step.Reserved())) >= r.pool.entitledTo(a)
+// aboveShare reports whether an account uses more than its share, be it by a part of a task.
+func (r *reclaimCheck) aboveShare(a *accountShare) bool {
+	return r.share(a.used.Minus(a.leaving)) > r.pool.entitledTo(a)*(1+shareTolerance)
 }
 
 func (r *reclaimCheck) share(used acaciatally.ResourceVector) float64 {
--- a/dispatch/work_order.go
+++ b/dispatch/work_order.go
@@ -90,9 +90,7 @@
 		}
 		rest := s.placeWithin(jobs[:size], shareLimit{p, true}, set, s.shares.deferred[0][:0], now)
 		s.shares.deferred[0] = rest
-		rest = s.placeWithin(rest, shareLimit{p, false}, set, s.shares.deferred[1][:0], now)
-		s.shares.deferred[1] = rest
-		s.placeOnLentCapacity(rest, set, now)
+		s.placeOnLentCapacity(p, rest, set, now)
 		clear(s.shares.deferred[0])
 		clear(s.shares.deferred[1])
 		jobs = jobs[size:]
@@ -131,9 +129,9 @@
 	return !limit.whole || s.belowShareWith(limit.pool, a, a.used, step.Reserved().Times(count))
 }
 
-// placeOnLentCapacity places jobs of accounts that use at least their share. Workers that are held for other work are left out, so what does not fit
-// here may still fit for the jobs that follow.
-func (s *Scheduler) placeOnLentCapacity(jobs []*activeJob, set *candidateSet, now time.Duration) {
+// placeOnLentCapacity places jobs of accounts that use at least their share but for a part of a task. Workers that are held for other work are
+// left out, so what does not fit here may still fit for the jobs that follow.
+func (s *Scheduler) placeOnLentCapacity(p *poolShares, jobs []*activeJob, set *candidateSet, now time.Duration) {
 	if len(jobs) == 0 {
 		return
 	}
@@ -142,7 +140,9 @@
 	if blocks {
 		set.unplaceable = slices.Clone(known)
 	}
-	for _, j := range jobs {
+	rest := s.placeWithin(jobs, shareLimit{p, false}, set, s.shares.deferred[1][:0], now)
+	s.shares.deferred[1] = rest
+	for _, j := range rest {
 		s.placeJob(j, set, shareLimit{}, now)
 	}
 	if blocks {
