--- a/dispatch/event_log.go
+++ b/dispatch/event_log.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/acaciatally/acaciatally"
+	"github.com/acaciatally/acaciatally/interference"
 )
 
 // EventLog logs the decisions about jobs, runs and workers, one line each.
@@ -35,12 +36,18 @@
 	AccountAtMaximum(account acaciatally.AccountName, used, maximum acaciatally.ResourceVector)
 	// AccountUsage sets the metrics of the accounts that have a maximum or runs; nil removes them.
 	AccountUsage(usage map[acaciatally.AccountName]AccountUsage)
+	// SlowWorkers sets the metric of the number of workers that are slower than the others of their pool.
+	SlowWorkers(count int)
 	// EndsUnacknowledged logs that a worker still lists ends that this leader has not recorded: their count, and for how long it has listed
 	// the oldest.
 	EndsUnacknowledged(worker acaciatally.WorkerID, count int, age time.Duration)
 	// CommitFailed logs that a commit of the queue's jobs had no effect. failures is the number of commits that have failed in a row, size that
 	// of the largest record in bytes.
 	CommitFailed(queue acaciatally.QueueName, failures, size int, err error)
+	// InterferenceChanged logs that a kind of tasks was found to slow down another one on the same worker, or no longer does so.
+	InterferenceChanged(change interference.Change)
+	// InterferenceMeasured publishes the state of the detection of interference. It writes no line.
+	InterferenceMeasured(stats InterferenceStats)
 	// RecordIgnored logs a record that can't be decoded.
 	RecordIgnored(key acaciatally.RecordKey, version uint64, err error)
 	// LeadershipLost logs that another leader has taken over; epoch is that of this leader.
--- a/dispatch/plan.go
+++ b/dispatch/plan.go
@@ -16,6 +16,7 @@
 // places waiting tasks. timeOfDay is the wall-clock time, by which occurrences are scheduled.
 func (s *Scheduler) Plan(now time.Duration, timeOfDay time.Time) {
 	s.countArrivals(now)
+	s.interference.advance(now)
 	for _, j := range s.jobs {
 		if j.live() {
 			s.openDueOccurrences(j, now, timeOfDay)
@@ -32,7 +33,9 @@
 		s.endProbations(now)
 		s.stopBrokenGangs()
 		s.drainWorkers(now)
+		s.assessSpeeds(now)
 		s.reportUsage(now)
+		s.sweepInterference(now)
 	}
 	pools := s.takeChangedPools()
 	if now >= s.nextPlacementAt {
@@ -209,6 +212,7 @@
 	trial        *gangTrial // nil unless a gang is being placed
 	trialMembers int        // members of that gang that the trial has placed on the worker
 	blocked      bool       // held for other work than the one that is being placed
+	deferred     bool       // the worker is slow or unreliable
 }
 
 // candidates returns the workers of a pool that may get new runs, sorted by ID.
@@ -224,7 +228,7 @@
 }
 
 func newCandidate(w *worker) *candidate {
-	return &candidate{w: w, load: w.load, free: w.entry.Capacity.Minus(w.load.used)}
+	return &candidate{w: w, load: w.load, free: w.entry.Capacity.Minus(w.load.used), deferred: w.speed.Deferred()}
 }
 
 // reserve subtracts a task from the candidate's free capacity.
@@ -275,6 +279,7 @@
 func (s *Scheduler) assign(t *task, c *candidate, attempt int) {
 	t.attempt = attempt
 	t.assign(c.w, stagePlanned)
+	s.interference.countPlacement(t, c)
 	s.config.EventLog.RunPlanned(t.ref, attempt, c.w.entry.ID, c.free.Processors)
 	c.reserve(t)
 	s.countPlaced(t)
@@ -286,6 +291,9 @@
 	if c == nil && t.step.LongRunning {
 		c = s.anyCandidate(t, set.candidates, now)
 	}
+	if c != nil && s.tooSlow(t, c.w, set.candidates, now) {
+		return nil // there is room, so nothing is marked as unplaceable
+	}
 	if c == nil && len(t.avoidUntil) == 0 && !t.suspected() && t.job.accepted.Queue.Advice == nil {
 		set.markUnplaceable(t.step)
 	}
@@ -296,6 +304,7 @@
 // now or later, because another failure may use up the last attempt.
 func (s *Scheduler) bestCandidate(t *task, candidates []*candidate, now time.Duration) (chosen *candidate) {
 	avoids := len(t.avoidUntil) > 0 && s.hasAlternative(t, candidates, now)
+	t.conflicts = s.interference.conflicts(t)
 	for _, c := range candidates {
 		if c.blocked || avoids && t.avoids(c.w, now) {
 			continue
@@ -336,6 +345,9 @@
 	if t.suspected() && a.load.runs != b.load.runs {
 		return a.load.runs < b.load.runs // if it crashes the worker, few others are lost
 	}
+	if a.deferred != b.deferred {
+		return b.deferred
+	}
 	if near := acaciatally.Rack(t.step.NearRack); near != "" && (a.w.entry.Rack == near) != (b.w.entry.Rack == near) {
 		return a.w.entry.Rack == near
 	}
@@ -353,6 +365,11 @@
 	if dueA, dueB := s.drainSoon[a.w.entry.ID], s.drainSoon[b.w.entry.ID]; t.step.LongRunning && dueA != dueB {
 		return dueB
 	}
+	if len(t.conflicts) > 0 {
+		if countA, countB := a.w.neighbours.count(t.conflicts), b.w.neighbours.count(t.conflicts); countA != countB {
+			return countA < countB
+		}
+	}
 	if t.step.LongRunning && (a.load.numLongRunning > 0) != (b.load.numLongRunning > 0) {
 		return a.load.numLongRunning > 0 // keep long-running tasks together, because they keep their instances in the pool
 	}
--- a/dispatch/report.go
+++ b/dispatch/report.go
@@ -13,6 +13,7 @@
 	if w == nil {
 		return
 	}
+	s.interference.advance(now)
 	w.renewalInFlight, w.nextRenewalAt = false, sent+s.renewInterval()
 	if w.lost || report.StartTime.Before(w.startTime) && !report.StartTime.IsZero() {
 		return // the worker is lost, or the report is from an earlier incarnation
@@ -37,6 +38,7 @@
 		listed[runKey{ended.Task, ended.Attempt}] = true
 		s.handleEnd(w, ended, now)
 	}
+	w.speed.BeginReport()
 	orphans := map[runKey]bool{}
 	for _, run := range report.Running {
 		if !s.handleRunning(w, run, now) {
@@ -83,14 +85,17 @@
 		return false
 	}
 	if t.stage == stageOrdered || t.stage == stageInherited {
+		s.interference.started(t, t.stage == stageOrdered && t.startAttempts <= 1, now)
 		t.stage, t.confirmedAt, t.progressedAt = stageRunning, now, now
 		t.startOutcomeUnknown = false
 		s.markStarted(t)
 	}
 	t.observeProgress(run.Percent, now)
+	s.observePace(t, now)
 	t.tailLatency = 0
 	if t.step.TailObjective > 0 {
 		t.tailLatency = run.TailLatency
+		s.interference.observeResponse(t, now)
 	}
 	if run.Checkpoint != "" {
 		t.checkpoint = run.Checkpoint
@@ -173,6 +178,8 @@
 	switch {
 	case ended.End == acaciatally.EndDone && !t.step.LongRunning:
 		s.observeRunTime(t, now)
+		s.interference.observeEnd(t, now)
+		s.observeSuccess(t, now)
 		s.complete(t, now)
 		return
 	case ended.End == acaciatally.EndFailed:
@@ -189,6 +196,7 @@
 // worker and have to restart quickly.
 func (t *task) avoidWorker(now time.Duration) {
 	if !t.step.LongRunning {
+		t.failedOn = append(t.failedOn, t.worker.entry.ID)
 		t.avoidWorkerFor(avoidTime, now)
 	}
 }
--- a/dispatch/scheduler.go
+++ b/dispatch/scheduler.go
@@ -4,7 +4,9 @@
 	"time"
 
 	"github.com/acaciatally/acaciatally"
+	"github.com/acaciatally/acaciatally/interference"
 	"github.com/acaciatally/acaciatally/job"
+	"github.com/acaciatally/acaciatally/speed"
 )
 
 // Config configures a Scheduler.
@@ -24,6 +26,8 @@
 	QuotaOverage float64
 	// QuotaSlack is how many more jobs may arrive in each window, for accounts with few and irregular arrivals.
 	QuotaSlack int
+	// Interference tells what is done about kinds of tasks that slow each other down on one worker; empty is off.
+	Interference interference.Mode
 }
 
 // Scheduler holds the state of all jobs and workers during one term of leadership. In its methods, now is a monotonic clock that includes
@@ -56,6 +60,8 @@
 	heldStarts      int // start orders that the window held back in the last round
 	startRate       startRate
 	shares          shares
+	interference    *interferenceTracker
+	speeds          speeds
 }
 
 // New returns a scheduler without jobs and workers.
@@ -85,6 +91,9 @@
 		starts:      newStartWindow(),
 		startRate:   newStartRate(),
 		shares:      shares{accounts: map[acaciatally.AccountName]*accountShare{}, pools: map[acaciatally.PoolName]*poolShares{}},
+
+		interference: newInterferenceTracker(config.Interference),
+		speeds:       speeds{kinds: map[kindKey]*speed.Kind{}},
 	}
 }
 
@@ -199,11 +208,12 @@
 	attempt             int
 	worker              *worker // worker of the current run; nil without a run
 	failures            int
-	crashes             int           // workers that have crashed under a run of the task since it last ran for some time
-	unconfirmedCrashes  int           // the same for runs that may not have started
-	crashStreak         int           // latest runs in a row under which workers have crashed within crashStreakWindow, or after similar times
-	crashDelay          time.Duration // how long the last of these runs had gone on; 0 if an earlier leader counted it
-	countedAsSuspect    bool          // it is counted in suspectRuns of its worker
+	failedOn            []acaciatally.WorkerID // workers on which runs have failed under this leader
+	crashes             int                    // workers that have crashed under a run of the task since it last ran for some time
+	unconfirmedCrashes  int                    // the same for runs that may not have started
+	crashStreak         int                    // latest runs in a row under which workers have crashed within crashStreakWindow, or after similar times
+	crashDelay          time.Duration          // how long the last of these runs had gone on; 0 if an earlier leader counted it
+	countedAsSuspect    bool                   // it is counted in suspectRuns of its worker
 	checkpoint          string
 	stopReason          stopReason
 	stopInFlight        bool          // a stop order is in flight
@@ -223,6 +233,8 @@
 	cpuShare            int // in percent, as confirmed by the worker; 100 is unthrottled
 	cpuShareWanted      int
 	avoidUntil          map[acaciatally.WorkerID]time.Duration // workers on which the task failed, and until when to avoid them
+	observed            *observedRun                           // of the current run; nil if interference is not observed
+	conflicts           []interference.KindID                  // while it is being placed, the kinds to keep it apart from
 	unplacedSince       time.Duration                          // when placing a long-running task first failed or last preempted runs; 0 before
 }
 
@@ -238,6 +250,7 @@
 		a.used = a.used.Plus(t.step.Reserved())
 	}
 	t.job.usage.add(t.step.Resources, 1)
+	w.neighbours.assign(t)
 	t.joinSuspects()
 	t.job.dirty = true
 }
@@ -259,6 +272,7 @@
 			a.used = a.used.Minus(t.step.Reserved())
 		}
 		t.job.usage.add(t.step.Resources, -1)
+		t.worker.neighbours.release(t)
 		t.leaveSuspects()
 	}
 	t.phase, t.stage, t.worker = job.Waiting, stagePlanned, nil
--- a/dispatch/worker.go
+++ b/dispatch/worker.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/acaciatally/acaciatally"
+	"github.com/acaciatally/acaciatally/speed"
 )
 
 const (
@@ -38,11 +39,13 @@
 	load              load            // of the assigned tasks
 	leftovers         map[runKey]leftover
 	restartLease      time.Duration // when the longest lease that a renewal for the earlier incarnation may have given to this one is over
+	neighbours        *neighbours   // kinds of tasks on it; nil if interference is not observed
 	suspectRuns       int           // assigned tasks that are suspected of having crashed workers
 	suspects          []suspectRun  // runs that may have crashed the incarnation before, until the first report of this one
 	orderDue          bool          // an order about one of its runs may be due; see Scheduler.Orders
 	health            health
 	heldUntil         time.Duration // until when it takes no work on lent capacity; see reclaimCheck.holdFor
+	speed             speed.Worker
 	throttledAt       time.Duration // when the CPU share of its runs was last changed
 	idleSince         time.Duration // when a run was last seen on it
 	renewalInFlight   bool          // a renewal is in flight
@@ -118,6 +121,7 @@
 		}
 		if !w.listed && len(w.leftovers) == 0 && (w.lost || len(w.runs) == 0) {
 			s.markLost(w, "removed from the directory", now)
+			w.neighbours.discard()
 			delete(s.workers, id)
 		}
 	}
@@ -130,7 +134,7 @@
 	if w == nil {
 		w = &worker{
 			entry: acaciatally.Worker{ID: id}, orphans: map[runKey]bool{}, stoppingOrphans: map[runKey]bool{},
-			runs: map[*task]bool{}, fenceBump: s.fenceBumps,
+			runs: map[*task]bool{}, fenceBump: s.fenceBumps, neighbours: s.interference.newNeighbours(),
 		}
 		s.workers[id] = w
 	}
@@ -148,6 +152,9 @@
 	if !entry.StartTime.IsZero() && !w.entry.StartTime.IsZero() && entry.StartTime.After(w.entry.StartTime) {
 		s.handleRestart(w, entry.StartTime, now)
 	}
+	if w.entry.Pool != entry.Pool {
+		w.speed = speed.Worker{}
+	}
 	if !w.listed {
 		w.lost = false // it was considered lost while it was not listed
 	}
@@ -221,7 +228,7 @@
 	s.raiseFence(w)
 	w.suspects = s.suspectsOn(w)
 	w.lost, w.reported, w.restartedAt, w.reportClock, w.reportedAt, w.leaseUntil, w.acknowledged = false, false, now, 0, 0, 0, 0
-	w.unackedEnds, w.lastReportHadEnds, w.health = nil, false, health{}
+	w.unackedEnds, w.lastReportHadEnds, w.health, w.speed = nil, false, health{}, speed.Worker{}
 	w.orphans = map[runKey]bool{}
 }
 
