--- a/dispatch/plan.go
+++ b/dispatch/plan.go
@@ -211,8 +211,8 @@
 	free         acaciatally.ResourceVector
 	trial        *gangTrial // nil unless a gang is being placed
 	trialMembers int        // members of that gang that the trial has placed on the worker
-	deferred     bool       // the worker is slow or unreliable
 	blocked      bool       // held for other work than the one that is being placed
+	deferred     bool       // the worker is slow or unreliable
 }
 
 // candidates returns the workers of a pool that may get new runs, sorted by ID.
--- a/dispatch/share_benchmark_test.go
+++ b/dispatch/share_benchmark_test.go
@@ -16,7 +16,7 @@
 func BenchmarkFullPools(b *testing.B) {
 	for _, accounts := range []int{0, 20} {
 		b.Run(fmt.Sprintf("accounts=%d", accounts), func(b *testing.B) {
-			scheduler, now := fullPools(accounts, accounts, 1000)
+			scheduler, now := fullPools(accounts)
 			b.ReportAllocs()
 			for b.Loop() {
 				now += 100 * time.Microsecond
@@ -28,7 +28,7 @@
 
 // BenchmarkDivision measures one division of the same pools between 20 accounts, which takes place once per divideInterval.
 func BenchmarkDivision(b *testing.B) {
-	scheduler, now := fullPools(20, 20, 1000)
+	scheduler, now := fullPools(20)
 	b.ReportAllocs()
 	for b.Loop() {
 		now += divideInterval
@@ -39,7 +39,7 @@
 // BenchmarkReclaim measures a placement of the same pools that looks for room to reclaim and workers to hold: one account fills them with runs
 // without checkpoints, and the other 19 wait with large tasks.
 func BenchmarkReclaim(b *testing.B) {
-	scheduler, now := fullPools(20, 1, 9000)
+	scheduler, now := fullPoolsOf(20, 1, 9000)
 	for range 12 {
 		now += checkInterval
 		scheduler.place(nil, now)
@@ -58,8 +58,13 @@
 	}
 }
 
-// fullPools returns a scheduler whose pools are full, with a backlog of other tasks.
-func fullPools(accounts, runningAccounts, waitingProcessors int) (scheduler *Scheduler, now time.Duration) {
+// fullPools returns a scheduler whose pools are full, with a backlog.
+func fullPools(accounts int) (scheduler *Scheduler, now time.Duration) {
+	return fullPoolsOf(accounts, accounts, 1000)
+}
+
+// fullPoolsOf returns a scheduler whose pools are full of runs of some of the accounts, with a backlog of other tasks.
+func fullPoolsOf(accounts, runningAccounts, waitingProcessors int) (scheduler *Scheduler, now time.Duration) {
 	const pools, workers, waiting = 5, 350, 3000
 	scheduler, _ = newScheduler()
 	configuration := &acaciatally.Configuration{Version: 1}
--- a/dispatch/speed_benchmark_test.go
+++ b/dispatch/speed_benchmark_test.go
@@ -11,7 +11,7 @@
 func BenchmarkPace(b *testing.B) {
 	for name, disabled := range map[string]bool{"learned": false, "disabled": true} {
 		b.Run(name, func(b *testing.B) {
-			scheduler, now := fullPools(0, 0, 1000)
+			scheduler, now := fullPools(0)
 			scheduler.speeds.disabled = disabled
 			w := scheduler.workers["i-1"]
 			report := acaciatally.WorkerReport{StartTime: w.startTime}
@@ -35,7 +35,7 @@
 
 // BenchmarkAssessSpeeds measures the assessment of 350 workers that each have runs of 12 steps, which takes place once per checkInterval.
 func BenchmarkAssessSpeeds(b *testing.B) {
-	scheduler, now := fullPools(0, 0, 1000)
+	scheduler, now := fullPools(0)
 	for _, w := range scheduler.workers {
 		for step := range 12 {
 			w.speed.ObserveEnd(acaciatally.TaskRef{Step: step}, 0, speedVariance, now)
