--- a/dispatch/speed_test.go
+++ b/dispatch/speed_test.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"context"
 	"fmt"
 	"math"
 	"slices"
@@ -11,6 +12,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/acaciatally/acaciatally"
+	"github.com/acaciatally/acaciatally/speed"
 )
 
 // speedTrial is a simulation in which runs take longer on some workers, or have skewed times, and in which workers report progress.
@@ -233,6 +235,34 @@
 	require.GreaterOrEqual(t, early, slowWorkers/2)
 }
 
+// TestRelearned guards against a next leader that does not find the slow workers, since it learns the times of kinds while some workers are slow,
+// and does not know the start of runs that it inherits.
+func TestRelearned(t *testing.T) {
+	const from, takeover, bound = 5 * time.Second, 8 * time.Second, 5 * time.Second
+	trial := newSpeedTrial(t)
+	trial.factor = slowFrom(from, time.Minute)
+	trial.each = func(now time.Duration) {
+		s := trial.scheduler
+		if now == takeover {
+			clear(s.speeds.kinds)
+			for _, w := range s.workers {
+				w.speed = speed.Worker{}
+				for run := range w.runs {
+					run.startSentAt = 0
+				}
+			}
+		}
+		for number, w := range trial.workers {
+			slow := s.workers[w.ID].speed.Slow()
+			require.False(t, slow && number < trialWorkers-slowWorkers)
+			if now == takeover+bound && number >= trialWorkers-slowWorkers {
+				require.True(t, slow)
+			}
+		}
+	}
+	trial.run(30, 20*time.Second)
+}
+
 // TestUnreliableWorkers guards against workers that fail half of their runs and get as many as others, because each success ends their probation.
 func TestUnreliableWorkers(t *testing.T) {
 	run := func(disabled bool) int {
@@ -364,3 +394,14 @@
 		})
 	}
 }
+
+// TestSlowWorkersOfFormerLeader guards against a metric of slow workers that a former leader keeps.
+func TestSlowWorkersOfFormerLeader(t *testing.T) {
+	eventLog := &countingEventLog{counts: map[string]int{}}
+	r := NewRunner(RunnerConfig{Store: &memoryStore{}, Leads: func() bool { return false }, Scheduler: Config{EventLog: eventLog}})
+	r.scheduler.speeds.slow = 1
+	ctx, cancel := context.WithCancel(t.Context())
+	cancel()
+	require.NoError(t, r.Run(ctx))
+	require.Equal(t, 1, eventLog.counts["SlowWorkers"])
+}
--- a/eventlog/accounts_test.go
+++ b/eventlog/accounts_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"fmt"
 	"io"
 	"testing"
 
@@ -56,3 +57,14 @@
 	logger.AccountUsage(nil)
 	require.NotContains(t, scrape(), "acaciatally_account_")
 }
+
+// TestSlowWorkersGauge guards against a gauge that stays when an entry no longer leads: summed over the entries it would show workers twice.
+func TestSlowWorkersGauge(t *testing.T) {
+	logger := eventlog.New(io.Discard, "entry-1")
+	for _, count := range []int{3, 0} {
+		logger.SlowWorkers(count)
+		var output bytes.Buffer
+		logger.Metrics().WritePrometheus(&output)
+		require.Contains(t, output.String(), fmt.Sprintf("acaciatally_slow_workers %d\n", count))
+	}
+}
--- a/speed/kind_test.go
+++ b/speed/kind_test.go
@@ -39,3 +39,13 @@
 	_, _, known := kind.Compare(time.Second, time.Second)
 	require.True(t, known)
 }
+
+// TestSlowWorkersOfKind guards against slow workers that hide others: counted as they are, their runs move the mean of the kind and its variance, and
+// each further one is found later.
+func TestSlowWorkersOfKind(t *testing.T) {
+	trial := newTrial(10)
+	trial.run(0, 20*time.Second, slowTimes(4))
+	difference, variance, _ := trial.kind.Compare(time.Second, time.Second)
+	require.InDelta(t, 0, difference, 0.3)
+	require.Less(t, variance, 0.2)
+}
