Find fewer workers slow by chance where jobs differ

The steps of a long job counted as several samples; workers without new runs were assessed by the long ones that were left; and the double weight of running runs counted as double precision.

Change: the runs of an occurrence of a job count once; a run that goes on as before ages as evidence, and one whose pace changes is new; the standard error is that of the weighted mean; five errors in place of four.

The new tests TestJobsOfDifferentLength, TestLongRunsAreLeft, TestLongRunsSlowDown and the changed TestLongJobIsNoSlowWorker were seen to fail without their parts, TestJobsOfDifferentLength with a margin of two errors only.

--- a/dispatch/speed_benchmark_test.go
+++ b/dispatch/speed_benchmark_test.go
@@ -33,12 +33,12 @@
 	}
 }
 
-// BenchmarkAssessSpeeds measures the assessment of 350 workers that each have runs of 12 steps, which takes place once per checkInterval.
+// BenchmarkAssessSpeeds measures the assessment of 350 workers that each have runs of 12 jobs, which takes place once per checkInterval.
 func BenchmarkAssessSpeeds(b *testing.B) {
 	scheduler, now := fullPools(0)
 	for _, w := range scheduler.workers {
-		for step := range 12 {
-			w.speed.ObserveEnd(acaciatally.TaskRef{Step: step}, 0, speedVariance, now)
+		for i := range 12 {
+			w.speed.ObserveEnd(acaciatally.TaskRef{Occurrence: i}, 0, speedVariance, now)
 		}
 	}
 	b.ReportAllocs()
--- a/dispatch/speed_test.go
+++ b/dispatch/speed_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"math"
+	"math/rand/v2"
 	"slices"
 	"strings"
 	"testing"
@@ -21,6 +22,7 @@
 	factor    func(worker int, now time.Duration) float64 // factor on run times; nil is 1
 	fails     func(worker int, id acaciatally.JobID) bool // whether a run fails, at half of its time; nil is never
 	skew      float64                                     // standard deviation of the logarithm of run times; 0 is the usual even distribution
+	jobSkew   float64                                     // the same for all tasks of a job
 	wrong     bool                                        // callers' estimates are 0.2 to 5 times the real times
 	started   []string                                    // task and worker of each run, in order
 	runsOn    map[int]int                                 // runs started on each worker
@@ -84,6 +86,10 @@
 func (r *speedTrial) distort(id acaciatally.JobID) {
 	j := r.scheduler.jobs[id]
 	arrived := r.dueBy[id]
+	ofJob := 1.0
+	if r.jobSkew > 0 {
+		ofJob = math.Exp(r.jobSkew * r.random.NormFloat64())
+	}
 	for step := range j.accepted.Spec.Steps {
 		arrived -= time.Duration(1.6 * float64(r.longest(id, step)))
 		if r.wrong {
@@ -94,7 +100,7 @@
 		}
 		for index := 0; r.skew > 0 && index < tasksPerStep; index++ {
 			ref := acaciatally.TaskRef{Job: id, Step: step, Index: index}
-			r.runTimes[ref] = time.Duration(float64(meanRunTime) / 2 * math.Exp(r.skew*r.random.NormFloat64()))
+			r.runTimes[ref] = time.Duration(ofJob * float64(meanRunTime) / 2 * math.Exp(r.skew*r.random.NormFloat64()))
 		}
 	}
 	r.dueBy[id] = arrived
@@ -203,8 +209,24 @@
 	}
 }
 
+// TestJobsOfDifferentLength guards against workers that are taken for slow because of a few long jobs, of which one worker often runs most tasks, or
+// because their short runs have ended and only the long ones are left.
+func TestJobsOfDifferentLength(t *testing.T) {
+	for seed := range uint64(4) {
+		trial := newSpeedTrial(t)
+		trial.random = rand.New(rand.NewPCG(seed, 7))
+		trial.skew, trial.wrong, trial.jobSkew = 0.3, true, 0.5
+		trial.each = func(now time.Duration) {
+			for _, w := range trial.scheduler.workers {
+				require.False(t, w.speed.Slow(), "%s at %s", w.entry.ID, now)
+			}
+		}
+		trial.run(18, time.Minute)
+	}
+}
+
 // TestSlowNoticedEarly guards against a slow worker that is noticed only when the runs end that began there while it was slow: it takes reports of
-// their pace, of which there is one each 0.9 s, and runs of three steps. A worker that is fast again is noticed as well.
+// their pace, of which there is one each 0.9 s, and runs of three jobs. A worker that is fast again is noticed as well.
 func TestSlowNoticedEarly(t *testing.T) {
 	const from, until = 5 * time.Second, 12 * time.Second
 	trial := newSpeedTrial(t)
--- a/speed/worker.go
+++ b/speed/worker.go
@@ -9,26 +9,29 @@
 )
 
 const (
-	// maxSteps is the number of steps of which a worker's runs are kept. Large workers run about this many steps at a time.
-	maxSteps = 12
-	// evidenceHalfLife is the age at which a step counts half.
+	// maxJobs is the number of jobs of which a worker's runs are kept. Large workers run about this many at a time.
+	maxJobs = 12
+	// evidenceHalfLife is the age at which a sample counts half, since it was first observed or has changed.
 	evidenceHalfLife = 3 * time.Second
-	// maxAge is the age at which a step no longer counts.
+	// minChange is the logarithmic change of a sample's difference that counts as new evidence, a factor of 1.5. A long run that goes on as before tells
+	// nothing new; otherwise workers that get no new runs would be assessed by their longest ones alone.
+	minChange = 0.4
+	// maxAge is the age at which a sample no longer counts.
 	maxAge = 15 * time.Second
 	// maxDifference clips the logarithmic difference of a run, at a factor of 10.
 	maxDifference = 2.3
-	// minVariance is the smallest variance assumed of a step's difference: run times depend on what else runs on the worker.
+	// minVariance is the smallest variance assumed of a sample: run times depend on what else runs on the worker.
 	minVariance = 0.04
-	// progressWeight is the weight of a step whose current pace is known. It exceeds that of completed runs, which may be from before the worker
+	// progressWeight is the weight of a sample whose current pace is known. It exceeds that of completed runs, which may be from before the worker
 	// became slow or fast.
 	progressWeight = 2
-	// minSteps is the number of different steps that a verdict needs. The tasks of one step may all be long, and often run on one worker.
-	minSteps = 3
+	// minJobs is the number of different jobs that a verdict needs. The tasks of one job may all be long, and often run on one worker.
+	minJobs = 3
 	// slowFactor is the factor on run times from which a worker is slow, and fastFactor that below which it no longer is.
 	slowFactor, fastFactor = 2, 1.5
 	// certainFactor is the factor that a slow worker has to exceed by marginOfError standard errors. With 350 workers that are assessed ten times a
 	// second, a smaller margin often finds one by chance.
-	certainFactor, marginOfError = 1.25, 4
+	certainFactor, marginOfError = 1.25, 5
 	// minHold is how long a worker is avoided that has been found slow. Then it is tried with what finds no room elsewhere, for trialTime, which
 	// reports of the pace of its runs need. Each time it is still slow, it is avoided twice as long, up to maxHold.
 	minHold, maxHold = 5 * time.Second, 20 * time.Second
@@ -40,24 +43,42 @@
 // Worker is what is known of the speed of one incarnation of a worker.
 type Worker struct {
 	failures  failures
-	steps     []step
+	samples   []sample
 	slow      bool
 	relative  float64 // logarithm of the factor on run times, relative to the median of the pool
 	estimated float64 // the same relative to the kinds' means
 	deviation float64 // standard error of estimated
-	known     int     // steps in estimated
+	known     int     // samples in estimated
 	assessed  bool    // estimated is set; it is kept while nothing newer is known
 	hold      time.Duration
 	holdUntil time.Duration // a slow worker is avoided until then
 }
 
-// step is the difference from the expected time of the runs of one step on the worker.
-type step struct {
-	ref      acaciatally.TaskRef // of the step's task 0
+// sample is the difference from the expected time of the runs of one occurrence of a job on the worker.
+type sample struct {
+	ref      acaciatally.TaskRef // with the step and the index 0
 	variance float64
 	ended    logSum
-	running  logSum // as of the last report
-	observed time.Duration
+	running  logSum        // as of the last report
+	observed time.Duration // when a run was last observed
+	mean     float64       // of the runs, as of changed
+	changed  time.Duration // when mean last changed by minChange, or the first run was observed
+}
+
+// difference returns the mean difference of the running runs, or else of the ended ones.
+func (s *sample) difference() (mean float64, known bool) {
+	from := &s.ended
+	if s.running.count > 0 {
+		from = &s.running
+	}
+	if from.count == 0 {
+		return 0, false
+	}
+	mean = from.sum / float64(from.count)
+	if s.changed == 0 || math.Abs(mean-s.mean) >= minChange {
+		s.mean, s.changed = mean, s.observed
+	}
+	return mean, true
 }
 
 type logSum struct {
@@ -94,81 +115,88 @@
 
 // BeginReport drops the pace of running runs, which the next report tells anew.
 func (w *Worker) BeginReport() {
-	for i := range w.steps {
-		w.steps[i].running = logSum{}
+	for i := range w.samples {
+		w.samples[i].running = logSum{}
 	}
 }
 
 // ObserveEnd adds the difference of a completed run of a task from the expected time.
 func (w *Worker) ObserveEnd(task acaciatally.TaskRef, difference, variance float64, now time.Duration) {
-	s := w.step(task, now)
+	s := w.sample(task, now)
 	s.ended.add(difference)
 	s.variance = variance
 }
 
 // ObservePace adds the difference of the projected time of a running run of a task from the expected time.
 func (w *Worker) ObservePace(task acaciatally.TaskRef, difference, variance float64, now time.Duration) {
-	s := w.step(task, now)
+	s := w.sample(task, now)
 	s.running.add(difference)
 	s.variance = variance
 }
 
-// step returns the entry of the task's step, which may replace that of the step observed longest ago.
-func (w *Worker) step(task acaciatally.TaskRef, now time.Duration) *step {
-	task.Index = 0
+// sample returns the sample of the task's job, which may replace the one observed longest ago.
+func (w *Worker) sample(task acaciatally.TaskRef, now time.Duration) *sample {
+	task.Step, task.Index = 0, 0
 	oldest := 0
-	for i := range w.steps {
-		if w.steps[i].ref == task {
-			w.steps[i].observed = now
-			return &w.steps[i]
+	for i := range w.samples {
+		if w.samples[i].ref == task {
+			w.samples[i].observed = now
+			return &w.samples[i]
 		}
-		if w.steps[i].observed < w.steps[oldest].observed {
+		if w.samples[i].observed < w.samples[oldest].observed {
 			oldest = i
 		}
 	}
-	if len(w.steps) < maxSteps {
-		w.steps = append(w.steps, step{})
-		oldest = len(w.steps) - 1
+	if len(w.samples) < maxJobs {
+		w.samples = append(w.samples, sample{})
+		oldest = len(w.samples) - 1
 	}
-	w.steps[oldest] = step{ref: task, observed: now}
-	return &w.steps[oldest]
+	w.samples[oldest] = sample{ref: task, observed: now}
+	return &w.samples[oldest]
 }
 
-// estimate computes the weighted mean over the steps. The evidence of a slow worker decays only as new evidence arrives, since the worker gets few
+// estimate computes the weighted mean of the samples. The evidence of a slow worker decays only as new evidence arrives, since the worker gets few
 // runs.
 func (w *Worker) estimate(now time.Duration) {
 	if w.slow {
-		now = w.lastObserved()
+		now = w.lastChanged()
 	}
-	sum, weights := 0.0, 0.0
+	sum, weights, squares := 0.0, 0.0, 0.0
 	w.known = 0
-	for i := range w.steps {
-		s := &w.steps[i]
-		age := now - s.observed
-		if age > maxAge {
+	for i := range w.samples {
+		s := &w.samples[i]
+		difference, known := s.difference()
+		age := now - s.changed
+		if !known || age > maxAge {
 			continue
 		}
-		weight, from := 1/(s.variance+minVariance), &s.ended
+		variance := s.variance + minVariance
+		weight := math.Exp2(-float64(age)/float64(evidenceHalfLife)) / variance
 		if s.running.count > 0 {
-			weight, from = weight*progressWeight, &s.running
+			weight *= progressWeight
 		}
-		if from.count == 0 {
-			continue
-		}
-		weight *= math.Exp2(-float64(age) / float64(evidenceHalfLife))
 		w.known++
 		weights += weight
-		sum += weight * from.sum / float64(from.count)
+		squares += weight * weight * variance
+		sum += weight * difference
 	}
 	if w.known > 0 {
-		w.estimated, w.deviation, w.assessed = sum/weights, 1/math.Sqrt(weights), true
+		w.estimated, w.deviation, w.assessed = sum/weights, math.Sqrt(squares)/weights, true
 	}
 }
 
 // lastObserved returns when a run on the worker was last observed.
 func (w *Worker) lastObserved() (last time.Duration) {
-	for i := range w.steps {
-		last = max(last, w.steps[i].observed)
+	for i := range w.samples {
+		last = max(last, w.samples[i].observed)
+	}
+	return last
+}
+
+// lastChanged returns when something new was last observed on the worker.
+func (w *Worker) lastChanged() (last time.Duration) {
+	for i := range w.samples {
+		last = max(last, w.samples[i].changed)
 	}
 	return last
 }
@@ -202,10 +230,10 @@
 		return false
 	}
 	w.relative = w.estimated - median
-	certain := w.known >= minSteps
+	certain := w.known >= minJobs
 	switch {
 	case w.slow && now > w.lastObserved()+forgetTime, w.slow && certain && w.relative < math.Log(fastFactor):
-		w.slow, w.hold, w.steps, w.estimated = false, 0, w.steps[:0], median
+		w.slow, w.hold, w.samples, w.estimated = false, 0, w.samples[:0], median
 		return true
 	case w.slow && w.lastObserved() > w.holdUntil+trialTime:
 		w.hold = min(maxHold, 2*w.hold)
--- a/speed/worker_test.go
+++ b/speed/worker_test.go
@@ -92,10 +92,8 @@
 	trial := newTrial(10)
 	trial.run(0, 10*time.Second, slowTimes(0))
 	for _, w := range trial.workers {
-		w.steps = nil
-		for job := range 6 {
-			w.ObservePace(acaciatally.TaskRef{Job: acaciatally.JobID(fmt.Sprint("running-", job))}, math.Log(5), 0.1, 11*time.Second)
-		}
+		w.samples = nil
+		observeRunning(w, 6, math.Log(5), 11*time.Second)
 	}
 	require.Empty(t, Assess(trial.workers, 11*time.Second))
 	trial.run(11*time.Second, 30*time.Second, slowTimes(10))
@@ -132,13 +130,13 @@
 	}
 }
 
-// TestLongStepIsNoSlowWorker guards against a worker that is taken for slow because all tasks of one step with a wrong estimate run on it.
-func TestLongStepIsNoSlowWorker(t *testing.T) {
+// TestLongJobIsNoSlowWorker guards against a worker that is taken for slow because all tasks of one job with a wrong estimate run on it.
+func TestLongJobIsNoSlowWorker(t *testing.T) {
 	trial := newTrial(10)
 	trial.run(0, 10*time.Second, slowTimes(0))
-	trial.workers[0].steps = nil
+	trial.workers[0].samples = nil
 	for index := range 16 {
-		trial.workers[0].ObservePace(acaciatally.TaskRef{Job: "long", Index: index}, math.Log(10), 0.1, 10*time.Second)
+		trial.workers[0].ObservePace(acaciatally.TaskRef{Job: "long", Step: index % 4, Index: index}, math.Log(10), 0.1, 10*time.Second)
 	}
 	require.Empty(t, Assess(trial.workers, 10*time.Second))
 }
@@ -148,11 +146,45 @@
 	trial := newTrial(10)
 	trial.run(0, 10*time.Second, slowTimes(0))
 	w := trial.workers[0]
+	observeRunning(w, 4, math.Log(5), 11*time.Second)
+	require.Equal(t, []*Worker{w}, Assess(trial.workers, 11*time.Second))
+}
+
+// TestLongRunsAreLeft guards against a worker that is taken for slow because its short runs have ended and long ones go on, each as slowly as before.
+func TestLongRunsAreLeft(t *testing.T) {
+	trial := newTrial(10)
+	trial.run(0, 10*time.Second, slowTimes(0))
+	w := trial.workers[0]
+	w.samples = nil
+	for job := range 9 {
+		w.ObserveEnd(acaciatally.TaskRef{Job: acaciatally.JobID(fmt.Sprint("short-", job))}, -0.5, 0.1, 10*time.Second)
+	}
+	for now := 10 * time.Second; now < 30*time.Second; now += round {
+		observeRunning(w, 3, 1.5, now)
+		require.Empty(t, Assess(trial.workers, now))
+	}
+}
+
+// TestLongRunsSlowDown guards against a worker that becomes slow and is not noticed, because its runs are old.
+func TestLongRunsSlowDown(t *testing.T) {
+	trial := newTrial(10)
+	trial.run(0, 10*time.Second, slowTimes(0))
+	w := trial.workers[0]
+	w.samples = nil
+	for now := 10 * time.Second; now < 40*time.Second; now += round {
+		observeRunning(w, 4, 0, now)
+		require.Empty(t, Assess(trial.workers, now))
+	}
+	observeRunning(w, 4, math.Log(5), 40*time.Second)
+	require.Equal(t, []*Worker{w}, Assess(trial.workers, 40*time.Second))
+}
+
+// observeRunning adds a report of running runs, each of another job, to what is known of the worker.
+func observeRunning(w *Worker, jobs int, difference float64, now time.Duration) {
 	w.BeginReport()
-	for job := range 4 {
-		w.ObservePace(acaciatally.TaskRef{Job: acaciatally.JobID(fmt.Sprint("running-", job))}, math.Log(5), 0.1, 11*time.Second)
+	for job := range jobs {
+		w.ObservePace(acaciatally.TaskRef{Job: acaciatally.JobID(fmt.Sprint("running-", job))}, difference, 0.1, now)
 	}
-	require.Equal(t, []*Worker{w}, Assess(trial.workers, 11*time.Second))
 }
 
 // TestTrialOfSlowWorker guards against a worker that is avoided for good, since a worker without runs can't show that it is fast again, and against
@@ -190,7 +222,7 @@
 func TestBoundedMemory(t *testing.T) {
 	trial := newTrial(2)
 	trial.run(0, time.Minute, slowTimes(1))
-	require.Len(t, trial.workers[0].steps, maxSteps)
+	require.Len(t, trial.workers[0].samples, maxJobs)
 }
 
 // BenchmarkAssess measures the assessment of 350 workers in 5 pools with evidence, which takes place ten times a second.
