Learn the speed of workers only where the operators ask for it

Cause: the earlier deployments have to be served as before, and what is learned of workers and steps changes the order of their jobs too.

Change: attend has -learn-speed, off by default; without it neither the speed of workers nor the times of steps by their number are used.

--- a/console/attend.go
+++ b/console/attend.go
@@ -26,6 +26,14 @@
 	memoryLimitShare = 0.6
 )
 
+// attendOptions are the flags of the attend command.
+type attendOptions struct {
+	settingsPath string
+	metricsPort  uint16 // 0 disables the /metrics server
+	interference interference.Mode
+	learnSpeed   bool
+}
+
 // attend runs an entry on the users' platform, configured by the settings file that the platform writes.
 func attend(config Config, arguments []string) (err error) {
 	set := newFlagSet(config, "attend [flags]", "  acaciatally attend\n  acaciatally attend -check -settings local.json\n")
@@ -33,6 +41,7 @@
 	port := set.Uint("metrics", 0, "port of the /metrics server; 0 disables it")
 	interferenceMode := set.String("interference", string(interference.ModeObserve),
 		"what the leader does about kinds of tasks that slow each other down on one worker: off, observe or avoid")
+	learnSpeed := set.Bool("learn-speed", false, "learn the speed of workers and place runs on slow and unreliable ones last")
 	checkOnly := set.Bool("check", false, "check the settings and exit")
 	if err = parseFlags(set, arguments); err != nil {
 		return err
@@ -48,25 +57,25 @@
 	if err != nil || *checkOnly {
 		return err
 	}
-	return runSite(config, *path, uint16(*port), mode, settings)
+	return runSite(config, attendOptions{settingsPath: *path, metricsPort: uint16(*port), interference: mode, learnSpeed: *learnSpeed}, settings)
 }
 
-func runSite(config Config, path string, port uint16, mode interference.Mode, settings platform.Settings) error {
+func runSite(config Config, options attendOptions, settings platform.Settings) error {
 	debug.SetGCPercent(gcPercent)
 	if settings.Memory > 0 {
 		debug.SetMemoryLimit(int64(memoryLimitShare * float64(settings.Memory)))
 	}
 	logger := eventlog.New(config.Output, settings.Name)
-	logger.Started(versionText(), path)
+	logger.Started(versionText(), options.settingsPath)
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	go stopOnSignal(cancel)
 	context.AfterFunc(ctx, func() { logger.Stopping("signal") })
-	go reloadOnHangup(ctx, path, logger)
+	go reloadOnHangup(ctx, options.settingsPath, logger)
 	siteConfig := newSiteConfig(settings, logger)
-	siteConfig.Interference = mode
-	if port != 0 {
-		siteConfig.Metrics, siteConfig.MetricsListen = metricsHandler(logger), netip.AddrPortFrom(settings.IP, port)
+	siteConfig.Interference, siteConfig.IgnoreWorkerSpeed = options.interference, !options.learnSpeed
+	if options.metricsPort != 0 {
+		siteConfig.Metrics, siteConfig.MetricsListen = metricsHandler(logger), netip.AddrPortFrom(settings.IP, options.metricsPort)
 	}
 	process := site.New(siteConfig)
 	logger.Metrics().NewGauge("acaciatally_configuration_age_seconds", func() float64 { return process.ConfigurationAge().Seconds() })
--- a/dispatch/estimate.go
+++ b/dispatch/estimate.go
@@ -134,6 +134,10 @@
 	}
 	expected := make([]time.Duration, len(j.accepted.Spec.Steps))
 	for number, step := range j.accepted.Spec.Steps {
+		if s.speeds.disabled {
+			expected[number] = means.step.expect(step.Estimate)
+			continue
+		}
 		expected[number] = means.stepKinds.expect(number, step.Estimate, &means.step)
 	}
 	return expected
--- a/dispatch/scheduler.go
+++ b/dispatch/scheduler.go
@@ -22,6 +22,8 @@
 	EventLog        EventLog
 	// QuotaWindow is the time over which the rate of an account's jobs is counted; if it is 0, the defaults apply to all three.
 	QuotaWindow time.Duration
+	// IgnoreWorkerSpeed turns off what is learned of the speed of workers and of the times of steps by their number.
+	IgnoreWorkerSpeed bool
 	// QuotaOverage is the part of its weight by which an account may exceed its rate of jobs.
 	QuotaOverage float64
 	// QuotaSlack is how many more jobs may arrive in each window, for accounts with few and irregular arrivals.
@@ -93,7 +95,7 @@
 		shares:      shares{accounts: map[acaciatally.AccountName]*accountShare{}, pools: map[acaciatally.PoolName]*poolShares{}},
 
 		interference: newInterferenceTracker(config.Interference),
-		speeds:       speeds{kinds: map[kindKey]*speed.Kind{}},
+		speeds:       speeds{kinds: map[kindKey]*speed.Kind{}, disabled: config.IgnoreWorkerSpeed},
 	}
 }
 
--- a/dispatch/speed.go
+++ b/dispatch/speed.go
@@ -26,7 +26,7 @@
 type speeds struct {
 	kinds    map[kindKey]*speed.Kind
 	slow     int  // slow workers
-	disabled bool // nothing is learned, for comparisons in tests
+	disabled bool // nothing is learned; see Config.IgnoreWorkerSpeed
 }
 
 // kind returns what is known of the run times of the task's kind.
--- a/site/site.go
+++ b/site/site.go
@@ -117,6 +117,7 @@
 	MoveTime        time.Duration // from the order until a moved instance serves again
 	MaintenanceTime time.Duration // from the order until a maintained instance serves again
 
+	IgnoreWorkerSpeed bool              // the leader learns nothing of the speed of workers
 	Interference      interference.Mode // what the leader does about tasks that slow each other down; empty is off
 	EventLog          EventLog
 	TakeoverJitter    float64              // jitter factor of this entry's takeover delay, 0 to 1
@@ -243,7 +244,8 @@
 			Epoch: epoch, WorkerLease: min(maxWorkerLease, p.config.MaxLease), MaxLease: p.config.MaxLease,
 			Retention: p.config.Retention, MaxEarlyStart: p.config.MaxEarlyStart, LeadershipStart: p.config.Now(), EventLog: p.config.EventLog,
 			MaxCommitBytes: commitBytes(p.config.LinkBitsPerSecond), MaxRecordBytes: p.config.MaxRecordBytes, Interference: p.config.Interference,
-			QuotaOverage: p.config.QuotaOverage, QuotaWindow: p.config.QuotaWindow, QuotaSlack: p.config.QuotaSlack,
+			IgnoreWorkerSpeed: p.config.IgnoreWorkerSpeed,
+			QuotaOverage:      p.config.QuotaOverage, QuotaWindow: p.config.QuotaWindow, QuotaSlack: p.config.QuotaSlack,
 		},
 	})
 	if err := runner.Run(ctx); err != nil {
