Pass the quota settings on to the admission of accounts

Cause: The leader's admission used the default overage, window and slack whatever bounds.quotaOverage, bounds.quotaWindowS and bounds.quotaSlack are, while the order of work followed the settings. A configured overage or slack of 0 was replaced by the default.

Change: site.Process passes the three settings on to overload.Config, where the defaults apply only without a window, as in dispatch.Config.

--- a/overload/controller.go
+++ b/overload/controller.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/acaciatally/acaciatally"
+	"github.com/acaciatally/acaciatally/sharing"
 )
 
 const (
@@ -30,28 +31,16 @@
 	turnTime = time.Second
 )
 
-// Config holds the entitlement of accounts beyond their weights; zero values stand for the defaults of the settings.
+// Config holds the entitlement of accounts beyond their weights; without a Window, the defaults of package sharing apply to all three.
 type Config struct {
-	Overage float64       // part of its weight by which an account may exceed it, as in bounds.quotaOverage
-	Window  time.Duration // time over which its jobs are compared with its weight, as in bounds.quotaWindowS
-	Extra   int           // jobs beyond that in the window, since the rates of small accounts vary, as in bounds.quotaSlack
+	Overage float64       // part of its weight by which an account may exceed it
+	Window  time.Duration // time over which its jobs are compared with its weight
+	Extra   int           // jobs beyond that in the window, since the rates of small accounts vary
 }
 
-const (
-	defaultOverage = 0.1
-	defaultWindow  = 5 * time.Second
-	defaultExtra   = 20
-)
-
 func (c Config) withDefaults() Config {
-	if c.Overage == 0 {
-		c.Overage = defaultOverage
-	}
 	if c.Window == 0 {
-		c.Window = defaultWindow
-	}
-	if c.Extra == 0 {
-		c.Extra = defaultExtra
+		c.Overage, c.Window, c.Extra = sharing.DefaultOverage, sharing.DefaultWindow, sharing.DefaultSlack
 	}
 	return c
 }
--- a/overload/controller_test.go
+++ b/overload/controller_test.go
@@ -212,6 +212,28 @@
 	}
 }
 
+// TestEntitlementOfWindow guards against defaults in place of a configured overage or slack of zero.
+func TestEntitlementOfWindow(t *testing.T) {
+	tests := map[string]struct {
+		config  overload.Config
+		arrived int // in each update
+	}{
+		"default":             {overload.Config{}, 6},
+		"no overage or slack": {overload.Config{Window: 5 * time.Second}, 4},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			controller := overload.NewController(test.config, nil)
+			refuses := false
+			for n := range 60 {
+				load := overload.Load{Account: "a", Weight: 10, Wait: 3 * jobSlack, Slack: jobSlack, Arrived: test.arrived, Begun: 2}
+				refuses = controller.Update([]overload.Load{load}, time.Duration(n+1)*updateInterval) != nil || refuses
+			}
+			require.True(t, refuses)
+		})
+	}
+}
+
 // TestWaitByEstimates guards against entries that compare the slack by estimates which are several times too long with a measured wait: they would
 // refuse nobody.
 func TestWaitByEstimates(t *testing.T) {
--- a/sharing/window.go
+++ b/sharing/window.go
@@ -2,6 +2,13 @@
 
 import "time"
 
+// The entitlement of accounts beyond their weights where the settings have none.
+const (
+	DefaultOverage = 0.1             // part of its weight by which an account may exceed its rate of jobs
+	DefaultWindow  = 5 * time.Second // time over which the rate is counted
+	DefaultSlack   = 20              // jobs by which an account may exceed its rate in each window
+)
+
 // Window counts the jobs of an account that arrived within its rate during the last seconds.
 type Window struct {
 	Length time.Duration
--- a/site/account_admission.go
+++ b/site/account_admission.go
@@ -18,8 +18,8 @@
 	logged     bool // the last line had accounts under pressure
 }
 
-func newAccountAdmission(inherited *overload.State, eventLog EventLog) *accountAdmission {
-	return &accountAdmission{controller: overload.NewController(overload.Config{}, inherited), published: inherited, eventLog: eventLog}
+func newAccountAdmission(config overload.Config, inherited *overload.State, eventLog EventLog) *accountAdmission {
+	return &accountAdmission{controller: overload.NewController(config, inherited), published: inherited, eventLog: eventLog}
 }
 
 // update returns the state to publish, from the loads measured in a round.
@@ -32,7 +32,7 @@
 	return a.published
 }
 
-// stop resets what is logged and measured when this entry no longer leads.
+// stop logs the end of the pressure when this entry no longer leads, if the last line named accounts.
 func (a *accountAdmission) stop() {
 	if a.logged {
 		a.eventLog.AccountsUnderPressure(nil)
--- a/site/account_admission_test.go
+++ b/site/account_admission_test.go
@@ -23,7 +23,7 @@
 func TestAccountAdmissionLog(t *testing.T) {
 	log := &pressureLog{}
 	inherited := &overload.State{Accounts: []overload.AccountState{{Account: "hot", PerMille: 100}}}
-	admission := newAccountAdmission(inherited, log)
+	admission := newAccountAdmission(overload.Config{}, inherited, log)
 	require.Equal(t, inherited, admission.published, "published before the first round")
 	loads := []overload.Load{{Account: "hot", Weight: 10}}
 	now := time.Minute
@@ -38,3 +38,9 @@
 	admission.stop()
 	require.Len(t, log.states, before)
 }
+
+// TestAdmissionSettings guards against an admission that goes by the default entitlement although the settings have another.
+func TestAdmissionSettings(t *testing.T) {
+	process := &Process{config: Config{QuotaOverage: 0.3, QuotaWindow: 8 * time.Second, QuotaSlack: 7}}
+	require.Equal(t, overload.Config{Overage: 0.3, Window: 8 * time.Second, Extra: 7}, process.entitlement())
+}
--- a/site/site.go
+++ b/site/site.go
@@ -210,6 +210,11 @@
 	return p.watcher.routes.Load() != nil && p.store.reachable()
 }
 
+// entitlement returns the entitlement of accounts beyond their weights, for the admission of their jobs.
+func (p *Process) entitlement() overload.Config {
+	return overload.Config{Overage: p.config.QuotaOverage, Window: p.config.QuotaWindow, Extra: p.config.QuotaSlack}
+}
+
 // runLeader dispatches jobs and manages instances during one term of leadership.
 func (p *Process) runLeader(ctx context.Context, epoch uint64) {
 	var runner *dispatch.Runner
@@ -219,7 +224,7 @@
 	}
 	delay := startDelay{inherited: p.elector.StartDelay()}
 	p.startDelay.Store(int64(delay.inherited))
-	accounts := newAccountAdmission(p.elector.Overload(), p.config.EventLog)
+	accounts := newAccountAdmission(p.entitlement(), p.elector.Overload(), p.config.EventLog)
 	p.overload.Store(accounts.published)
 	round := func(scheduler *dispatch.Scheduler, now time.Duration) {
 		if fleet != nil {
