Measure the rates of accounts over the whole quota window

Cause: The admission remembered 20 updates, 7 s at the interval of 0.35 s. With a longer bounds.quotaWindowS it compared the jobs of 7 s with the entitlement of the whole window, so that an account beyond its entitlement was never refused, however long its jobs waited.

Change: The rates keep the updates that cover the configured window, and no fixed number of them.

Measured: TestEntitlementOfWindow/long_window (a window of 10 s) fails on the code before and passes now; go test of overload passes.

--- a/overload/controller.go
+++ b/overload/controller.go
@@ -153,12 +153,14 @@
 	returns   returns
 }
 
-func newAccount(config *Config) *account { return &account{config: config, share: 1, lastShare: 1} }
+func newAccount(config *Config) *account {
+	return &account{config: config, rates: rates{window: config.Window}, share: 1, lastShare: 1}
+}
 
 func inheritedAccount(config *Config, state *AccountState, now time.Duration) *account {
 	share := max(minShare, float64(state.PerMille)/1000)
 	return &account{
-		config: config, pressed: true, share: share, lastShare: share, wait: milliseconds(state.WaitMS),
+		config: config, rates: rates{window: config.Window}, pressed: true, share: share, lastShare: share, wait: milliseconds(state.WaitMS),
 		returns: returns{
 			after: milliseconds(state.RetryMS), interval: milliseconds(state.IntervalMS), bookedUntil: now + milliseconds(state.RetryMS+state.IntervalMS),
 		},
--- a/overload/controller_test.go
+++ b/overload/controller_test.go
@@ -212,7 +212,8 @@
 	}
 }
 
-// TestEntitlementOfWindow guards against defaults in place of a configured overage or slack of zero.
+// TestEntitlementOfWindow guards against defaults in place of a configured overage or slack of zero, and against a window that is longer than the
+// measured time: the jobs of a part of it would be compared with the entitlement of the whole.
 func TestEntitlementOfWindow(t *testing.T) {
 	tests := map[string]struct {
 		config  overload.Config
@@ -220,6 +221,7 @@
 	}{
 		"default":             {overload.Config{}, 6},
 		"no overage or slack": {overload.Config{Window: 5 * time.Second}, 4},
+		"long window":         {overload.Config{Overage: 0.1, Window: 10 * time.Second, Extra: 20}, 5},
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
--- a/overload/rates.go
+++ b/overload/rates.go
@@ -5,19 +5,16 @@
 	"time"
 )
 
-const (
-	// rateTime is the time over which rates are measured: starts come in groups, one for each generation of runs, and the share has to follow the
-	// load within two seconds.
-	rateTime = 1400 * time.Millisecond
-	// maxIntervals is the number of updates to remember: those of 7 s at the interval of 0.35 s, longer than the window of the entitlement.
-	maxIntervals = 20
-)
+// rateTime is the time over which rates are measured: starts come in groups, one for each generation of runs, and the share has to follow the
+// load within two seconds.
+const rateTime = 1400 * time.Millisecond
 
 // usualTime is the time constant of the usual rate, longer than the surges of 5 to 8 s that it has to leave out.
 const usualTime = 15 * time.Second
 
 // rates holds an account's rates of jobs over the last updates.
 type rates struct {
+	window    time.Duration  // longest span of sum
 	intervals []rateInterval // the newest is the last
 	usual     float64        // offered jobs a second outside of pressure
 }
@@ -29,12 +26,16 @@
 
 // add adds the load of an interval in which a share of the offered jobs was admitted.
 func (r *rates) add(load *Load, share float64, length time.Duration) {
-	if len(r.intervals) == maxIntervals {
-		r.intervals = slices.Delete(r.intervals, 0, 1)
-	}
 	r.intervals = append(r.intervals, rateInterval{
 		length: length, offered: float64(load.Arrived) / share, admitted: float64(load.Arrived), begun: float64(load.Begun),
 	})
+	covered := time.Duration(0)
+	for first := len(r.intervals) - 1; first > 0; first-- {
+		if covered += r.intervals[first].length; covered >= max(r.window, rateTime) {
+			r.intervals = slices.Delete(r.intervals, 0, first)
+			return
+		}
+	}
 }
 
 // sum returns the counts of the last intervals that together are at least as long as the span, and their length.
