Wrap two lines that are too long to read

Cause: A comment line of cancel.go and a field list of site.go are longer than 150 characters.

Change: Both are wrapped; no code changes.

Measured: go test of intake and site passes.

--- a/intake/cancel.go
+++ b/intake/cancel.go
@@ -87,8 +87,8 @@
 }
 
 // withdraw takes the ID of a job without records, so that a submission of the job whose outcome is unknown can't be accepted later. The
-// cancel record tells the leader, which deletes both records. To other accounts, the ID is in use until then. withdraw returns ErrJobNotFound, or errRecordsChanged if the job has been
-// accepted or withdrawn meanwhile.
+// cancel record tells the leader, which deletes both records. To other accounts, the ID is in use until then. withdraw returns ErrJobNotFound, or
+// errRecordsChanged if the job has been accepted or withdrawn meanwhile.
 func (s *Service) withdraw(ctx context.Context, queue acaciatally.Queue, account acaciatally.AccountName, id acaciatally.JobID) error {
 	if !s.withdrawals.Allow() {
 		return &acaciatally.NotAcceptedError{Reason: "too many cancellations of unknown jobs", RetryAfter: storeRetryAfter, Overload: true}
--- a/site/site.go
+++ b/site/site.go
@@ -162,7 +162,8 @@
 		waves: map[int]observedWave{}, age: configurationAge{now: config.Now, max: config.MaxConfigurationAge},
 	}
 	p.gate = ingress.New(ingress.Config{
-		Limits: config.Ingress, Processors: config.Processors, HeaderTimeout: p.headerTimeout, Report: config.EventLog.IngressLimited, Metrics: config.IngressMetrics,
+		Limits: config.Ingress, Processors: config.Processors, HeaderTimeout: p.headerTimeout,
+		Report: config.EventLog.IngressLimited, Metrics: config.IngressMetrics,
 	})
 	jobs := intake.New(intake.Config{
 		Store: p.store, Routes: p.watcher.routes.Load, StoreReachable: p.store.reachable, EventLog: config.EventLog,
