Keep the default rates of accounts in one place

Cause: dispatch and overload each had the default overage, window and extra jobs of an account's rate, and could have come to differ.

Measured: go test ./dispatch -run 'Share|Account|Rate|Work|Demand' passes.

--- a/dispatch/scheduler.go
+++ b/dispatch/scheduler.go
@@ -6,6 +6,7 @@
 	"github.com/acaciatally/acaciatally"
 	"github.com/acaciatally/acaciatally/interference"
 	"github.com/acaciatally/acaciatally/job"
+	"github.com/acaciatally/acaciatally/sharing"
 	"github.com/acaciatally/acaciatally/speed"
 )
 
@@ -75,7 +76,7 @@
 		config.MaxRecordBytes = job.DefaultRecordBytes
 	}
 	if config.QuotaWindow == 0 {
-		config.QuotaWindow, config.QuotaOverage, config.QuotaSlack = defaultQuotaWindow, defaultQuotaOverage, defaultQuotaSlack
+		config.QuotaWindow, config.QuotaOverage, config.QuotaSlack = sharing.DefaultWindow, sharing.DefaultOverage, sharing.DefaultSlack
 	}
 	return &Scheduler{
 		config:      config,
--- a/dispatch/share.go
+++ b/dispatch/share.go
@@ -11,14 +11,8 @@
 	"github.com/acaciatally/acaciatally/sharing"
 )
 
-const (
-	// defaultQuotaOverage, defaultQuotaWindow and defaultQuotaSlack are used where the settings have none.
-	defaultQuotaOverage = 0.1
-	defaultQuotaWindow  = 5 * time.Second
-	defaultQuotaSlack   = 20
-	// divideInterval is the time between two divisions of the fleet between accounts. Demand changes within seconds.
-	divideInterval = checkInterval
-)
+// divideInterval is the time between two divisions of the fleet between accounts. Demand changes within seconds.
+const divideInterval = checkInterval
 
 // shares is what the leader knows of the shares of accounts. It is computed from the loaded jobs and the listed workers, so a new leader has
 // it as soon as it has loaded all partitions. Without configured accounts it is not active, and nothing depends on it.
