--- a/dispatch/work_order_test.go
+++ b/dispatch/work_order_test.go
@@ -40,8 +40,8 @@
 	const now = time.Second
 	urgent, usual := testQueue(), testQueue()
 	usual.Priority = 1
-	longRunning, short := testStep(1, 1000), testStep(1, 1000)
-	longRunning.LongRunning = true
+	lasting, short := testStep(1, 1000), testStep(1, 1000)
+	lasting.LongRunning = true
 	type testJob struct {
 		account    acaciatally.AccountName
 		queue      acaciatally.Queue
@@ -49,7 +49,7 @@
 		beyondRate bool
 	}
 	tests := map[string]struct{ first, second testJob }{
-		"long-running before rate":       {testJob{"above", usual, longRunning, true}, testJob{"below", urgent, short, false}},
+		"long-running before rate":       {testJob{"above", usual, lasting, true}, testJob{"below", urgent, short, false}},
 		"rate before priority":           {testJob{"below", usual, short, false}, testJob{"other", urgent, short, true}},
 		"rate before share":              {testJob{"above", usual, short, false}, testJob{"below", usual, short, true}},
 		"priority before share":          {testJob{"above", urgent, short, false}, testJob{"below", usual, short, false}},
