Count the waiting jobs of a queue by pages, once for all who ask

Callers saw entries end: each request for the number of a queue's waiting jobs read the whole list of them into memory, and nothing bounded the number of such requests, which are small.

Cause: intake.Service.Waiting read the range as a whole to count it, once for each caller.

Change: one count at a time for each queue, shared by all who ask meanwhile; it reads pages of 500 records and keeps only their number. RecordRange.Limit and RecordPage.More let readers of the record store take a range in pages.

Why it works: what a count holds does not grow with the list or with the number of callers.

--- a/flood/process_test.go
+++ b/flood/process_test.go
@@ -20,6 +20,7 @@
 	"testing"
 	"time"
 
+	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
 	"github.com/acaciatally/acaciatally/platform/emulator"
@@ -32,6 +33,12 @@
 	descriptors = 500
 )
 
+// The keys of the two accounts, where the configuration has accounts.
+const (
+	ordinaryKey = "ordinary-key"
+	crowdKey    = "crowd-key"
+)
+
 // process is a process of the program under test.
 type process struct {
 	t       *testing.T
@@ -39,6 +46,7 @@
 	output  bytes.Buffer
 	ended   chan struct{}
 	callers string // address for callers
+	peers   string // address for other entries; empty if there is none
 	ready   string // address of the readiness check, or the operators' address
 	metrics string // address of the metrics, or the operators' address
 	ip      string
@@ -75,17 +83,31 @@
 	})
 }
 
+// configuration returns the operators' configuration, without accounts.
+func configuration() map[string]any {
+	route := func(name string) map[string]any {
+		return map[string]any{"name": name, "hostname": "a.example", "prefix": "/" + name + "/", "service": "intake", "attempts": 3}
+	}
+	return map[string]any{
+		"version":  1,
+		"routes":   []map[string]any{route("quotes"), route("plans"), route("slots")},
+		"services": []map[string]any{{"name": "intake"}},
+		"limits":   map[string]any{"maxHeaderBytes": 16384, "maxBodyBytes": maxBody, "headerTimeoutMs": 3000, "idleTimeoutMs": 15000},
+	}
+}
+
 // startAttend starts an entry on the users' platform, whose store is emulated in the test process.
 func startAttend(t *testing.T) *process {
 	t.Helper()
 	store := emulator.NewStore()
-	store.Put("op", "config", map[string]any{
-		"version":  1,
-		"routes":   []map[string]any{{"name": "quotes", "hostname": "a.example", "prefix": "/quotes/", "service": "intake", "attempts": 3}},
-		"services": []map[string]any{{"name": "intake"}},
-		"limits":   map[string]any{"maxHeaderBytes": 16384, "maxBodyBytes": maxBody, "headerTimeoutMs": 3000, "idleTimeoutMs": 15000},
-	})
-	server := httptest.NewServer(store.Handler(emulator.NewFaults()))
+	store.Put("op", "config", configuration())
+	return startAttendOn(t, store, emulator.NewFaults())
+}
+
+// startAttendOn starts an entry on a store that holds a configuration.
+func startAttendOn(t *testing.T, store *emulator.Store, faults *emulator.Faults) *process {
+	t.Helper()
+	server := httptest.NewServer(store.Handler(faults))
 	t.Cleanup(server.Close)
 	p := &process{t: t, callers: freeAddress(t), ready: freeAddress(t), metrics: freeAddress(t), ip: loopback()}
 	content, err := json.Marshal(map[string]any{
@@ -115,13 +137,13 @@
 	}))
 	t.Cleanup(worker.Close)
 	operators := freeAddress(t)
-	p := &process{t: t, callers: freeAddress(t), ready: operators, metrics: operators, ip: loopback()}
+	p := &process{t: t, callers: freeAddress(t), peers: freeAddress(t), ready: operators, metrics: operators, ip: loopback()}
 	path := filepath.Join(t.TempDir(), "settings.yaml")
 	content := fmt.Sprintf("Deployment: test\nDataCentres: [hall-a]\nPlatform: {Address: %q}\nPeers: {Key: 0123456789abcdef}\n"+
 		"Traffic: {MaxBody: %dKiB}\nTeams: [{Name: shops, Quota: 4}]\n"+
 		"Entries: [{ID: e, DataCentre: hall-a, CallerAddress: %q, OperatorAddress: %q, PeerAddress: %q, Memory: %dMiB, Descriptors: %d}]\n"+
 		"Pools: [{Name: coating, Instances: [{ID: w, DataCentre: hall-a, Rack: r, Address: %q}]}]\n",
-		platform.Listener.Addr(), maxBody>>10, p.callers, operators, freeAddress(t), memoryMB, descriptors, worker.Listener.Addr())
+		platform.Listener.Addr(), maxBody>>10, p.callers, operators, p.peers, memoryMB, descriptors, worker.Listener.Addr())
 	require.NoError(t, os.WriteFile(path, []byte(content), 0o600))
 	p.start("serve", "-settings", path, "-entry", "e")
 	p.awaitReady("/readyz")
@@ -146,6 +168,7 @@
 	request.Header.Set("Acaciatally-Deadline-Ms", "30000")
 	request.Header.Set("Acaciatally-Idempotent", "true")
 	request.Header.Set("Acaciatally-Team", "shops") // not the team of the crowd, whose finished requests may exceed its quota
+	request.Header.Set("Acaciatally-Key", ordinaryKey)
 	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
 	response, err := client.Do(request)
 	if err != nil {
@@ -163,6 +186,7 @@
 type usage struct {
 	resident    int64 // peak of the resident memory, in bytes
 	unread      int64 // bytes received on its sockets and not read, in bytes
+	unsent      int64 // bytes of responses that its clients have not taken, in bytes
 	total       int64 // resident memory and unread bytes at the same moment, in bytes
 	descriptors int
 }
@@ -174,9 +198,10 @@
 	var watching sync.WaitGroup
 	watching.Go(func() {
 		for ctx.Err() == nil {
-			unread := p.unreadBytes()
+			unread, unsent := p.queuedBytes()
 			resident := p.statusBytes("VmRSS:")
 			largest.unread = max(largest.unread, unread)
+			largest.unsent = max(largest.unsent, unsent)
 			largest.total = max(largest.total, resident+unread)
 			largest.resident = max(largest.resident, p.statusBytes("VmHWM:"))
 			if open, err := os.ReadDir(fmt.Sprintf("/proc/%d/fd", p.command.Process.Pid)); err == nil {
@@ -207,23 +232,28 @@
 	return kilobytes << 10
 }
 
-// unreadBytes returns the bytes that the system has received for connections to the process's addresses and the process has not read.
-func (p *process) unreadBytes() (total int64) {
+// queuedBytes returns what the system holds for connections to the process's addresses: bytes that the process has not read, and bytes that its
+// clients have not taken.
+func (p *process) queuedBytes() (unread, unsent int64) {
 	content, err := os.ReadFile("/proc/net/tcp")
 	if err != nil {
-		return 0
+		return 0, 0
 	}
 	local := map[string]bool{hexAddress(p.callers): true, hexAddress(p.ready): true, hexAddress(p.metrics): true}
+	if p.peers != "" {
+		local[hexAddress(p.peers)] = true
+	}
 	for line := range strings.Lines(string(content)) {
 		fields := strings.Fields(line)
 		if len(fields) < 5 || !local[fields[1]] || fields[3] == "0A" { // 0A is a listener, whose queue counts connections
 			continue
 		}
-		_, queue, _ := strings.Cut(fields[4], ":")
-		bytes, _ := strconv.ParseInt(queue, 16, 64)
-		total += bytes
+		sendQueue, receiveQueue, _ := strings.Cut(fields[4], ":")
+		received, _ := strconv.ParseInt(receiveQueue, 16, 64)
+		sent, _ := strconv.ParseInt(sendQueue, 16, 64)
+		unread, unsent = unread+received, unsent+sent
 	}
-	return total
+	return unread, unsent
 }
 
 // hexAddress returns an IPv4 address and port as /proc/net/tcp prints it on a little-endian machine.
@@ -246,3 +276,13 @@
 		p.t.Fatal(err)
 	}
 }
+
+// requireBounded requires that the process lives and has stayed within the limits of its settings.
+func requireBounded(t *testing.T, p *process, used usage) {
+	t.Helper()
+	t.Logf("resident %d KiB, unread %d KiB, unsent %d KiB, descriptors %d", used.resident>>10, used.unread>>10, used.unsent>>10, used.descriptors)
+	p.requireAlive()
+	assert.LessOrEqual(t, used.resident, int64(memoryMB<<20), "resident memory exceeds the memory limit")
+	assert.LessOrEqual(t, used.total, int64(memoryMB<<20), "resident memory and unread bytes exceed the memory limit")
+	assert.LessOrEqual(t, used.descriptors, descriptors, "descriptors")
+}
--- a/intake/service.go
+++ b/intake/service.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/samber/oops"
+	"golang.org/x/sync/singleflight"
 	"golang.org/x/time/rate"
 
 	"github.com/acaciatally/acaciatally"
@@ -48,6 +49,7 @@
 	withdrawals *rate.Limiter // of cancellations that leave a record of a job that was not accepted
 	mutex       sync.Mutex
 	batchers    map[acaciatally.QueueName]*batcher
+	counts      singleflight.Group // of the waiting jobs of a queue
 }
 
 // New returns a Service.
@@ -287,16 +289,3 @@
 	}
 	return page.Records[0], nil
 }
-
-// Waiting returns the number of accepted jobs of which no task has started. It fails with *NotAcceptedError.
-func (s *Service) Waiting(ctx context.Context, queue acaciatally.Queue) (count int, err error) {
-	defer func() { err = oops.In("intake").With("queue", queue.Name).Wrapf(err, "count waiting jobs") }()
-	if err = s.checkStore(); err != nil {
-		return 0, err
-	}
-	page, err := s.config.Store.Read(ctx, acaciatally.RecordRange{Table: job.WaitingTable, Partition: string(queue.Name)})
-	if err != nil {
-		return 0, &acaciatally.NotAcceptedError{Reason: "the record store refuses", RetryAfter: storeRetryAfter}
-	}
-	return len(page.Records), nil
-}
--- a/records.go
+++ b/records.go
@@ -80,11 +80,13 @@
 	Partition string
 	From      string
 	To        string
+	Limit     int // number of records from which the rest may be left to another read; 0 is unlimited
 }
 
 // RecordPage is a consistent snapshot of a range, or a part of a change feed.
 type RecordPage struct {
 	Records []Record
+	More    bool   // records of the range follow after these; only with a limit
 	Version uint64 // version of the store at the snapshot, from which a change feed can resume
 	// Now is the time of the snapshot on the store's steady clock. It is set by reads only.
 	Now time.Duration
