Bound the memory of accepted jobs in the leader

Callers saw the entry that leads end, and the next one after it: each accepted job stays in the leader's memory until it has ended, its ID until its state expires, and nothing bounded either. A scheduled job opened as many occurrences as its record holds; a job whose ID was in use in another queue was kept beside; a new leader read whole tables of a queue at once.

Ruled out: the budget of ingress, which holds; the crowds of its tests had their jobs refused for their number of steps, so that no test accepted many.

Change: package backlog. The leader accounts for jobs by source (account, or queue) and publishes the room with its lease while the jobs take more than half of the limit; entries refuse jobs without room with 429 before they are accepted, with a Retry-After by the rate at which memory is freed. The room of a source is twice what is free less what it has, so none takes all. Entries may still accept too much together, or a leader may inherit it: jobs that have not begun and do not fit stay in the record store and are read again, in pages, as others end. Occurrences, ended jobs, withdrawn IDs and deferred jobs count.

Tests of Retain have its new argument; no check was changed.

--- a/console/attend.go
+++ b/console/attend.go
@@ -79,6 +79,7 @@
 	}
 	process := site.New(siteConfig)
 	logger.Metrics().NewGauge("acaciatally_configuration_age_seconds", func() float64 { return process.ConfigurationAge().Seconds() })
+	logger.Metrics().NewGauge("acaciatally_backlog_bytes", func() float64 { return float64(process.BacklogBytes()) })
 	err := process.Run(ctx)
 	logger.Stopped(err)
 	if closeErr := logger.Close(); closeErr != nil {
@@ -124,7 +125,8 @@
 			return platform.NewJobAPI(jobs, ready)
 		},
 		MaxLease: settings.Bounds.MaxLease, Retention: 2 * settings.Bounds.StateRetention,
-		MaxEarlyStart: settings.Bounds.MaxEarlyStart, MaxRecordBytes: settings.MaxRecordBytes, MaxConfigurationAge: settings.Bounds.KeyRevocation, EventLog: logger, TakeoverJitter: hashFraction(settings.Name),
+		MaxEarlyStart: settings.Bounds.MaxEarlyStart, MaxRecordBytes: settings.MaxRecordBytes, MaxBacklogBytes: settings.MaxBacklogBytes,
+		MaxConfigurationAge: settings.Bounds.KeyRevocation, EventLog: logger, TakeoverJitter: hashFraction(settings.Name),
 		Processors: settings.Processors, LinkBitsPerSecond: settings.LinkBitsPerSecond,
 	}
 }
--- a/dispatch/commit.go
+++ b/dispatch/commit.go
@@ -195,11 +195,11 @@
 	p := s.partitions[commit.Queue]
 	p.inFlight, p.ownerVersion, p.sequence, p.failures = nil, version, commit.Owner.Sequence, 0
 	for _, id := range p.staleCancels[:commit.staleDeleted] {
-		s.Retain(commit.Queue, id, now) // a job that was cancelled before it was accepted has a progress record
+		s.Retain(commit.Queue, id, "", now) // a job that was cancelled before it was accepted has a progress record
 	}
 	p.staleCancels = p.staleCancels[commit.staleDeleted:]
 	for _, id := range p.ended[:commit.expiredDeleted] {
-		delete(s.retained, jobKey{commit.Queue, id})
+		s.expire(jobKey{commit.Queue, id})
 	}
 	p.ended, p.endedAt = p.ended[commit.expiredDeleted:], p.endedAt[commit.expiredDeleted:]
 	p.separateJobs = max(0, p.separateJobs-len(commit.committedJobs))
@@ -225,7 +225,7 @@
 // commit would have nothing to write for the job.
 func (s *Scheduler) handleEndRecorded(j *activeJob, now time.Duration) {
 	j.endRecordedAt = now
-	s.Retain(j.accepted.Queue.Name, j.id, now)
+	s.Retain(j.accepted.Queue.Name, j.id, j.accepted.Account, now)
 	for _, end := range j.unrecordedEnds {
 		s.markEndRecorded(end)
 	}
--- a/dispatch/event_log.go
+++ b/dispatch/event_log.go
@@ -48,6 +48,9 @@
 	InterferenceChanged(change interference.Change)
 	// InterferenceMeasured publishes the state of the detection of interference. It writes no line.
 	InterferenceMeasured(stats InterferenceStats)
+	// BacklogFull logs that jobs of a queue are left in the record store because they do not fit into the leader's memory, or that all are loaded
+	// again; size is the memory that the loaded jobs of all queues take, in bytes.
+	BacklogFull(queue acaciatally.QueueName, full bool, size int64)
 	// RecordIgnored logs a record that can't be decoded.
 	RecordIgnored(key acaciatally.RecordKey, version uint64, err error)
 	// LeadershipLost logs that another leader has taken over; epoch is that of this leader.
--- a/dispatch/jobs.go
+++ b/dispatch/jobs.go
@@ -5,18 +5,19 @@
 	"time"
 
 	"github.com/acaciatally/acaciatally"
+	"github.com/acaciatally/acaciatally/backlog"
 	"github.com/acaciatally/acaciatally/job"
 )
 
 // LoadJob adds a job from its records; age is the time since the job was accepted. Runs that its progress names may exist on workers. A job
 // that is loaded already or has ended is ignored; one whose ID is in use by a job of another queue is deferred.
 func (s *Scheduler) LoadJob(id acaciatally.JobID, accepted job.Accepted, progress job.Progress, age, now time.Duration) {
-	if s.retained[jobKey{accepted.Queue.Name, id}] {
+	if _, retained := s.retained[jobKey{accepted.Queue.Name, id}]; retained {
 		return
 	}
 	if other := s.jobs[id]; other != nil {
 		if other.accepted.Queue.Name != accepted.Queue.Name {
-			s.deferredJobs = append(s.deferredJobs, deferredJob{jobID: id, accepted: accepted, progress: progress})
+			s.deferJob(deferredJob{jobID: id, accepted: accepted, progress: progress})
 		}
 		return
 	}
@@ -39,6 +40,7 @@
 		j.openOccurrences = append(j.openOccurrences, s.loadOccurrence(j, open, now))
 	}
 	s.jobs[id] = j
+	s.countBacklog(j)
 	s.observeJob(j, age, now)
 	s.partition(accepted.Queue.Name)
 	s.config.EventLog.JobLoaded(id, accepted.Queue.Name, progress.State)
@@ -103,6 +105,7 @@
 		j.openOccurrences = append(j.openOccurrences, o)
 		j.nextOccurrence++
 		j.placementDue = true
+		s.countBacklog(j)
 	}
 }
 
@@ -115,12 +118,16 @@
 	return !timeOfDay.Before(spec.FirstAt.Add(time.Duration(j.nextOccurrence) * spec.Interval))
 }
 
-// occurrenceFits reports whether the job's record can hold one more occurrence. The first one always fits, since larger jobs are not accepted.
+// occurrenceFits reports whether the job's record and the memory for jobs can hold one more occurrence. The first one always fits: larger jobs are
+// not accepted, and its memory is counted from the beginning.
 func (s *Scheduler) occurrenceFits(j *activeJob) bool {
 	open := len(j.openOccurrences)
 	if open == 0 {
 		return true
 	}
+	if !s.backlog.HasRoom(sourceOf(&j.accepted), backlog.OccurrenceBytes(&j.accepted.Spec)) {
+		return false
+	}
 	workerBytes := job.AccountBytes(j.accepted.Account)
 	for id := range s.workers {
 		workerBytes += job.WorkerBytes(id)
@@ -149,13 +156,29 @@
 
 // cancelDeferred notes a cancel request for a deferred job, which takes effect when the job is loaded, and returns whether there is one.
 func (s *Scheduler) cancelDeferred(queue acaciatally.QueueName, id acaciatally.JobID) bool {
+	if d := s.deferred(queue, id); d != nil {
+		d.cancel = true
+		return true
+	}
+	return false
+}
+
+// deferred returns the deferred job of a queue, or nil.
+func (s *Scheduler) deferred(queue acaciatally.QueueName, id acaciatally.JobID) *deferredJob {
 	for i := range s.deferredJobs {
 		if d := &s.deferredJobs[i]; d.jobID == id && d.accepted.Queue.Name == queue {
-			d.cancel = true
-			return true
+			return d
 		}
 	}
-	return false
+	return nil
+}
+
+// deferJob defers a job, unless it is deferred already.
+func (s *Scheduler) deferJob(d deferredJob) {
+	if s.deferred(d.accepted.Queue.Name, d.jobID) == nil {
+		s.countDeferred(&d, 1)
+		s.deferredJobs = append(s.deferredJobs, d)
+	}
 }
 
 // endJob sets the final state of the job and stops its remaining runs.
@@ -193,6 +216,7 @@
 		j.eachTask(func(t *task) { assigned = assigned || t.assigned() })
 		if !assigned {
 			s.countAccountBegin(j)
+			s.setBacklogBytes(j, 0)
 			delete(s.jobs, id)
 			s.dropPermissions(id)
 			s.loadDeferred(id, now)
@@ -209,6 +233,7 @@
 			s.deferredJobs = append(s.deferredJobs, d)
 			continue
 		}
+		s.countDeferred(&d, -1)
 		s.LoadJob(d.jobID, d.accepted, d.progress, 0, now)
 		if d.cancel {
 			s.CancelJob(d.accepted.Queue.Name, d.jobID)
--- a/dispatch/ledger_test.go
+++ b/dispatch/ledger_test.go
@@ -182,7 +182,7 @@
 	next, _ := newScheduler()
 	next.config.Epoch, next.config.LeadershipStart = 2, time.Second
 	processorMaximum(next, 1, 1000)
-	next.Retain("quotes", "aa", time.Second)
+	next.Retain("quotes", "aa", "", time.Second)
 	next.LoadEndedJob("aa", accountAccepted(testAccount, testStep(1, 1000)), stored, time.Second)
 	next.SetDirectory([]acaciatally.Worker{testWorker(1), testWorker(2)}, time.Second)
 	next.Report("i-2", acaciatally.WorkerReport{Clock: time.Second, StartTime: time.UnixMilli(1000)}, time.Second, time.Second)
--- a/dispatch/maximum.go
+++ b/dispatch/maximum.go
@@ -163,6 +163,7 @@
 		j.openOccurrences = append(j.openOccurrences, s.loadOccurrence(j, open, now))
 	}
 	s.jobs[id] = j
+	s.countBacklog(j)
 	s.partition(accepted.Queue.Name)
 	s.config.EventLog.JobLoaded(id, accepted.Queue.Name, progress.State)
 	j.eachTask(func(t *task) {
--- a/dispatch/maximum_simulation_test.go
+++ b/dispatch/maximum_simulation_test.go
@@ -178,7 +178,7 @@
 	for id, stored := range s.jobs {
 		queue := stored.accepted.Queue.Name
 		if stored.progress.State.Ended() {
-			s.leader.Retain(queue, id, s.now)
+			s.leader.Retain(queue, id, "", s.now)
 		}
 		switch {
 		case stored.acceptedDeleted:
--- a/dispatch/partition.go
+++ b/dispatch/partition.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/acaciatally/acaciatally"
+	"github.com/acaciatally/acaciatally/backlog"
 )
 
 // refusedRetry is the delay after which a job's record is sent again that the store refuses as such.
@@ -66,18 +67,27 @@
 	return p != nil && p.claimed
 }
 
-// Retain keeps the progress record of an ended job and schedules its deletion after the retention time.
-func (s *Scheduler) Retain(queue acaciatally.QueueName, id acaciatally.JobID, now time.Duration) {
-	key := jobKey{queue, id}
-	if s.retained[key] {
+// Retain keeps the progress record of an ended job of an account and schedules its deletion after the retention time. The account may be empty.
+func (s *Scheduler) Retain(queue acaciatally.QueueName, id acaciatally.JobID, account acaciatally.AccountName, now time.Duration) {
+	key, source := jobKey{queue, id}, backlog.SourceOf(queue, account)
+	if _, retained := s.retained[key]; retained {
 		return
 	}
-	s.retained[key] = true
+	s.retained[key] = source
+	s.backlog.Add(source, queue, backlog.EndedBytes)
 	p := s.partition(queue)
 	p.ended = append(p.ended, id)
 	p.endedAt = append(p.endedAt, now)
 }
 
+// expire handles that the progress record of an ended job is deleted.
+func (s *Scheduler) expire(key jobKey) {
+	if source, retained := s.retained[key]; retained {
+		s.backlog.Add(source, key.queue, -backlog.EndedBytes)
+		delete(s.retained, key)
+	}
+}
+
 // isolateRefused handles that the store refuses a commit as such. Its jobs are committed one at a time; a job that is refused alone waits for
 // refusedRetry, so that it does not keep the others from being recorded.
 func (p *partition) isolateRefused(commit *Commit, retryAt time.Duration) {
--- a/dispatch/report.go
+++ b/dispatch/report.go
@@ -233,6 +233,7 @@
 		}
 	}
 	j.openOccurrences = open
+	s.countBacklog(j)
 	if j.live() && len(j.openOccurrences) == 0 && j.nextOccurrence >= job.Occurrences(j.accepted.Spec) {
 		s.endJob(j, acaciatally.JobCompleted)
 	}
--- a/dispatch/runner.go
+++ b/dispatch/runner.go
@@ -64,6 +64,7 @@
 	loadedVersions  map[acaciatally.QueueName]uint64 // store versions at which the partitions were read
 	loadsInProgress map[acaciatally.QueueName]bool
 	earlyRecords    map[acaciatally.QueueName][]acaciatally.Record // of the job table, received while the partition was being read
+	unloaded        map[acaciatally.QueueName]*unloadedJobs        // queues of which jobs were left in the record store
 	directory       map[acaciatally.WorkerID]acaciatally.Worker
 	allLoaded       bool // all partitions are loaded; until then, runs of jobs that are not loaded would be stopped as orphans
 	calls           sync.WaitGroup
@@ -75,6 +76,7 @@
 		config: config, scheduler: New(config.Scheduler), events: make(chan func(), eventBuffer),
 		loadedVersions: map[acaciatally.QueueName]uint64{}, loadsInProgress: map[acaciatally.QueueName]bool{},
 		earlyRecords: map[acaciatally.QueueName][]acaciatally.Record{},
+		unloaded:     map[acaciatally.QueueName]*unloadedJobs{},
 		directory:    map[acaciatally.WorkerID]acaciatally.Worker{},
 	}
 }
@@ -163,6 +165,7 @@
 	if configuration := r.config.Configuration(); configuration != nil {
 		r.scheduler.Configure(configuration)
 	}
+	r.loadUnloaded(ctx, now)
 	r.scheduler.Plan(now, time.Now())
 	if r.config.Round != nil {
 		r.config.Round(r.scheduler, now)
--- a/dispatch/runner_jobs.go
+++ b/dispatch/runner_jobs.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"encoding/json"
-	"time"
 
 	"golang.org/x/sync/errgroup"
 
@@ -57,7 +56,7 @@
 			r.earlyRecords[queue] = append(r.earlyRecords[queue], record)
 			r.loadInBackground(ctx, queue)
 		default:
-			r.handleJobRecord(queue, record)
+			r.handleJobRecord(ctx, queue, record)
 		}
 	}
 }
@@ -77,19 +76,16 @@
 }
 
 // handleJobRecord handles one new record of the job table.
-func (r *Runner) handleJobRecord(queue acaciatally.QueueName, record acaciatally.Record) {
+func (r *Runner) handleJobRecord(ctx context.Context, queue acaciatally.QueueName, record acaciatally.Record) {
 	if id, cancels := job.ParseCancelKey(record); cancels {
+		if r.unloaded[queue] != nil && !r.scheduler.HasJob(queue, id) {
+			r.loadCancelled(ctx, queue, id)
+			return
+		}
 		r.scheduler.CancelJob(queue, id)
 		return
 	}
-	accepted, err := job.DecodeAccepted(record.Value)
-	if err != nil {
-		r.config.Scheduler.EventLog.RecordIgnored(record.RecordKey, record.Version, err)
-		return
-	}
-	digest := job.Digest(accepted.Spec)
-	progress := job.Progress{State: acaciatally.JobQueued, Digest: digest}
-	r.scheduler.LoadJob(acaciatally.JobID(record.Key), accepted, progress, time.Since(accepted.Received), r.config.Now())
+	r.loadOrLeave(queue, listedJob{record: record}, nil)
 }
 
 // loadPartition claims a partition, which fences off writes of earlier leaders, and then reads it.
@@ -99,79 +95,36 @@
 		acaciatally.Sleep(ctx, commitRetry)
 		return err
 	}
-	var progress acaciatally.RecordPage
-	if owner != alreadyOwned { // otherwise this leader knows the progress of all jobs, since only it writes progress
-		progress, err = r.config.Store.Read(ctx, acaciatally.RecordRange{Table: job.ProgressTable, Partition: string(queue)})
-		if err != nil {
+	var started startedJobs
+	if owner != alreadyOwned { // otherwise this leader knows the progress of all jobs that have begun, since only it writes progress
+		if started, err = r.readProgress(ctx, queue); err != nil {
 			acaciatally.Sleep(ctx, commitRetry)
 			return err
 		}
 	}
-	jobs, err := r.config.Store.Read(ctx, acaciatally.RecordRange{Table: job.AcceptedTable, Partition: string(queue)})
+	version, err := r.readJobs(ctx, queue, started)
 	if err != nil {
 		acaciatally.Sleep(ctx, commitRetry)
 		return err
 	}
-	r.Post(ctx, func() { r.applyPartition(queue, owner, progress.Records, jobs) })
+	r.Post(ctx, func() { r.finishPartition(ctx, queue, owner, version) })
 	return nil
 }
 
-// applyPartition decodes the progress records of a partition, adds its jobs with their progress, and then applies the cancel requests.
-func (r *Runner) applyPartition(queue acaciatally.QueueName, owner uint64, progress []acaciatally.Record, jobs acaciatally.RecordPage) {
+// finishPartition handles that all records of a partition up to a version were read.
+func (r *Runner) finishPartition(ctx context.Context, queue acaciatally.QueueName, owner, version uint64) {
 	if !r.scheduler.OwnsPartition(queue) {
 		r.scheduler.PartitionClaimed(queue, owner)
 	}
-	r.loadedVersions[queue] = jobs.Version
-	byID := r.applyProgress(queue, progress)
-	for _, record := range jobs.Records {
-		if _, cancels := job.ParseCancelKey(record); cancels {
-			continue
-		}
-		accepted, err := job.DecodeAccepted(record.Value)
-		if err != nil {
-			r.config.Scheduler.EventLog.RecordIgnored(record.RecordKey, record.Version, err)
-			continue
-		}
-		known, found := byID[record.Key]
-		if !found { // accepted after the progress was read
-			known = job.Progress{State: acaciatally.JobQueued, Digest: job.Digest(accepted.Spec)}
-		}
-		if known.State.Ended() {
-			r.scheduler.LoadEndedJob(acaciatally.JobID(record.Key), accepted, known, r.config.Now())
-		} else {
-			r.scheduler.LoadJob(acaciatally.JobID(record.Key), accepted, known, time.Since(accepted.Received), r.config.Now())
-		}
-	}
-	for _, record := range jobs.Records {
-		if id, cancels := job.ParseCancelKey(record); cancels {
-			r.scheduler.CancelJob(queue, id)
-		}
-	}
+	r.loadedVersions[queue] = version
 	for _, record := range r.earlyRecords[queue] {
-		if record.Version > jobs.Version {
-			r.handleJobRecord(queue, record)
+		if record.Version > version {
+			r.handleJobRecord(ctx, queue, record)
 		}
 	}
 	delete(r.earlyRecords, queue)
 }
 
-// applyProgress decodes the progress records of a partition; ended jobs are only retained.
-func (r *Runner) applyProgress(queue acaciatally.QueueName, records []acaciatally.Record) (byID map[string]job.Progress) {
-	byID = map[string]job.Progress{}
-	for _, record := range records {
-		decoded, err := job.DecodeProgress(record.Value)
-		if err != nil {
-			r.config.Scheduler.EventLog.RecordIgnored(record.RecordKey, record.Version, err)
-			continue
-		}
-		byID[record.Key] = decoded
-		if decoded.State.Ended() {
-			r.scheduler.Retain(queue, acaciatally.JobID(record.Key), r.config.Now())
-		}
-	}
-	return byID
-}
-
 // alreadyOwned is returned in place of the version of an owner record for a partition that this term of leadership has claimed before.
 const alreadyOwned = 0
 
--- a/dispatch/runner_workers.go
+++ b/dispatch/runner_workers.go
@@ -24,8 +24,10 @@
 	return nil
 }
 
-// follow passes the changes of a table to handle, until the store no longer has the history since version.
+// follow passes the changes of a table to handle, until the store no longer has the history since version. It requests no more changes while two
+// pages wait for the scheduler.
 func (r *Runner) follow(ctx context.Context, table string, version uint64, handle func(records []acaciatally.Record)) {
+	var handled chan struct{} // closed when the last page is handled; nil before the first one
 	for ctx.Err() == nil {
 		page, err := r.config.Store.Follow(ctx, table, version, followTimeout)
 		if errors.Is(err, acaciatally.ErrHistoryGone) {
@@ -37,12 +39,29 @@
 		}
 		version = page.Version
 		if len(page.Records) > 0 {
-			r.Post(ctx, func() { handle(page.Records) })
+			awaitClosed(ctx, handled)
+			done := make(chan struct{})
+			r.Post(ctx, func() {
+				defer close(done)
+				handle(page.Records)
+			})
+			handled = done
 			acaciatally.Sleep(ctx, followPause)
 		}
 	}
 }
 
+// awaitClosed waits until a channel is closed or ctx ends; it does not wait for a nil channel.
+func awaitClosed(ctx context.Context, channel chan struct{}) {
+	if channel == nil {
+		return
+	}
+	select {
+	case <-channel:
+	case <-ctx.Done():
+	}
+}
+
 // updateDirectory applies changed records to the directory. Each one is a heartbeat of its worker.
 func (r *Runner) updateDirectory(records []acaciatally.Record) {
 	r.scheduler.Heartbeats(r.applyWorkerRecords(records), r.config.Now())
--- a/dispatch/scheduler.go
+++ b/dispatch/scheduler.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/acaciatally/acaciatally"
+	"github.com/acaciatally/acaciatally/backlog"
 	"github.com/acaciatally/acaciatally/interference"
 	"github.com/acaciatally/acaciatally/job"
 	"github.com/acaciatally/acaciatally/sharing"
@@ -20,6 +21,7 @@
 	LeadershipStart time.Duration // start of this term of leadership
 	MaxCommitBytes  int           // size of the progress records in one transaction; 0 is MaxCommitBytes
 	MaxRecordBytes  int           // size of the largest record that the store takes; 0 is job.DefaultRecordBytes
+	MaxBacklogBytes int64         // memory for jobs; those that do not fit stay in the record store. 0 is unlimited
 	EventLog        EventLog
 	// QuotaWindow is the time over which the rate of an account's jobs is counted; if it is 0, the defaults apply to all three.
 	QuotaWindow time.Duration
@@ -41,13 +43,14 @@
 	jobs            map[acaciatally.JobID]*activeJob
 	workers         map[acaciatally.WorkerID]*worker
 	partitions      map[acaciatally.QueueName]*partition
-	retained        map[jobKey]bool // ended jobs whose progress record is still stored
-	deferredJobs    []deferredJob   // jobs whose ID is in use by a job of another queue
-	nextCheckAt     time.Duration   // time of the next check for stalled runs and workers to drain
-	nextPlacementAt time.Duration   // time of the next placement, even if nothing has changed
-	nextFullScanAt  time.Duration   // time of the next search of all workers for orders
-	busyWorkers     int             // workers with runs
-	fenceBumps      uint64          // incremented to invalidate orders that are still in flight
+	retained        map[jobKey]backlog.Source // ended jobs whose progress record is still stored
+	backlog         *backlog.Ledger
+	deferredJobs    []deferredJob // jobs whose ID is in use by a job of another queue
+	nextCheckAt     time.Duration // time of the next check for stalled runs and workers to drain
+	nextPlacementAt time.Duration // time of the next placement, even if nothing has changed
+	nextFullScanAt  time.Duration // time of the next search of all workers for orders
+	busyWorkers     int           // workers with runs
+	fenceBumps      uint64        // incremented to invalidate orders that are still in flight
 	arrivals        map[acaciatally.PoolName]*arrivals
 	accountJobs     map[acaciatally.AccountName]*accountJobs
 	runTimes        map[acaciatally.QueueName]*runTimeMeans
@@ -83,7 +86,8 @@
 		jobs:        map[acaciatally.JobID]*activeJob{},
 		workers:     map[acaciatally.WorkerID]*worker{},
 		partitions:  map[acaciatally.QueueName]*partition{},
-		retained:    map[jobKey]bool{},
+		retained:    map[jobKey]backlog.Source{},
+		backlog:     backlog.NewLedger(config.MaxBacklogBytes),
 		arrivals:    map[acaciatally.PoolName]*arrivals{},
 		runTimes:    map[acaciatally.QueueName]*runTimeMeans{},
 		permissions: map[stepKey]*stepPermissions{},
@@ -160,6 +164,7 @@
 	hasWaitingRecord bool          // its record in job.WaitingTable may still exist
 	recordsDeleted   bool          // all records but the progress record are deleted
 	counted          bool          // it is counted in accountJobs.begun
+	backlogBytes     int64         // its memory as the backlog counts it
 }
 
 // occurrence is one execution of a job's steps.
--- a/dispatch/scheduler_test.go
+++ b/dispatch/scheduler_test.go
@@ -74,6 +74,8 @@
 	c.count("CommitFailed")
 }
 
+func (*countingEventLog) BacklogFull(acaciatally.QueueName, bool, int64) {}
+
 func (c *countingEventLog) RecordIgnored(acaciatally.RecordKey, uint64, error) {
 	c.count("RecordIgnored")
 }
--- a/eventlog/events.go
+++ b/eventlog/events.go
@@ -151,6 +151,12 @@
 	l.warning("CommitFailed", err).Str("Queue", string(queue)).Int("Failures", failures).Int("LargestRecord", size).Msg("")
 }
 
+// BacklogFull logs that jobs of a queue are left in the record store for lack of memory, or that all are loaded again, with the memory that the loaded
+// jobs of all queues take in bytes.
+func (l *Logger) BacklogFull(queue acaciatally.QueueName, full bool, size int64) {
+	l.line("BacklogFull").Str("Queue", string(queue)).Bool("Full", full).Int64("Bytes", size).Msg("")
+}
+
 // RecordIgnored logs a record that cannot be decoded and is ignored.
 func (l *Logger) RecordIgnored(key acaciatally.RecordKey, version uint64, err error) {
 	l.warning("RecordIgnored", err).Str("Record", key.String()).Uint64("Version", version).Msg("")
--- a/intake/cancel.go
+++ b/intake/cancel.go
@@ -90,8 +90,8 @@
 // cancel record tells the leader, which deletes both records. To other accounts, the ID is in use until then. withdraw returns ErrJobNotFound, or
 // errRecordsChanged if the job has been accepted or withdrawn meanwhile.
 func (s *Service) withdraw(ctx context.Context, queue acaciatally.Queue, account acaciatally.AccountName, id acaciatally.JobID) error {
-	if !s.withdrawals.Allow() {
-		return &acaciatally.NotAcceptedError{Reason: "too many cancellations of unknown jobs", RetryAfter: storeRetryAfter, Overload: true}
+	if err := s.checkWithdrawal(queue, account); err != nil {
+		return err
 	}
 	progress, err := job.EncodeProgress(job.Progress{State: acaciatally.JobWithdrawn, Account: account})
 	if err != nil {
--- a/intake/service.go
+++ b/intake/service.go
@@ -12,6 +12,7 @@
 	"golang.org/x/time/rate"
 
 	"github.com/acaciatally/acaciatally"
+	"github.com/acaciatally/acaciatally/backlog"
 	"github.com/acaciatally/acaciatally/job"
 	"github.com/acaciatally/acaciatally/overload"
 )
@@ -38,6 +39,10 @@
 	MaxConfigurationAge time.Duration
 	// Overload returns the admission of new jobs of accounts under pressure, as the leader publishes it; nil if there is none.
 	Overload func() *overload.State
+	// AdmitBytes reports whether the leader has memory for the given bytes of a source of jobs, or else the time after which it probably has; nil
+	// if jobs are not refused for that.
+	AdmitBytes func(source backlog.Source, bytes int64) (retryAfter time.Duration, admitted bool)
+
 	EventLog EventLog
 	// MaxRecordBytes is the size of the largest record that the store takes; 0 is job.DefaultRecordBytes.
 	MaxRecordBytes int
@@ -130,6 +135,9 @@
 	if err = s.checkAccount(ctx, queue, account, id, spec); err != nil {
 		return err
 	}
+	if err = s.checkBacklog(ctx, queue, account, id, &spec); err != nil {
+		return err
+	}
 	return s.batcher(queue.Name).add(ctx, &submission{id: id, account: account, transaction: transaction, digest: digest})
 }
 
--- a/leadership/elector.go
+++ b/leadership/elector.go
@@ -10,6 +10,7 @@
 	"github.com/samber/oops"
 
 	"github.com/acaciatally/acaciatally"
+	"github.com/acaciatally/acaciatally/backlog"
 	"github.com/acaciatally/acaciatally/overload"
 )
 
@@ -45,6 +46,8 @@
 	StartDelay func() time.Duration
 	// Overload returns the admission to publish with the lease while this entry leads; nil if there is none.
 	Overload func() *overload.State
+	// Backlog returns the room for new jobs to publish with the lease while this entry leads; nil if there is none.
+	Backlog func() *backlog.State
 	// Lead runs the leader until ctx ends and must not act after that.
 	Lead func(ctx context.Context, epoch uint64)
 }
@@ -85,6 +88,13 @@
 	return e.lease.StartDelay(e.config.Now())
 }
 
+// Backlog returns the room for new jobs, or nil if there is plenty, and the version of the lease with which it was published.
+func (e *Elector) Backlog() (state *backlog.State, version uint64) {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	return e.lease.Backlog()
+}
+
 // Overload returns the admission of the new jobs of accounts under pressure, or nil.
 func (e *Elector) Overload() *overload.State {
 	e.mutex.Lock()
@@ -215,6 +225,9 @@
 	if renews && e.config.Overload != nil {
 		row.Overload = e.config.Overload()
 	}
+	if renews && e.config.Backlog != nil {
+		row.Backlog = e.config.Backlog()
+	}
 	transaction, err := proposalTransaction(row, version, renews)
 	if err != nil {
 		e.config.EventLog.LeadershipChanged(row.Epoch, false, err.Error())
--- a/leadership/lease.go
+++ b/leadership/lease.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/acaciatally/acaciatally"
+	"github.com/acaciatally/acaciatally/backlog"
 	"github.com/acaciatally/acaciatally/overload"
 )
 
@@ -27,6 +28,8 @@
 	StartDelay time.Duration `json:",omitempty"`
 	// Overload is the admission of the new jobs of accounts under pressure; nil while there are none.
 	Overload *overload.State `json:",omitempty"`
+	// Backlog is the room for new jobs in the leader's memory; nil while there is plenty.
+	Backlog *backlog.State `json:",omitempty"`
 }
 
 // HandoverRequest is a stored request that the holder hand over the lease.
@@ -193,7 +196,7 @@
 	row = l.row
 	if l.row.Holder != l.config.Self || !l.Leads(now) {
 		// The backlog of the last leader is also that of the next one, which can't tell its own delay before it has read all jobs.
-		row = Row{Holder: l.config.Self, Epoch: max(l.row.Epoch, l.minEpoch) + 1, Lag: l.config.TakeoverDelay, StartDelay: l.row.StartDelay}
+		row = Row{Holder: l.config.Self, Epoch: max(l.row.Epoch, l.minEpoch) + 1, Lag: l.config.TakeoverDelay, StartDelay: l.row.StartDelay, Backlog: l.row.Backlog}
 		row.Overload = l.inheritedOverload(now)
 		l.slowAt = now
 	}
@@ -229,7 +232,7 @@
 // ReleaseProposal returns the row that releases the lease and the version that it replaces. With an empty successor any entry may acquire
 // the lease.
 func (l *Lease) ReleaseProposal(successor string) (row Row, version uint64) {
-	return Row{Epoch: l.row.Epoch, Successor: successor, StartDelay: l.row.StartDelay, Overload: l.row.Overload}, l.version
+	return Row{Epoch: l.row.Epoch, Successor: successor, StartDelay: l.row.StartDelay, Overload: l.row.Overload, Backlog: l.row.Backlog}, l.version
 }
 
 // RenewalFailed records that a proposal failed; sent is the send time from which the next renewal is scheduled.
@@ -265,6 +268,10 @@
 	return l.row.Overload
 }
 
+// Backlog returns the room for new jobs, or nil if there is plenty, and the version of the lease. It holds until the next version, also while there is
+// no leader: the jobs are those of the next one.
+func (l *Lease) Backlog() (state *backlog.State, version uint64) { return l.row.Backlog, l.version }
+
 // inheritedOverload returns the admission with which this entry starts to lead.
 func (l *Lease) inheritedOverload(now time.Duration) *overload.State {
 	if now > l.versionSeenAt+maxInheritedOverloadAge {
--- a/site/site.go
+++ b/site/site.go
@@ -14,6 +14,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/acaciatally/acaciatally"
+	"github.com/acaciatally/acaciatally/backlog"
 	"github.com/acaciatally/acaciatally/dispatch"
 	"github.com/acaciatally/acaciatally/ingress"
 	"github.com/acaciatally/acaciatally/intake"
@@ -106,6 +107,8 @@
 	MaxEarlyStart time.Duration // how long before its scheduled time an occurrence may start
 	// MaxRecordBytes is the size of the largest record that the store takes; 0 is job.DefaultRecordBytes.
 	MaxRecordBytes int
+	// MaxBacklogBytes is the memory for accepted jobs in the entry that leads; 0 is unlimited.
+	MaxBacklogBytes int64
 	// MaxConfigurationAge is the age of the configuration beyond which keys of accounts can't be checked; 0 is intake.DefaultMaxConfigurationAge.
 	MaxConfigurationAge time.Duration
 
@@ -140,6 +143,7 @@
 	startDelay atomic.Int64
 	// overload is the admission that this entry publishes while it leads.
 	overload atomic.Pointer[overload.State]
+	backlog  *backlogRoom
 	jobAPI   JobAPI
 	gate     *ingress.Gate
 }
@@ -166,11 +170,15 @@
 		Limits: config.Ingress, Processors: config.Processors, HeaderTimeout: p.headerTimeout,
 		Report: config.EventLog.IngressLimited, Metrics: config.IngressMetrics,
 	})
+	p.backlog = &backlogRoom{
+		admission: backlog.NewAdmission(config.MaxBacklogBytes), now: config.Now,
+		published: func() (*backlog.State, uint64) { return p.elector.Backlog() },
+	}
 	jobs := intake.New(intake.Config{
 		Store: p.store, Routes: p.watcher.routes.Load, StoreReachable: p.store.reachable, EventLog: config.EventLog,
 		ConfigurationAge: p.watcher.age.get, MaxConfigurationAge: config.MaxConfigurationAge,
 		MaxRecordBytes: config.MaxRecordBytes, StartDelay: func() time.Duration { return p.elector.StartDelay() },
-		Overload: func() *overload.State { return p.elector.Overload() },
+		Overload: func() *overload.State { return p.elector.Overload() }, AdmitBytes: p.backlog.admit,
 	})
 	p.jobAPI = config.NewJobAPI(jobs, p.ready)
 	p.elector = leadership.NewElector(leadership.ElectorConfig{
@@ -180,7 +188,7 @@
 		},
 		Store: p.store, Now: config.Now, EventLog: config.EventLog, Lead: p.runLeader,
 		StartDelay: func() time.Duration { return time.Duration(p.startDelay.Load()) },
-		Overload:   p.overload.Load,
+		Overload:   p.overload.Load, Backlog: p.backlog.own.Load,
 	})
 	return p
 }
@@ -188,6 +196,9 @@
 // ConfigurationAge returns the time since the configuration of this entry was certainly the newest one.
 func (p *Process) ConfigurationAge() time.Duration { return p.watcher.age.get() }
 
+// BacklogBytes returns the memory that accepted jobs take while this entry leads, in bytes.
+func (p *Process) BacklogBytes() int64 { return p.backlog.bytes.Load() }
+
 // takeoverDelay returns how long after the term this entry waits before it acquires an expired lease. It is longer for entries with
 // less processor time or a slower link.
 func takeoverDelay(config Config) time.Duration {
@@ -228,6 +239,8 @@
 	p.startDelay.Store(int64(delay.inherited))
 	accounts := newAccountAdmission(p.entitlement(), p.elector.Overload(), p.config.EventLog)
 	p.overload.Store(accounts.published)
+	p.backlog.begin()
+	defer p.backlog.end()
 	round := func(scheduler *dispatch.Scheduler, now time.Duration) {
 		if fleet != nil {
 			fleet.round(ctx, scheduler, now)
@@ -235,6 +248,7 @@
 		if now >= delay.nextAt {
 			p.startDelay.Store(int64(delay.update(scheduler.StartDelay(now), now)))
 			p.overload.Store(accounts.update(scheduler.AccountLoads(now), now))
+			p.backlog.update(scheduler, runner.HasUnloaded(), now)
 		}
 	}
 	defer p.startDelay.Store(0)
@@ -249,7 +263,7 @@
 		Scheduler: dispatch.Config{
 			Epoch: epoch, WorkerLease: min(maxWorkerLease, p.config.MaxLease), MaxLease: p.config.MaxLease,
 			Retention: p.config.Retention, MaxEarlyStart: p.config.MaxEarlyStart, LeadershipStart: p.config.Now(), EventLog: p.config.EventLog,
-			MaxCommitBytes: commitBytes(p.config.LinkBitsPerSecond), MaxRecordBytes: p.config.MaxRecordBytes, Interference: p.config.Interference,
+			MaxCommitBytes: commitBytes(p.config.LinkBitsPerSecond), MaxRecordBytes: p.config.MaxRecordBytes, MaxBacklogBytes: p.config.MaxBacklogBytes, Interference: p.config.Interference,
 			IgnoreWorkerSpeed: p.config.IgnoreWorkerSpeed,
 			QuotaOverage:      p.config.QuotaOverage, QuotaWindow: p.config.QuotaWindow, QuotaSlack: p.config.QuotaSlack,
 		},
