Close connections whose responses are not read to make room for others

Callers got 503 "too many connections" for as long as 300 clients asked for /metrics on a connection each and read nothing; the system held up to 286,875 KiB of responses that nobody took.

Cause: a connection whose request was complete was never closed to make room, however long its response waited to be taken (30 s a write), and one budget of connections serves all addresses. The system's send buffers grew without a bound of ours.

Change: responses are written in parts of 16 KiB, and the ledger knows since when the client has not taken the part. After PressureStall (1 s) such a connection may be closed when connections or bytes are short, with a reset, so that the system drops what was not taken. The send buffer has 32 KiB. In calm nothing changes: 30 s a part. Metric and log field ClosedUnread.

--- a/entry/process.go
+++ b/entry/process.go
@@ -182,6 +182,6 @@
 func (p *Process) logIngress(report ingress.Report) {
 	p.config.Logger.Warn().Int64("bytes", report.Bytes).Int("connections", report.Connections).
 		Int("refusedConnections", report.RefusedConnections).Int("refusedRequests", report.RefusedRequests).
-		Int("closedIdle", report.ClosedIdle).Int("closedUnfinished", report.ClosedUnfinished).Int("slow", report.Slow).
+		Int("closedIdle", report.ClosedIdle).Int("closedUnfinished", report.ClosedUnfinished).Int("closedUnread", report.ClosedUnread).Int("slow", report.Slow).
 		Msg("incoming requests limited")
 }
--- a/eventlog/events.go
+++ b/eventlog/events.go
@@ -185,5 +185,5 @@
 func (l *Logger) IngressLimited(report ingress.Report) {
 	l.warning("IngressLimited", nil).Int64("Bytes", report.Bytes).Int("Connections", report.Connections).
 		Int("RefusedConnections", report.RefusedConnections).Int("RefusedRequests", report.RefusedRequests).
-		Int("ClosedIdle", report.ClosedIdle).Int("ClosedUnfinished", report.ClosedUnfinished).Int("Slow", report.Slow).Msg("")
+		Int("ClosedIdle", report.ClosedIdle).Int("ClosedUnfinished", report.ClosedUnfinished).Int("ClosedUnread", report.ClosedUnread).Int("Slow", report.Slow).Msg("")
 }
--- a/ingress/conn.go
+++ b/ingress/conn.go
@@ -18,6 +18,8 @@
 	readBufferBytes = 4 << 10
 	// headerFactor is how much memory a byte of a header takes: it is in a line, in the header's fields and in a copy that a handler may make.
 	headerFactor = 3
+	// writePartBytes is the size of the parts in which a response is written.
+	writePartBytes = 16 << 10
 	// deadlineStep is the shortest time by which the deadline of a body is extended, so that not every read sets it.
 	deadlineStep = 100 * time.Millisecond
 )
@@ -91,8 +93,27 @@
 	})
 }
 
-// Write writes to the connection, for a limited time, which is short if the request is evicted.
+// Write writes to the connection in parts, so that it is known when the client last took one.
 func (c *conn) Write(content []byte) (n int, err error) {
+	defer c.setWriting(time.Time{})
+	for {
+		c.setWriting(time.Now())
+		part := content[n:min(len(content), n+writePartBytes)]
+		written, err := c.writePart(part)
+		n += written
+		if err != nil || n == len(content) {
+			return n, err
+		}
+	}
+}
+
+// setWriting records since when the client has not taken a part of the response; zero if nothing is being written.
+func (c *conn) setWriting(since time.Time) {
+	c.gate.update(c, func(_ *ledger, a *account, _ time.Time) { a.writingSince = since })
+}
+
+// writePart writes for a limited time, which is short if the request is evicted.
+func (c *conn) writePart(content []byte) (n int, err error) {
 	if c.evicted.Load() {
 		_ = c.SetWriteDeadline(time.Now().Add(refusalTimeout)) // the write reports a connection that is closed
 	} else if now := time.Now(); now.Sub(c.writeLimitSetAt) > writeTimeout/8 {
@@ -158,22 +179,28 @@
 	c.gate.mutex.Lock()
 	reached := c.account.phase
 	c.gate.mutex.Unlock()
-	if reached == idle || reached == opened {
-		c.gate.count(func(counts *Report) { counts.ClosedIdle++ })
-	} else if reached != refused {
-		c.gate.count(func(counts *Report) { counts.ClosedUnfinished++ })
-	}
+	c.gate.count(func(counts *Report) { counts.countEviction(reached) })
 	if reached == body {
 		c.evicted.Store(true)
 		c.endReads()
 		return
 	}
-	if reached == header {
+	switch reached {
+	case header:
 		refuseConnection(c.Conn)
+	case processing:
+		c.discardUnsent()
 	}
 	_ = c.finish()
 }
 
+// discardUnsent lets the system drop what the client has not taken when the connection is closed, instead of keeping it for minutes.
+func (c *conn) discardUnsent() {
+	if tcp, ok := c.Conn.(*net.TCPConn); ok {
+		_ = tcp.SetLinger(0) // fails only if the connection is closed
+	}
+}
+
 // begin is called at the end of a request's header. It reports whether the request may be handled.
 func (c *conn) begin(hasBody bool) (usable bool) {
 	c.inRequest.Store(true)
--- a/ingress/gate.go
+++ b/ingress/gate.go
@@ -51,9 +51,22 @@
 	RefusedRequests    int   // refused because of their memory
 	ClosedIdle         int   // idle connections closed to make room
 	ClosedUnfinished   int   // connections with unfinished requests closed to make room
+	ClosedUnread       int   // connections closed to make room whose clients did not read their responses
 	Slow               int   // requests whose body came too slowly
 }
 
+// countEviction counts a connection that is closed to make room, by the phase that it has reached.
+func (r *Report) countEviction(reached phase) {
+	switch reached {
+	case opened, idle:
+		r.ClosedIdle++
+	case header, body:
+		r.ClosedUnfinished++
+	case processing:
+		r.ClosedUnread++
+	}
+}
+
 // Gate bounds the memory and connections of the requests on their way in to all servers of a process. It is safe for concurrent use.
 type Gate struct {
 	config     Config
@@ -85,6 +98,7 @@
 	gauge(`acaciatally_ingress_refused_total{reason="memory"}`, func(r Report) int64 { return int64(r.RefusedRequests) })
 	gauge(`acaciatally_ingress_closed_total{reason="idle"}`, func(r Report) int64 { return int64(r.ClosedIdle) })
 	gauge(`acaciatally_ingress_closed_total{reason="unfinished"}`, func(r Report) int64 { return int64(r.ClosedUnfinished) })
+	gauge(`acaciatally_ingress_closed_total{reason="unread"}`, func(r Report) int64 { return int64(r.ClosedUnread) })
 	gauge(`acaciatally_ingress_closed_total{reason="slow"}`, func(r Report) int64 { return int64(r.Slow) })
 }
 
@@ -120,6 +134,7 @@
 func Listen(ctx context.Context, network, address string) (listener net.Listener, err error) {
 	defer func() { err = oops.In("ingress").With("address", address).Wrapf(err, "listen") }()
 	setBuffer := func(descriptor uintptr) error {
+		_ = unix.SetsockoptInt(int(descriptor), unix.SOL_SOCKET, unix.SO_SNDBUF, sendBufferBytes)       // responses are bounded by time, too
 		return unix.SetsockoptInt(int(descriptor), unix.SOL_SOCKET, unix.SO_RCVBUF, receiveBufferBytes) // inherited by accepted connections
 	}
 	config := net.ListenConfig{Control: func(_, _ string, raw syscall.RawConn) error { return control(raw, setBuffer) }}
--- a/ingress/gate_test.go
+++ b/ingress/gate_test.go
@@ -57,6 +57,10 @@
 		writer.WriteHeader(http.StatusUnauthorized)
 		return
 	}
+	if strings.HasPrefix(request.URL.Path, "/large") {
+		_, _ = io.WriteString(writer, largeContent)
+		return
+	}
 	content, err := ReadBody(writer, request, documentedBody)
 	if strings.HasPrefix(request.URL.Path, "/slow") {
 		time.Sleep(time.Second)
--- a/ingress/ledger.go
+++ b/ingress/ledger.go
@@ -31,7 +31,9 @@
 	lastByteAt time.Time // of the current request
 	received   int64     // bytes of the header or the body, whichever is not finished
 	evicted    bool      // it holds no bytes any more, gets none, and its connection is being closed
-	conn       *conn     // nil in tests of the ledger
+	// writingSince is when the client last took a part of the response that is being written; zero while nothing is.
+	writingSince time.Time
+	conn         *conn // nil in tests of the ledger
 }
 
 // ledger accounts for the bytes and connections of requests on their way in, and decides which of them to close when either runs short.
@@ -63,12 +65,12 @@
 func (l *ledger) full() bool { return len(l.accounts) >= l.limits.Connections }
 
 // longestUseless returns the account to be closed first when connections are short: one whose request was refused, else the longest idle one,
-// else the one that has held the most bytes without a finished request for longest.
+// else the one that has held the most bytes for longest, of those without a finished request and those whose response is not read.
 func (l *ledger) longestUseless(now time.Time) (victim *account) {
 	var order uint8
 	var weight float64
 	for _, a := range l.accounts {
-		if a.phase == processing || (a.evicted && a.phase != refused) {
+		if (a.phase == processing && !l.unread(a, now)) || (a.evicted && a.phase != refused) {
 			continue
 		}
 		age := now.Sub(a.startedAt)
@@ -83,16 +85,22 @@
 	return victim
 }
 
-// closingOrder is the order in which connections are closed to make room, by phase.
-var closingOrder = [...]uint8{refused: 0, idle: 1, opened: 2, header: 2, body: 2}
+// closingOrder is the order in which connections are closed to make room, by phase. While a request is being processed, only a connection
+// whose response is not read is closed.
+var closingOrder = [...]uint8{refused: 0, idle: 1, opened: 2, header: 2, body: 2, processing: 2}
+
+// unread reports whether the client has taken nothing of its response for longer than allowed under pressure.
+func (l *ledger) unread(a *account, now time.Time) bool {
+	return a.phase == processing && !a.evicted && !a.writingSince.IsZero() && now.Sub(a.writingSince) >= l.limits.PressureStall
+}
 
 // weight is the product of the bytes that a connection and its unfinished request hold and how long they have held them.
 func (a *account) weight(age time.Duration) float64 {
 	return float64(a.bytes+connectionBytes) * float64(age)
 }
 
-// reserve reserves bytes for the account's request. If too few are left, it evicts unfinished requests that are slower than the limits
-// allow under pressure, and returns their accounts; if that does not suffice, it evicts none and reports false.
+// reserve reserves bytes for the account's request. If too few are left, it evicts requests that are slower than the limits allow under
+// pressure, and returns their accounts; if that does not suffice, it evicts none and reports false.
 func (l *ledger) reserve(a *account, bytes int64, now time.Time) (victims []*account, ok bool) {
 	if a.evicted || bytes <= 0 {
 		return nil, !a.evicted
@@ -134,8 +142,11 @@
 	return nil
 }
 
-// tooSlow reports whether an unfinished request is slower than allowed under pressure.
+// tooSlow reports whether an unfinished request, or the client in taking its response, is slower than allowed under pressure.
 func (l *ledger) tooSlow(a *account, now time.Time) bool {
+	if l.unread(a, now) {
+		return true
+	}
 	if a.evicted || (a.phase != header && a.phase != body) {
 		return false
 	}
--- a/ingress/limits.go
+++ b/ingress/limits.go
@@ -34,6 +34,8 @@
 	minConnections = 16
 	// receiveBufferBytes bounds the bytes that the system holds for a connection that is not read. A header of the largest size fits.
 	receiveBufferBytes = 16 << 10
+	// sendBufferBytes bounds the bytes that the system holds of a response that is not read.
+	sendBufferBytes = 32 << 10
 	// bodyBufferBytes replaces it for a body that is larger and has its memory, so that it does not take longer on a link with a long round
 	// trip. It is the largest window that a connection with a small initial buffer can get, and counts as a part of the body.
 	bodyBufferBytes = 64 << 10
