--- a/flood/backlog_test.go
+++ b/flood/backlog_test.go
@@ -160,7 +160,7 @@
 	withAccounts["tenants"] = []map[string]any{account("shops", ordinaryKey), account("crowd", crowdKey)}
 	store := emulator.NewStore()
 	store.Put("op", "config", withAccounts)
-	p := startAttendOn(t, store, emulator.NewFaults())
+	p := startAttendOn(t, store, emulator.NewFaults(), smallMachine)
 	stop := p.watch()
 	crowd := submitters{clients: 8, perClient: backlogJobs / 8, queues: []string{"quotes"}, body: largeJob(1), key: crowdKey}
 	crowd.submit(t, p.callers)
@@ -180,7 +180,7 @@
 		t.Run(name, func(t *testing.T) {
 			store, faults := emulator.NewStore(), emulator.NewFaults()
 			store.Put("op", "config", configuration())
-			p := startAttendOn(t, store, faults)
+			p := startAttendOn(t, store, faults, smallMachine)
 			status, accepted := p.request(http.MethodPost, p.callers, "/quotes/00000000eeeeeeee", ordinaryJob)
 			require.Equal(t, http.StatusOK, status, accepted)
 			stop := p.watch()
@@ -209,10 +209,8 @@
 func TestInheritedBacklog(t *testing.T) {
 	store := emulator.NewStore()
 	store.Put("op", "config", configuration())
-	for number := range backlogJobs {
-		putJob(t, store, acaciatally.JobID(fmt.Sprintf("%016x", number)), number < startedJobs)
-	}
-	p := startAttendOn(t, store, emulator.NewFaults())
+	putBacklog(t, store)
+	p := startAttendOn(t, store, emulator.NewFaults(), smallMachine)
 	stop := p.watch()
 	time.Sleep(5 * holdTime)
 	first, shownFirst := p.request(http.MethodGet, p.callers, "/quotes/0000000000000000", "")
@@ -234,7 +232,7 @@
 		key := job.ProgressKey("quotes", acaciatally.JobID(fmt.Sprintf("%016x", number)))
 		store.PutRaw(emulator.Row{Table: key.Table, Part: key.Partition, Key: key.Key, Value: ended})
 	}
-	p := startAttendOn(t, store, emulator.NewFaults())
+	p := startAttendOn(t, store, emulator.NewFaults(), smallMachine)
 	stop := p.watch()
 	time.Sleep(5 * holdTime)
 	state, shown := p.request(http.MethodGet, p.callers, "/quotes/0000000000000000", "")
@@ -244,6 +242,14 @@
 	require.Contains(t, []int{http.StatusOK, http.StatusTooManyRequests}, status, content)
 }
 
+// putBacklog writes the records of large jobs, some of which have begun.
+func putBacklog(t *testing.T, store *emulator.Store) {
+	t.Helper()
+	for number := range backlogJobs {
+		putJob(t, store, acaciatally.JobID(fmt.Sprintf("%016x", number)), number < startedJobs)
+	}
+}
+
 // putJob writes the records of a large job of the queue "quotes". If it has started, its first task has a run on a worker that is gone.
 func putJob(t *testing.T, store *emulator.Store, id acaciatally.JobID, started bool) {
 	t.Helper()
--- a/flood/process_test.go
+++ b/flood/process_test.go
@@ -27,12 +27,20 @@
 	"github.com/acaciatally/acaciatally/standin"
 )
 
-// Limits of the machine that the settings of the processes state. They are also the bounds of the tests.
+// machine holds the limits of a machine that the settings of a process state. They are also the bounds of the tests.
+type machine struct {
+	memoryMB    int
+	descriptors int
+}
+
+// Limits of the machine of most tests.
 const (
 	memoryMB    = 128
 	descriptors = 500
 )
 
+var smallMachine = machine{memoryMB: memoryMB, descriptors: descriptors}
+
 // The keys of the two accounts, where the configuration has accounts.
 const (
 	ordinaryKey = "ordinary-key"
@@ -50,6 +58,9 @@
 	ready   string // address of the readiness check, or the operators' address
 	metrics string // address of the metrics, or the operators' address
 	ip      string
+	machine machine
+	// arguments are those with which the process was started.
+	arguments []string
 }
 
 // loopback returns a loopback address that no other run of this package uses at the same time.
@@ -66,6 +77,7 @@
 
 func (p *process) start(arguments ...string) {
 	p.t.Helper()
+	p.arguments = arguments
 	p.command = exec.CommandContext(context.Background(), program, arguments...)
 	p.command.Stdout, p.command.Stderr = &p.output, &p.output
 	require.NoError(p.t, p.command.Start())
@@ -96,24 +108,32 @@
 	}
 }
 
+// restart kills the process and starts it again with the same settings.
+func (p *process) restart() {
+	p.t.Helper()
+	require.NoError(p.t, p.command.Process.Kill())
+	<-p.ended
+	p.start(p.arguments...)
+}
+
 // startAttend starts an entry on the users' platform, whose store is emulated in the test process.
 func startAttend(t *testing.T) *process {
 	t.Helper()
 	store := emulator.NewStore()
 	store.Put("op", "config", configuration())
-	return startAttendOn(t, store, emulator.NewFaults())
+	return startAttendOn(t, store, emulator.NewFaults(), smallMachine)
 }
 
 // startAttendOn starts an entry on a store that holds a configuration.
-func startAttendOn(t *testing.T, store *emulator.Store, faults *emulator.Faults) *process {
+func startAttendOn(t *testing.T, store *emulator.Store, faults *emulator.Faults, m machine) *process {
 	t.Helper()
 	server := httptest.NewServer(store.Handler(faults))
 	t.Cleanup(server.Close)
-	p := &process{t: t, callers: freeAddress(t), ready: freeAddress(t), metrics: freeAddress(t), ip: loopback()}
+	p := &process{t: t, callers: freeAddress(t), ready: freeAddress(t), metrics: freeAddress(t), ip: loopback(), machine: m}
 	content, err := json.Marshal(map[string]any{
 		"nodeName": "entry-1", "ip": p.ip, "zone": "hall-a", "bootstrap": true, "heartbeatMs": 1500, "commands": "invoke",
 		"listenAddrs": map[string]string{"frontend": p.callers, "ready": p.ready},
-		"limits":      map[string]any{"cpuShare": 1, "cores": 1, "memoryMb": memoryMB, "linkMbps": 1000, "maxFds": descriptors},
+		"limits":      map[string]any{"cpuShare": 1, "cores": 1, "memoryMb": m.memoryMB, "linkMbps": 1000, "maxFds": m.descriptors},
 		"bounds":      map[string]any{"gracePeriodS": 6},
 		"platform":    map[string]any{"address": server.Listener.Addr().String(), "form": "table", "writesPerS": 800, "readsPerS": 2000},
 	})
@@ -137,7 +157,7 @@
 	}))
 	t.Cleanup(worker.Close)
 	operators := freeAddress(t)
-	p := &process{t: t, callers: freeAddress(t), peers: freeAddress(t), ready: operators, metrics: operators, ip: loopback()}
+	p := &process{t: t, callers: freeAddress(t), peers: freeAddress(t), ready: operators, metrics: operators, ip: loopback(), machine: smallMachine}
 	path := filepath.Join(t.TempDir(), "settings.yaml")
 	content := fmt.Sprintf("Deployment: test\nDataCentres: [hall-a]\nPlatform: {Address: %q}\nPeers: {Key: 0123456789abcdef}\n"+
 		"Traffic: {MaxBody: %dKiB}\nTeams: [{Name: shops, Quota: 4}]\n"+
@@ -282,7 +302,8 @@
 	t.Helper()
 	t.Logf("resident %d KiB, unread %d KiB, unsent %d KiB, descriptors %d", used.resident>>10, used.unread>>10, used.unsent>>10, used.descriptors)
 	p.requireAlive()
-	assert.LessOrEqual(t, used.resident, int64(memoryMB<<20), "resident memory exceeds the memory limit")
-	assert.LessOrEqual(t, used.total, int64(memoryMB<<20), "resident memory and unread bytes exceed the memory limit")
-	assert.LessOrEqual(t, used.descriptors, descriptors, "descriptors")
+	limit := int64(p.machine.memoryMB) << 20
+	assert.LessOrEqual(t, used.resident, limit, "resident memory exceeds the memory limit")
+	assert.LessOrEqual(t, used.total, limit, "resident memory and unread bytes exceed the memory limit")
+	assert.LessOrEqual(t, used.descriptors, p.machine.descriptors, "descriptors")
 }
