Bound the memory of accepted tasks in the controller of a pool

Callers of serve would see entries end as those of the job API did: each accepted task, with a command of up to 64 KiB, stays in the memory of its pool's controller until its row expires, and the next controller reads them all.

Cause: task.Scheduler loads every row and keeps whole records, without a bound; pages of 500 rows of up to 128 KiB are decoded at once.

Change (task/full.go): a controller counts the memory of its tasks. When it is full it leaves new tasks in the inbox, which is durable, and marks the pool by a row that frontends read; these refuse new tasks with NotRun, and answer repeated submissions as before. On a takeover, tasks that have never been placed and do not fit go back to the inbox. Ended tasks drop their command and decisions. Rows are read in pages of 50. The limit is a fifth of the entry's memory over all pools; without a memory limit there is none.

Evidence (flood.TestTasks: 3,200 tasks with commands of 60 KiB, no worker runs them; 128 MB; x86-64): 232,372 KiB resident before and failed (234,720 and failed in another run), 90,840 after and passed. task.TestFullPool and TestFullPoolTakeover show that what was accepted runs, also across controllers.

--- a/entry/task_control.go
+++ b/entry/task_control.go
@@ -22,7 +22,7 @@
 	// poolCheckInterval is the time between two checks for new and removed pools and changed candidates.
 	poolCheckInterval = time.Second
 	// taskPageSize is the number of rows in one scan of the table, maxTaskRows the limit of one operator's query.
-	taskPageSize = 500
+	taskPageSize = 50
 	maxTaskRows  = 5000
 )
 
@@ -95,7 +95,8 @@
 	})
 	view := &poolViewCache{log: p.log, pool: pool}
 	return task.NewRunner(task.RunnerConfig{
-		Scheduler: task.SchedulerConfig{Pool: pool}, Table: p.config.Table, Leases: p.config.Tasks, Lease: runnerLease{lease},
+		Scheduler: task.SchedulerConfig{Pool: pool, MaxBytes: task.DefaultMaxBytes(int64(p.config.Entry.Memory), len(p.log.State().Pools))},
+		Table:     p.config.Table, Leases: p.config.Tasks, Lease: runnerLease{lease},
 		Clock: p.config.Clock, PoolView: view.get, Fresh: p.peers.membership.MayChange, Quarantine: t.quarantine, Metrics: p.metrics,
 	})
 }
--- a/experiment/task_simulation.go
+++ b/experiment/task_simulation.go
@@ -76,7 +76,8 @@
 	s.version++
 	record := task.Record{Spec: arrival.spec, Phase: task.Waiting, Accepted: s.start.Add(arrival.at)}
 	row := acaciatally.Row{Key: task.RowKey("chamber", arrival.spec.ID), Value: record.Encode(), Version: s.version}
-	return s.scheduler.Load([]acaciatally.Row{row}, s.clock.now)
+	_, err := s.scheduler.Load([]acaciatally.Row{row}, s.clock.now) // its memory is not limited
+	return err
 }
 
 // step plans once per floodRoundInterval; in each call it saves one batch of records and sends one batch of orders.
--- a/flood/waiting_test.go
+++ b/flood/waiting_test.go
@@ -23,7 +23,7 @@
 		key := job.WaitingKey("plans", acaciatally.JobID(fmt.Sprintf("%016x", number)))
 		store.PutRaw(emulator.Row{Table: key.Table, Part: key.Partition, Key: key.Key, Value: job.MarkerValue})
 	}
-	p := startAttendOn(t, store, emulator.NewFaults())
+	p := startAttendOn(t, store, emulator.NewFaults(), smallMachine)
 	stop := p.watch()
 	var asking sync.WaitGroup
 	for range clients {
--- a/task/frontend.go
+++ b/task/frontend.go
@@ -40,6 +40,7 @@
 	config        FrontendConfig
 	submissions   chan *submission
 	cancellations chan *cancellation
+	pools         fullPools // belongs to the goroutine that submits
 }
 
 type submission struct {
@@ -81,6 +82,7 @@
 		config:        config,
 		submissions:   make(chan *submission, config.QueueLength),
 		cancellations: make(chan *cancellation, config.QueueLength),
+		pools:         fullPools{full: map[acaciatally.PoolName]bool{}, checkedAt: map[acaciatally.PoolName]time.Time{}},
 	}
 }
 
--- a/task/pool_test.go
+++ b/task/pool_test.go
@@ -34,6 +34,7 @@
 	frontend          *task.Frontend
 	mu                sync.Mutex    // guards poolView
 	interval          time.Duration // between the controllers' rounds; 0 is the default
+	maxBytes          int64         // memory of the controllers started from now on; 0 is unlimited
 	fresh             func() bool
 	quarantineReasons map[acaciatally.InstanceID]string
 }
@@ -98,7 +99,7 @@
 
 func (p *testPool) newRunner(holder string, table acaciatally.TableService, leases acaciatally.TaskLeases) *task.Runner {
 	return task.NewRunner(task.RunnerConfig{
-		Scheduler: task.SchedulerConfig{Pool: poolName}, Table: table, Leases: leases,
+		Scheduler: task.SchedulerConfig{Pool: poolName, MaxBytes: p.maxBytes}, Table: table, Leases: leases,
 		Lease:    &testLease{table: table, holder: holder},
 		PoolView: p.view, Interval: p.interval, Fresh: p.fresh,
 		Quarantine: func(_ context.Context, worker acaciatally.InstanceID, reason string) error {
--- a/task/runner.go
+++ b/task/runner.go
@@ -52,8 +52,10 @@
 	defaultCallTimeout    = 2 * time.Second
 	// pageSize limits the rows of one read.
 	pageSize = 500
+	// rowPageSize limits the rows of one read of tasks, each of which may have maxRecordBytes.
+	rowPageSize = 50
 	// maxLoadPages limits the reads of one round after a takeover.
-	maxLoadPages = 8
+	maxLoadPages = 80
 	// maxTransactionRows limits the rows of one transaction.
 	maxTransactionRows = 100
 	// maxPasses limits the transactions of one round.
@@ -71,6 +73,9 @@
 	loadCursor     string     // key up to which the rows have been read after a takeover
 	loaded         bool
 	processedInbox []string // inbox rows that can be deleted
+	returnedInbox  []string // inbox rows to be written again, of tasks for which there is no memory yet
+	markWritten    bool     // the row that marks the pool as full was written or deleted under this lease
+	markedFull     bool     // it was written
 	usageReadAt    time.Time
 	commits        int
 	counters       runnerCounters
@@ -154,7 +159,8 @@
 func (r *Runner) startScheduler(heldLease HeldLease) {
 	r.scheduler = NewScheduler(r.config.Scheduler, heldLease.Epoch)
 	r.scheduler.SetFleet(r.config.PoolView())
-	r.loadCursor, r.loaded, r.processedInbox = "", false, nil
+	r.loadCursor, r.loaded, r.processedInbox, r.returnedInbox = "", false, nil, nil
+	r.markWritten = false
 }
 
 // renewRunning renews the leases of running attempts while the table cannot be reached or the pool's state is stale; it begins nothing
@@ -172,12 +178,12 @@
 	for range maxPasses {
 		writes := r.scheduler.PendingWrites(r.config.Clock.Now(), maxTransactionRows)
 		heldLease, held := r.config.Lease.Held()
-		if !held || (len(writes)+len(r.processedInbox) > 0 && !r.commit(ctx, heldLease, writes)) {
+		if !held || ((len(writes) > 0 || r.inboxChanged()) && !r.commit(ctx, heldLease, writes)) {
 			return
 		}
 		orders := r.scheduler.Orders(r.config.Clock.Now(), maxOrders)
 		r.sendOrders(ctx, orders)
-		if len(writes)+len(orders)+len(r.processedInbox) == 0 {
+		if len(writes)+len(orders) == 0 && !r.inboxChanged() {
 			return
 		}
 	}
--- a/task/runner_table.go
+++ b/task/runner_table.go
@@ -14,12 +14,14 @@
 func (r *Runner) loadRows(ctx context.Context) error {
 	prefix := RowKey(r.config.Scheduler.Pool, "")
 	for range maxLoadPages {
-		rows, err := r.scan(ctx, prefix, r.loadCursor)
+		rows, err := r.scan(ctx, prefix, r.loadCursor, rowPageSize)
 		if err != nil {
 			return err
 		}
-		r.updateRows(rows)
-		if len(rows) < pageSize {
+		for _, id := range r.updateRows(rows) {
+			r.returnedInbox = append(r.returnedInbox, inboxKey(r.config.Scheduler.Pool, id))
+		}
+		if len(rows) < rowPageSize {
 			r.loaded = true
 			r.scheduler.RebuildFailureStreaks()
 			return nil
@@ -29,10 +31,13 @@
 	return nil
 }
 
-func (r *Runner) updateRows(rows []acaciatally.Row) {
-	if err := r.scheduler.Load(rows, r.config.Clock.Now()); err != nil {
+// updateRows updates the scheduler and returns the IDs of tasks for which there is no memory.
+func (r *Runner) updateRows(rows []acaciatally.Row) (waiting []string) {
+	waiting, err := r.scheduler.Load(rows, r.config.Clock.Now())
+	if err != nil {
 		r.counters.malformed.Inc()
 	}
+	return waiting
 }
 
 // readUpdates reads new tasks, usage reports, and rows that other processes may have changed.
@@ -42,27 +47,51 @@
 	r.reread(ctx, r.scheduler.StaleKeys(r.config.Clock.Now(), maxTransactionRows))
 }
 
+// readInbox loads new tasks, as long as there is memory for them.
 func (r *Runner) readInbox(ctx context.Context) {
+	if r.scheduler.Full() {
+		return
+	}
 	prefix := inboxKey(r.config.Scheduler.Pool, "")
-	entries, err := r.scan(ctx, prefix, "")
+	entries, err := r.scan(ctx, prefix, "", pageSize)
 	if err != nil || len(entries) == 0 {
 		return
 	}
+	r.processedInbox = r.processedInbox[:0]
+	for chunk := range slices.Chunk(entries, rowPageSize) {
+		if r.scheduler.Full() || !r.loadInbox(ctx, prefix, chunk) {
+			return
+		}
+	}
+}
+
+// loadInbox loads the tasks of entries of the inbox; it returns false if they could not be read.
+func (r *Runner) loadInbox(ctx context.Context, prefix string, entries []acaciatally.Row) (ok bool) {
 	keys := make([]string, 0, len(entries))
 	for _, entry := range entries {
 		keys = append(keys, RowKey(r.config.Scheduler.Pool, strings.TrimPrefix(entry.Key, prefix)))
 	}
 	rows, err := r.read(ctx, keys)
 	if err != nil {
-		return
+		return false
 	}
-	r.updateRows(rows)
-	r.processedInbox = r.processedInbox[:0]
+	waiting := r.updateRows(rows)
 	for _, entry := range entries {
-		r.processedInbox = append(r.processedInbox, entry.Key)
+		if !slices.Contains(waiting, strings.TrimPrefix(entry.Key, prefix)) {
+			r.processedInbox = append(r.processedInbox, entry.Key)
+		}
 	}
+	return true
 }
 
+// inboxChanged reports whether rows of the inbox, or the row that marks the pool as full, have to be written or deleted.
+func (r *Runner) inboxChanged() bool {
+	return len(r.processedInbox)+len(r.returnedInbox) > 0 || r.markDue(r.scheduler.Full())
+}
+
+// markDue reports whether the row has to be written or deleted that marks the pool as full.
+func (r *Runner) markDue(full bool) bool { return !r.markWritten || full != r.markedFull }
+
 func (r *Runner) readUsage(ctx context.Context) {
 	now := r.config.Clock.Now()
 	if now.Sub(r.usageReadAt) < r.config.UsageInterval {
@@ -85,11 +114,11 @@
 	return r.config.Leases.Usage(ctx, workers...)
 }
 
-func (r *Runner) scan(ctx context.Context, prefix, after string) (rows []acaciatally.Row, err error) {
+func (r *Runner) scan(ctx context.Context, prefix, after string, limit int) (rows []acaciatally.Row, err error) {
 	ctx, cancel := context.WithTimeout(ctx, r.config.Timeout)
 	defer cancel()
 	r.counters.reads.Inc()
-	rows, err = r.config.Table.Scan(ctx, prefix, after, pageSize)
+	rows, err = r.config.Table.Scan(ctx, prefix, after, limit)
 	r.counters.rowsRead.Add(len(rows))
 	return rows, err
 }
@@ -106,7 +135,15 @@
 // commit writes the rows in one transaction; it returns false when the round has to end.
 func (r *Runner) commit(ctx context.Context, heldLease HeldLease, writes []RowWrite) (ok bool) {
 	processed := r.processedInbox[:min(len(r.processedInbox), maxTransactionRows)]
+	returned := r.returnedInbox[:min(len(r.returnedInbox), maxTransactionRows)]
+	full := r.scheduler.Full()
 	transaction := r.newTransaction(heldLease, writes, processed)
+	for _, key := range returned {
+		transaction.Writes = append(transaction.Writes, acaciatally.Write{Key: key})
+	}
+	if r.markDue(full) {
+		transaction.Writes = append(transaction.Writes, acaciatally.Write{Key: fullKey(r.config.Scheduler.Pool), Delete: !full})
+	}
 	ctx, cancel := context.WithTimeout(ctx, r.config.Timeout)
 	defer cancel()
 	r.counters.writes.Inc()
@@ -116,7 +153,8 @@
 	switch {
 	case err == nil:
 		r.scheduler.ApplyWriteResults(writes, version, r.config.Clock.Now())
-		r.processedInbox = r.processedInbox[len(processed):]
+		r.processedInbox, r.returnedInbox = r.processedInbox[len(processed):], r.returnedInbox[len(returned):]
+		r.markWritten, r.markedFull = true, full
 		return true
 	case errors.As(err, &conflict):
 		return r.resolveConflict(ctx, heldLease, conflict.Keys)
--- a/task/scheduler.go
+++ b/task/scheduler.go
@@ -22,6 +22,7 @@
 	Retention           time.Duration // of ended tasks' rows
 	Floors              Floors
 	MaxStarts           int      // limits the rows written in one round
+	MaxBytes            int64    // memory for tasks; further ones wait in the inbox and new ones are refused. 0 is unlimited
 	Baseline            Baseline // replaces part of the scheduling policy in measurements
 }
 
@@ -80,6 +81,8 @@
 	jobs           map[string]*job
 	live           map[string]*job // jobs with an attempt that may be running
 	dirty          map[string]*job // jobs with a proposed record to be written
+	bytes          int64           // memory of all jobs
+	full           bool            // the result of the last call of Full
 	workers        map[acaciatally.InstanceID]*workerHealth
 	poolView       PoolView
 	estimator      *UsageEstimator
@@ -98,6 +101,7 @@
 	attempt          attempt
 	retryAt          time.Time // no new attempt before this time
 	readAt           time.Time // when the row was last read or written
+	bytes            int64     // memory that is counted in Scheduler.bytes
 	// useDeclared makes the scheduler place the task with its declared resources; it is set for baselines.
 	useDeclared     bool
 	reasonWrittenAt time.Time // when the reason for waiting was last written
@@ -128,9 +132,9 @@
 // Epoch returns the lease epoch under which the scheduler writes.
 func (s *Scheduler) Epoch() uint64 { return s.epoch }
 
-// Load updates the tasks from rows of the table; a row whose version is already known changes nothing. It returns the error of the last
-// row that could not be decoded.
-func (s *Scheduler) Load(rows []acaciatally.Row, now time.Time) (err error) {
+// Load updates the tasks from rows of the table; a row whose version is already known changes nothing. It returns the IDs of tasks that have to
+// wait in the inbox, because there is no memory for them, and the error of the last row that could not be decoded.
+func (s *Scheduler) Load(rows []acaciatally.Row, now time.Time) (waiting []string, err error) {
 	prefix := RowKey(s.config.Pool, "")
 	for _, row := range rows {
 		if known, found := s.jobs[strings.TrimPrefix(row.Key, prefix)]; found && known.version >= row.Version {
@@ -142,9 +146,13 @@
 			err = decodeErr
 			continue
 		}
+		if s.mustWait(record) {
+			waiting = append(waiting, record.Spec.ID)
+			continue
+		}
 		s.loadRecord(record, row.Version, now)
 	}
-	return err
+	return waiting, err
 }
 
 func (s *Scheduler) loadRecord(record Record, version uint64, now time.Time) {
@@ -172,8 +180,7 @@
 	s.expiredRows = append(s.expiredRows, RowWrite{
 		Key: RowKey(s.config.Pool, record.Spec.ID), Version: version, IndexKey: indexKey(record.Spec.ID),
 	})
-	delete(s.jobs, record.Spec.ID)
-	delete(s.live, record.Spec.ID)
+	s.remove(record.Spec.ID)
 	return true
 }
 
@@ -186,9 +193,14 @@
 	}
 	if s.tracksAttempt(j, now) {
 		s.live[record.Spec.ID] = j
+		s.resize(j)
 		return
 	}
 	delete(s.live, record.Spec.ID)
+	if record.Phase.Ended() {
+		j.record.Spec.Command, j.record.Decisions = nil, nil // it never runs again, and its row is not written again
+	}
+	s.resize(j)
 }
 
 // tracksAttempt reports whether the scheduler still has to track an attempt; the attempt of a cancelled task is tracked until it has
@@ -294,9 +306,7 @@
 // RowDeleted removes the task of a row that no longer exists.
 func (s *Scheduler) RowDeleted(key string) {
 	id, _ := strings.CutPrefix(key, RowKey(s.config.Pool, ""))
-	delete(s.jobs, id)
-	delete(s.live, id)
-	delete(s.dirty, id)
+	s.remove(id)
 }
 
 // Workers returns the IDs of the pool's workers and of workers that have left it with attempts that may be running, sorted.
--- a/task/submit.go
+++ b/task/submit.go
@@ -23,6 +23,7 @@
 func (f *Frontend) submit(ctx context.Context, batch []*submission) {
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), maxCommitAttempts*f.config.Timeout)
 	defer cancel()
+	f.refuseFull(ctx, batch)
 	for range maxCommitAttempts {
 		open := unsettledSubmissions(batch)
 		if len(open) == 0 {
@@ -112,6 +113,11 @@
 		waitForRetry(ctx)
 		return
 	}
+	settleFound(open, found)
+}
+
+// settleFound settles the calls whose task is among those found.
+func settleFound(open []*submission, found []storedRecord) {
 	for _, call := range open {
 		index := slices.IndexFunc(found, func(row storedRecord) bool { return row.record.Spec.ID == call.spec.ID })
 		if index < 0 {
