--- a/flood/backlog_test.go
+++ b/flood/backlog_test.go
@@ -94,7 +94,7 @@
 	}
 	request.Host = "a.example"
 	request.Header.Set("Acaciatally-Deadline-Ms", "30000")
-	request.Header.Set("Acaciatally-Key", s.key)
+	request.Header.Set(emulator.KeyHeader, s.key)
 	response, err := sender.Do(request)
 	if err != nil {
 		return 0
@@ -153,13 +153,8 @@
 
 // TestBacklogOfAccount guards against an account whose jobs keep those of others out.
 func TestBacklogOfAccount(t *testing.T) {
-	account := func(name, key string) map[string]any {
-		return map[string]any{"name": name, "apiKeys": []string{key}, "weight": 1}
-	}
-	withAccounts := configuration()
-	withAccounts["tenants"] = []map[string]any{account("shops", ordinaryKey), account("crowd", crowdKey)}
 	store := emulator.NewStore()
-	store.Put("op", "config", withAccounts)
+	store.Put("op", "config", emulator.WithAccounts(configuration(), emulator.Account("shops", ordinaryKey), emulator.Account("crowd", crowdKey)))
 	p := startAttendOn(t, store, emulator.NewFaults(), smallMachine)
 	stop := p.watch()
 	crowd := submitters{clients: 8, perClient: backlogJobs / 8, queues: []string{"quotes"}, body: largeJob(1), key: crowdKey}
--- a/flood/process_test.go
+++ b/flood/process_test.go
@@ -188,7 +188,7 @@
 	request.Header.Set("Acaciatally-Deadline-Ms", "30000")
 	request.Header.Set("Acaciatally-Idempotent", "true")
 	request.Header.Set("Acaciatally-Team", "shops") // not the team of the crowd, whose finished requests may exceed its quota
-	request.Header.Set("Acaciatally-Key", ordinaryKey)
+	request.Header.Set(emulator.KeyHeader, ordinaryKey)
 	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
 	response, err := client.Do(request)
 	if err != nil {
--- a/ingress/gate_test.go
+++ b/ingress/gate_test.go
@@ -17,7 +17,6 @@
 
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
-	"golang.org/x/sys/unix"
 
 	"github.com/acaciatally/acaciatally"
 )
@@ -324,109 +323,6 @@
 	}
 }
 
-// TestSlowBodiesMakeRoom guards against stalled bodies that keep others from being served: the one that has held the most for longest is
-// refused, truthfully, before its time in calm is over.
-func TestSlowBodiesMakeRoom(t *testing.T) {
-	runServer(t, Config{Limits: Limits{Bytes: 6 * largeBody}}, func(t *testing.T, s *testServer) {
-		first, second, third := s.dial(), s.dial(), s.dial()
-		first.send(post("/", largeBody, "a"))
-		time.Sleep(500 * time.Millisecond)
-		second.send(chunked("a"))
-		third.send(post("/", largeBody+1, "a"))
-		time.Sleep(900 * time.Millisecond)
-		ordinary := s.dial()
-		ordinary.send(post("/", 190_000, strings.Repeat("a", 190_000)))
-		status, _, _ := ordinary.response(t)
-		require.Equal(t, 200, status)
-		status, _, closes := first.response(t)
-		require.Equal(t, 503, status)
-		require.True(t, closes)
-		require.Equal(t, 1, s.gate.State().ClosedUnfinished)
-		third.send(strings.Repeat("a", largeBody))
-		status, _, _ = third.response(t)
-		require.Equal(t, 200, status, "a body that is not slow enough is not touched")
-	})
-}
-
-// TestIdleMakesRoom guards against idle connections that keep new ones from being served, and against the loss of a request in progress.
-func TestIdleMakesRoom(t *testing.T) {
-	runServer(t, Config{Limits: Limits{Connections: 2}}, func(t *testing.T, s *testServer) {
-		idleClient, unfinished := s.dial(), s.dial()
-		idleClient.send(post("/", 2, "ab"))
-		_, _, _ = idleClient.response(t)
-		unfinished.send(post("/", largeBody, strings.Repeat("a", largeBody-1)))
-		time.Sleep(time.Second)
-		ordinary := s.dial()
-		ordinary.send(post("/", 2, "ab"))
-		status, _, _ := ordinary.response(t)
-		require.Equal(t, 200, status)
-		status, _, _ = idleClient.response(t)
-		require.Zero(t, status, "the idle connection is closed")
-		unfinished.send("a")
-		status, _, _ = unfinished.response(t)
-		require.Equal(t, 200, status)
-		require.Equal(t, 1, s.gate.State().ClosedIdle)
-	})
-}
-
-// TestConnectionsRefused guards against more connections than the limit, and against a refusal without a truthful outcome.
-func TestConnectionsRefused(t *testing.T) {
-	reports := 0
-	runServer(t, Config{Limits: Limits{Connections: 1}, Report: func(Report) { reports++ }}, func(t *testing.T, s *testServer) {
-		first := s.dial()
-		first.send(post("/slow", 2, "ab"))
-		synctest.Wait()
-		second := s.dial()
-		response, err := http.ReadResponse(second.reader, nil)
-		require.NoError(t, err)
-		content, err := io.ReadAll(response.Body)
-		require.NoError(t, err)
-		require.NoError(t, response.Body.Close())
-		require.Equal(t, 503, response.StatusCode)
-		require.Equal(t, "NotRun", response.Header.Get(acaciatally.OutcomeHeader))
-		require.Equal(t, "1", response.Header.Get("Retry-After"))
-		require.Contains(t, string(content), "not accepted")
-		status, _, _ := first.response(t)
-		require.Equal(t, 200, status, "a request that is being answered is not touched")
-		require.Equal(t, 1, s.gate.State().RefusedConnections)
-		require.Equal(t, 1, reports)
-	})
-}
-
-// TestBurstOfConnections guards against new connections that are refused, or closed before their request is read, since many arrive at the
-// same moment: a hostile crowd of three times the limit connects, and an ordinary request right after it.
-func TestBurstOfConnections(t *testing.T) {
-	runServer(t, Config{Limits: Limits{Connections: 20}}, func(t *testing.T, s *testServer) {
-		for range 60 {
-			s.dial().send(post("/", largeBody, "a"))
-		}
-		ordinary := s.dial()
-		ordinary.send(post("/", 2, "ab"))
-		status, _, _ := ordinary.response(t)
-		require.Equal(t, 200, status)
-		require.Zero(t, s.gate.State().RefusedConnections)
-	})
-}
-
-// TestEvictedDoNotLinger guards against refused connections that keep others out until they are closed.
-func TestEvictedDoNotLinger(t *testing.T) {
-	runServer(t, Config{Limits: Limits{Connections: 2}}, func(t *testing.T, s *testServer) {
-		for range 2 {
-			s.dial().send(post("/", largeBody, "a"))
-		}
-		time.Sleep(time.Second)
-		began := time.Now()
-		for range 10 {
-			c := s.dial()
-			c.send(post("/", 2, "ab"))
-			status, _, _ := c.response(t)
-			require.Equal(t, 200, status)
-			c.send(post("/", largeBody, "a"))
-		}
-		require.Less(t, time.Since(began), 10*lingerTime)
-	})
-}
-
 // TestOrdinaryLoad guards against limits that ordinary callers of the smallest machine meet: 500 connections with 20 requests each, of 500 bytes or, on
 // some, the largest body and header.
 func TestOrdinaryLoad(t *testing.T) {
@@ -478,35 +374,3 @@
 	}
 	require.NoError(t, Extend(context.Background(), 1<<40))
 }
-
-// TestListen guards against sockets that hold more than a small amount of unread bytes, and against a body with its memory that has no more.
-func TestListen(t *testing.T) {
-	listener, err := Listen(t.Context(), "tcp", "127.0.0.1:0")
-	require.NoError(t, err)
-	defer func() { _ = listener.Close() }()
-	conn, err := (&net.Dialer{}).DialContext(t.Context(), "tcp", listener.Addr().String())
-	require.NoError(t, err)
-	defer func() { _ = conn.Close() }()
-	accepted, err := listener.Accept()
-	require.NoError(t, err)
-	defer func() { _ = accepted.Close() }()
-	unread := func() (count int) {
-		raw, err := accepted.(*net.TCPConn).SyscallConn()
-		require.NoError(t, err)
-		require.NoError(t, control(raw, func(descriptor uintptr) error {
-			count, err = unix.IoctlGetInt(int(descriptor), unix.TIOCINQ)
-			return err
-		}))
-		return count
-	}
-	go func() { _, _ = conn.Write(make([]byte, 16<<20)) }() // ends with the connection
-	time.Sleep(200 * time.Millisecond)
-	small := unread()
-	require.Positive(t, small)
-	require.LessOrEqual(t, small, 2*receiveBufferBytes)
-	widenBuffer(accepted)
-	_, err = io.ReadFull(accepted, make([]byte, 4*bodyBufferBytes))
-	require.NoError(t, err)
-	require.Eventually(t, func() bool { return unread() > small }, time.Minute, 10*time.Millisecond)
-	require.LessOrEqual(t, unread(), 2*bodyBufferBytes)
-}
