Test a crowd at all entries at the same time

flood.TestCrowdAtAllEntries starts four entries of 128 MB on one store and sends 16 clients with jobs of 2,000 tasks to each.

--- a/flood/leader_test.go
+++ b/flood/leader_test.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"net/http/httptest"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -107,6 +108,37 @@
 	}
 }
 
+// TestCrowdAtAllEntries guards against entries that together accept more than the leader has memory for, and against the end of the leader or of
+// its successor.
+func TestCrowdAtAllEntries(t *testing.T) {
+	const entries = 4
+	store := emulator.NewStore()
+	store.Put("op", "config", configuration())
+	var processes []*process
+	var stops []func() usage
+	for range entries {
+		p := startAttendOn(t, store, emulator.NewFaults(), smallMachine)
+		processes = append(processes, p)
+		stops = append(stops, p.watch())
+	}
+	var crowd sync.WaitGroup
+	for number, p := range processes {
+		jobs := submitters{clients: 16, perClient: backlogJobs / 16, queues: []string{"quotes"}, body: largeJob(1)}
+		for client := range jobs.clients {
+			crowd.Go(func() { jobs.run(t.Context(), p.callers, 100*number+client, &atomic.Value{}) })
+		}
+	}
+	crowd.Wait()
+	time.Sleep(holdTime)
+	for number, p := range processes {
+		counted, count := p.request(http.MethodGet, p.callers, "/quotes/", "")
+		status, content := p.request(http.MethodPost, p.callers, fmt.Sprintf("/slots/%016x", number), ordinaryJob)
+		requireBounded(t, p, stops[number]())
+		require.Equal(t, http.StatusOK, counted, count)
+		require.Contains(t, []int{http.StatusOK, http.StatusTooManyRequests}, status, content)
+	}
+}
+
 // TestCrowdDuringRestart guards against a leader that ends when it takes over a large backlog and a crowd comes at the same time.
 func TestCrowdDuringRestart(t *testing.T) {
 	store := emulator.NewStore()
--- a/flood/process_test.go
+++ b/flood/process_test.go
@@ -130,8 +130,9 @@
 	server := httptest.NewServer(store.Handler(faults))
 	t.Cleanup(server.Close)
 	p := &process{t: t, callers: freeAddress(t), ready: freeAddress(t), metrics: freeAddress(t), ip: loopback(), machine: m}
+	_, port, _ := strings.Cut(p.callers, ":")
 	content, err := json.Marshal(map[string]any{
-		"nodeName": "entry-1", "ip": p.ip, "zone": "hall-a", "bootstrap": true, "heartbeatMs": 1500, "commands": "invoke",
+		"nodeName": "entry-" + port, "ip": p.ip, "zone": "hall-a", "bootstrap": true, "heartbeatMs": 1500, "commands": "invoke",
 		"listenAddrs": map[string]string{"frontend": p.callers, "ready": p.ready},
 		"limits":      map[string]any{"cpuShare": 1, "cores": 1, "memoryMb": m.memoryMB, "linkMbps": 1000, "maxFds": m.descriptors},
 		"bounds":      map[string]any{"gracePeriodS": 6},
@@ -140,8 +141,8 @@
 	require.NoError(t, err)
 	path := filepath.Join(t.TempDir(), "entry.json")
 	require.NoError(t, os.WriteFile(path, content, 0o600))
-	_, port, _ := strings.Cut(p.metrics, ":")
-	p.start("attend", "-settings", path, "-metrics", port)
+	_, metricsPort, _ := strings.Cut(p.metrics, ":")
+	p.start("attend", "-settings", path, "-metrics", metricsPort)
 	p.awaitReady("/-/ready")
 	return p
 }
