--- a/backlog/ledger.go
+++ b/backlog/ledger.go
@@ -9,19 +9,21 @@
 )
 
 const (
-	// roomFactor is the room of a source in relation to what is free, less what it already has. One source alone can fill two thirds of the memory.
+	// roomFactor is the room of a source as a multiple of what is free, less what it already has. One source alone can fill two thirds of the limit.
 	roomFactor = 2
-	// quietShare is the share of the memory up to which no state is published: every source has as much room as is free.
+	// quietShare is the share of the limit up to which no state is published: every source has as much room as is free.
 	quietShare = 0.5
-	// queueShare is the share of the memory, beyond the limit, that is divided equally between the queues with jobs.
+	// queueShare is the share of the limit, beyond the limit, that is divided equally between the queues with jobs.
 	queueShare = 0.25
-	// resumeShare is the share of the memory below which jobs are read again that were left in the record store.
+	// resumeShare is the share of the limit below which jobs are read again that were left in the record store.
 	resumeShare = 0.9
 	// rateWindow is the time over which the freed memory is averaged.
 	rateWindow = 5 * time.Second
 	// memoryShare is the share of the memory for jobs. Requests on their way in have as much; the rest is for the process itself, for the records
 	// of commits and reads, and for garbage.
 	memoryShare = 0.2
+	// MinLimit is the smallest limit with which the largest job is accepted in calm.
+	MinLimit = 4 << 20
 	// maxDefaultLimit is the limit of the smallest machines of the users' platform, of 184 MB.
 	maxDefaultLimit = 36 << 20
 	// maxSources bounds the size of the published state.
@@ -34,7 +36,7 @@
 	if memory <= 0 {
 		return 0
 	}
-	return min(maxDefaultLimit, int64(memoryShare*float64(memory)))
+	return min(maxDefaultLimit, max(MinLimit, int64(memoryShare*float64(memory))))
 }
 
 // Ledger accounts for the memory of the jobs that the leader knows, by source and by queue. It is not safe for concurrent use.
@@ -89,8 +91,12 @@
 	if l.limit == 0 || l.total.bytes+bytes <= l.limit {
 		return true
 	}
-	part := int64(queueShare*float64(l.limit)) / int64(len(l.queues)+1)
-	return l.queues[queue]+bytes <= part
+	return l.queues[queue]+bytes <= l.part()
+}
+
+// part returns the memory that each queue always has.
+func (l *Ledger) part() int64 {
+	return int64(queueShare*float64(l.limit)) / int64(len(l.queues)+1)
 }
 
 // HasRoom reports whether a source has room for more bytes, beside what other sources may need.
@@ -104,8 +110,10 @@
 	return bytes <= roomFactor*(l.limit-l.total.bytes)
 }
 
-// Recovered reports whether enough memory is free to read jobs again that did not fit.
-func (l *Ledger) Recovered() bool { return l.total.bytes <= int64(resumeShare*float64(l.limit)) }
+// Recovered reports whether enough memory is free to read jobs of a queue again that did not fit: a part of the limit, or of what the queue always has.
+func (l *Ledger) Recovered(queue acaciatally.QueueName) bool {
+	return l.total.bytes <= int64(resumeShare*float64(l.limit)) || l.queues[queue] <= l.part()/2
+}
 
 // State returns the state to publish. left reports whether accepted jobs wait in the record store because they do not fit; then there is no room
 // for new ones.
--- a/backlog/ledger_test.go
+++ b/backlog/ledger_test.go
@@ -59,9 +59,10 @@
 	require.False(t, ledger.Fits(testQueue, 1))
 	require.True(t, ledger.Fits("plans", 125), "half of a quarter more for the second queue")
 	require.False(t, ledger.Fits("plans", 126))
-	require.False(t, ledger.Recovered())
+	require.False(t, ledger.Recovered(testQueue))
+	require.True(t, ledger.Recovered("plans"), "it has nothing of its part")
 	ledger.Add(hot, testQueue, -100)
-	require.True(t, ledger.Recovered())
+	require.True(t, ledger.Recovered(testQueue))
 	require.True(t, ledger.Fits(testQueue, 100))
 	require.True(t, NewLedger(0).Fits(testQueue, 1<<40), "unlimited")
 }
@@ -91,6 +92,7 @@
 func TestDefaultLimit(t *testing.T) {
 	require.Zero(t, DefaultLimit(0))
 	require.Equal(t, int64(20<<20), DefaultLimit(100<<20))
+	require.Equal(t, int64(MinLimit), DefaultLimit(1<<20))
 	require.Equal(t, DefaultLimit(184<<20), DefaultLimit(1<<30))
 }
 
--- a/dispatch/backlog.go
+++ b/dispatch/backlog.go
@@ -24,8 +24,8 @@
 	return s.deferred(queue, id) != nil
 }
 
-// HasRoomAgain reports whether there is memory again for jobs that stayed in the record store.
-func (s *Scheduler) HasRoomAgain() bool { return s.backlog.Recovered() }
+// HasRoomAgain reports whether there is memory again for jobs of a queue that stayed in the record store.
+func (s *Scheduler) HasRoomAgain(queue acaciatally.QueueName) bool { return s.backlog.Recovered(queue) }
 
 // Backlog returns the room for new jobs to publish; left reports whether accepted jobs have stayed in the record store.
 func (s *Scheduler) Backlog(left bool, now time.Duration) *backlog.State {
--- a/dispatch/unloaded.go
+++ b/dispatch/unloaded.go
@@ -44,7 +44,7 @@
 // loadUnloaded starts to load the jobs that were left in the record store, if there is room for them again.
 func (r *Runner) loadUnloaded(ctx context.Context, now time.Duration) {
 	for queue, u := range r.unloaded {
-		if u.loading || now < u.nextAt || !r.scheduler.HasRoomAgain() {
+		if u.loading || now < u.nextAt || !r.scheduler.HasRoomAgain(queue) {
 			continue
 		}
 		u.loading, u.missed, u.nextAt = true, false, now+unloadedInterval
