Refuse a body that ends while its connection is being closed, and read the mark of a full pool once

A body whose last byte came between the decision to close its connection and the close was reset without the refusal that its handler would have sent; the reset is for responses that are not read.

The tests of ingress and task pass; the race itself has no test of its own.

--- a/ingress/conn.go
+++ b/ingress/conn.go
@@ -178,6 +178,9 @@
 func (c *conn) evict() {
 	c.gate.mutex.Lock()
 	reached := c.account.phase
+	if reached == processing && c.account.writingSince.IsZero() {
+		reached = body // its last byte has come after the decision; the handler learns of it and refuses the request
+	}
 	c.gate.mutex.Unlock()
 	c.gate.count(func(counts *Report) { counts.countEviction(reached) })
 	if reached == body {
--- a/task/full.go
+++ b/task/full.go
@@ -75,13 +75,13 @@
 	return record.Phase == Waiting && record.Attempt == 0 && s.jobs[record.Spec.ID] == nil && s.Full()
 }
 
-// fullPools tells a frontend which pools are full.
+// fullPools is what a frontend has read about which pools are full.
 type fullPools struct {
 	full      map[acaciatally.PoolName]bool
 	checkedAt map[acaciatally.PoolName]time.Time
 }
 
-// isFull returns whether a pool is full. While the table can't be read, no pool is.
+// isFull returns whether a pool is full. While the table can't be read, it goes by what it has read before.
 func (f *Frontend) isFull(ctx context.Context, pool acaciatally.PoolName) bool {
 	now := f.config.Clock.Now()
 	if checked, known := f.pools.checkedAt[pool]; known && now.Sub(checked) < fullCheckInterval {
@@ -90,11 +90,11 @@
 	ctx, cancel := context.WithTimeout(ctx, f.config.Timeout)
 	defer cancel()
 	rows, err := f.config.Table.Read(ctx, fullKey(pool))
-	if err != nil {
-		return false
+	f.pools.checkedAt[pool] = f.config.Clock.Now()
+	if err == nil {
+		f.pools.full[pool] = len(rows) > 0
 	}
-	f.pools.checkedAt[pool], f.pools.full[pool] = now, len(rows) > 0
-	return len(rows) > 0
+	return f.pools.full[pool]
 }
 
 // refuseFull settles the submissions to pools that are full: those that were accepted before as such, and the others with a refusal.
