review: stand-ins pass no ignored SIGHUP on to the entries

Case 13 found nothing when its script ran under nohup: the ignored SIGHUP was inherited by the entries. The stand-in now catches it, so that the entries start with its default action.

--- a/review/standins-3/main.go
+++ b/review/standins-3/main.go
@@ -6,7 +6,9 @@
 	"fmt"
 	"io"
 	"os"
+	"os/signal"
 	"path/filepath"
+	"syscall"
 )
 
 // Exit codes of the program.
@@ -30,6 +32,8 @@
 	seed := flag.Uint64("seed", 1, "seed of random scenarios")
 	keep := flag.String("keep", "", "folder for the logs of the entries; empty is a temporary one")
 	flag.Parse()
+	// A SIGHUP that is ignored here, as under nohup, would be ignored by the entries too. One that is caught here has its default action there.
+	signal.Notify(make(chan os.Signal, 1), syscall.SIGHUP)
 	randomSeed = *seed
 	chosen, found := scenarios[*name]
 	if !found {
