--- a/review/standins-3/worker.go
+++ b/review/standins-3/worker.go
@@ -258,7 +258,11 @@
 func (w *worker) lapse(life time.Time) {
 	w.mutex.Lock()
 	defer w.mutex.Unlock()
-	if w.down || !w.born.Equal(life) || w.clock() < w.leaseEnd {
+	if w.down || !w.born.Equal(life) {
+		return
+	}
+	if w.clock() < w.leaseEnd { // by the rounding of the clock
+		w.leaseTimer = time.AfterFunc(time.Millisecond, func() { w.lapse(life) })
 		return
 	}
 	for _, r := range w.running {
