review: case 13 with the store's own 4 ms an answer

With the stand-in's 3 ms the count of a queue took 0.25 s on a fast machine, too little for the case: it ended with 2, could not run.

--- a/review/standins-3/hangup.go
+++ b/review/standins-3/hangup.go
@@ -20,6 +20,7 @@
 	lossSlack     = 200 * time.Millisecond
 	hangupClients = 48
 	hangupTries   = 6
+	storeAnswer   = 4 * time.Millisecond // of the platform's store, by its page
 )
 
 // hangupWhileStopping stops an entry as planned and tells it of new settings while it finishes its requests. The requests ask how many jobs of a
@@ -31,6 +32,9 @@
 	if err = sim.begin(3, "intake", 1); err != nil {
 		return nil, err
 	}
+	for _, e := range sim.entries {
+		e.faults.SetDelay(storeAnswer)
+	}
 	if err = sim.fillQueue("/plain/"); err != nil {
 		return nil, err
 	}
