--- a/review/standins-3/client.go
+++ b/review/standins-3/client.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -97,21 +98,18 @@
 	return false
 }
 
-// state asks for the state of a job; it is empty without a usable answer.
-func (c *client) state(of *job) (state string, status int) {
+// state asks for the state of a job, keeps it, and returns the status of the answer.
+func (c *client) state(of *job) (status int) {
 	status, content := c.call(http.MethodGet, of.path+of.id, nil)
 	var answer struct {
 		State string `json:"state"`
 	}
 	if status == http.StatusOK && json.Unmarshal(content, &answer) == nil {
-		state = answer.State
+		c.sim.judge.mutex.Lock()
+		of.state = cmp.Or(answer.State, of.state)
+		c.sim.judge.mutex.Unlock()
 	}
-	c.sim.judge.mutex.Lock()
-	defer c.sim.judge.mutex.Unlock()
-	if state != "" {
-		of.state = state
-	}
-	return state, status
+	return status
 }
 
 // cancel cancels a job.
--- a/review/standins-3/deployment.go
+++ b/review/standins-3/deployment.go
@@ -57,7 +57,6 @@
 	mutex    sync.Mutex
 	process  *exec.Cmd
 	exited   chan struct{}
-	downTo   time.Time // when it is started again
 	failures atomic.Int32
 }
 
--- a/review/standins-3/gang_end.go
+++ b/review/standins-3/gang_end.go
@@ -20,7 +20,7 @@
 func gangEnd(sim *simulation, trouble bool) (broken []string, err error) {
 	sim.services = []map[string]any{{"name": "intake"}}
 	sim.addRoute("gang", "intake", 2, 0, nil)
-	if err = sim.begin(3, "intake", 6); err != nil {
+	if err = sim.begin(3, 6); err != nil {
 		return nil, err
 	}
 	c := newClient(sim)
--- a/review/standins-3/hangup.go
+++ b/review/standins-3/hangup.go
@@ -29,7 +29,7 @@
 	sim.services = []map[string]any{{"name": "intake"}}
 	sim.settings["limits"] = map[string]any{"cpuShare": 0.8, "cores": 1, "memoryMb": 536, "maxFds": 4100, "linkMbps": hangupLink}
 	sim.addRoute("plain", "intake", 2, 0, nil)
-	if err = sim.begin(3, "intake", 1); err != nil {
+	if err = sim.begin(3, 1); err != nil {
 		return nil, err
 	}
 	for _, e := range sim.entries {
--- a/review/standins-3/many_queues.go
+++ b/review/standins-3/many_queues.go
@@ -21,7 +21,7 @@
 	for i := range firstRoutes {
 		sim.addRoute(fmt.Sprintf("q%04d", i), "intake", 2, 0, nil)
 	}
-	if err = sim.begin(3, "intake", 6); err != nil {
+	if err = sim.begin(3, 6); err != nil {
 		return nil, err
 	}
 	for range addedRoutes {
@@ -63,13 +63,13 @@
 	return sim.judge.finish(c), nil
 }
 
-// begin writes the first configuration, starts the workers and the entries, and waits until a job was done.
-func (s *simulation) begin(entries int, pool string, workers int) error {
+// begin writes the first configuration, starts the workers of the pool intake and the entries, and waits until an entry leads.
+func (s *simulation) begin(entries, workers int) error {
 	s.configure()
 	if err := s.serve(s.subnet+".2:8621", s.advice); err != nil {
 		return err
 	}
-	if err := s.addWorkers(pool, workers, 64000, 262144); err != nil {
+	if err := s.addWorkers("intake", workers, 64000, 262144); err != nil {
 		return err
 	}
 	for i := range entries {
@@ -90,7 +90,7 @@
 // under half of the capacity of its workers is in use.
 func (j *judge) finish(c *client) []string {
 	for _, of := range j.unfinished() {
-		_, status := c.state(of)
+		status := c.state(of)
 		j.sim.record("GET %s -> %d %s", of.path+of.id, status, of.state)
 	}
 	left := j.unfinished()
--- a/review/standins-3/random.go
+++ b/review/standins-3/random.go
@@ -27,7 +27,7 @@
 	sim.addRoute("timed", "intake", 2, 1, nil)
 	sim.addRoute("advised", "coating", 2, 0, policy)
 	sim.addRoute("lasting", "intake", 4, 0, nil)
-	if err = sim.begin(randomEntries, "intake", 6); err != nil {
+	if err = sim.begin(randomEntries, 6); err != nil {
 		return nil, err
 	}
 	if err = sim.addWorkers("coating", 6, 64000, 262144); err != nil {
--- a/review/standins-3/worker.go
+++ b/review/standins-3/worker.go
@@ -39,7 +39,6 @@
 	checkpoint  string
 	timer       *time.Timer
 	checkpoints *time.Timer
-	percentPace int
 	entry       *logEntry
 }
 
@@ -51,7 +50,6 @@
 	kind    string
 	pool    string
 	machine string
-	server  *http.Server
 
 	mutex      sync.Mutex
 	id         string
