--- a/review/standins-3/hangup.go
+++ b/review/standins-3/hangup.go
@@ -15,12 +15,13 @@
 )
 
 const (
-	waitingJobs   = 6000 // jobs that wait for room, all in one queue
+	waitingJobs   = 8000 // jobs that wait for room, all in one queue
 	hangupLink    = 10   // Mbit/s of the entries' links
 	lossSlack     = 200 * time.Millisecond
 	hangupClients = 48
 	hangupTries   = 6
-	storeAnswer   = 4 * time.Millisecond // of the platform's store, by its page
+	storeAnswer   = 4 * time.Millisecond             // of the platform's store, by its page
+	hangupAfter   = lossSlack + 100*time.Millisecond // from the request to the SIGHUP
 )
 
 // hangupWhileStopping stops an entry as planned and tells it of new settings while it finishes its requests. The requests ask how many jobs of a
@@ -121,14 +122,14 @@
 	if err != nil {
 		return false, err
 	}
-	if took < lossSlack+50*time.Millisecond {
+	if took < hangupAfter+50*time.Millisecond {
 		return false, errors.New("the count is too fast for the case")
 	}
 	s.record("SIGTERM to %s", e.name)
 	e.signal(syscall.SIGTERM)
 	time.Sleep(300 * time.Millisecond)
 	if trouble {
-		time.AfterFunc(lossSlack+20*time.Millisecond, func() {
+		time.AfterFunc(hangupAfter, func() {
 			s.record("SIGHUP to %s", e.name)
 			e.signal(syscall.SIGHUP)
 		})
