dispatch: acknowledge no end before the records of its job are up to date

Callers saw a gang run twice: it ended while the store was down, three of its four workers were told that its ends are taken note of, the fourth crashed, and the next leader started all four members again (TWICE).

Cause: an end had to be recorded first only if it was that of a task's current run. The first end of a gang marks all members done and releases their runs in memory; the ends of the others then belonged to no current run and were acknowledged at once, with the commit still refused.

Change: every end waits until the records of its job are up to date: for the next commit if the job has changes that none has taken, for the one in flight if that has them all. So what is not recorded is always still listed by the workers, and the ends of a gang cost no commit of their own.

--- a/dispatch/active_job.go
+++ b/dispatch/active_job.go
@@ -27,7 +27,8 @@
 	hasGang          bool          // has a step whose tasks run all at the same time or not at all
 	placementDue     bool          // a task has started or stopped waiting since the last placement
 	hasCancelRecord  bool          // a cancel request is recorded
-	unrecordedEnds   []endRef
+	unrecordedEnds   []endRef      // that a later commit records
+	endsInCommit     []endRef      // that the commit in flight records
 	refusedUntil     time.Duration // when its record may be sent again that the store has refused; 0 if it has not
 	endRecordedAt    time.Duration // when the commit of the final state was applied; 0 before
 	hasWaitingRecord bool          // its record in job.WaitingTable may still exist
@@ -43,13 +44,6 @@
 	steps    [][]*task
 }
 
-// endRef identifies the end of a run that a worker has listed.
-type endRef struct {
-	worker      acaciatally.WorkerID
-	workerStart time.Time
-	number      uint64
-}
-
 // eachTask calls visit for each task of the open occurrences.
 func (j *activeJob) eachTask(visit func(t *task)) {
 	for _, o := range j.openOccurrences {
--- a/dispatch/commit.go
+++ b/dispatch/commit.go
@@ -37,7 +37,6 @@
 	job     *activeJob
 	state   acaciatally.JobState
 	planned []plannedRun
-	ends    []endRef
 }
 
 type plannedRun struct {
@@ -131,8 +130,8 @@
 
 // addToCommit adds a job to a commit and returns the size of its progress record in bytes.
 func (s *Scheduler) addToCommit(commit *Commit, j *activeJob) (size int) {
-	committed := committedJob{job: j, state: j.state, ends: j.unrecordedEnds}
-	j.unrecordedEnds, j.dirty, j.inCommit = nil, false, true
+	committed := committedJob{job: j, state: j.state}
+	j.endsInCommit, j.unrecordedEnds, j.dirty, j.inCommit = j.unrecordedEnds, nil, false, true
 	j.eachTask(func(t *task) {
 		if t.unrecorded() {
 			committed.planned = append(committed.planned, plannedRun{t, t.attempt})
@@ -211,9 +210,8 @@
 				run.task.markOrderDue()
 			}
 		}
-		for _, end := range committed.ends {
-			s.markEndRecorded(end)
-		}
+		s.markEndsRecorded(committed.job.endsInCommit)
+		committed.job.endsInCommit = nil
 		if committed.state.Ended() && !committed.job.endRecorded() {
 			s.handleEndRecorded(committed.job, now)
 		}
@@ -226,25 +224,10 @@
 func (s *Scheduler) handleEndRecorded(j *activeJob, now time.Duration) {
 	j.endRecordedAt = now
 	s.Retain(j.accepted.Queue.Name, j.id, j.accepted.Account, now)
-	for _, end := range j.unrecordedEnds {
-		s.markEndRecorded(end)
-	}
+	s.markEndsRecorded(j.unrecordedEnds)
 	j.unrecordedEnds = nil
 }
 
-func (s *Scheduler) markEndRecorded(end endRef) {
-	w := s.workers[end.worker]
-	if w == nil || !w.startTime.Equal(end.workerStart) {
-		return
-	}
-	for i := range w.unackedEnds {
-		if w.unackedEnds[i].number == end.number {
-			w.unackedEnds[i].recorded = true
-		}
-	}
-	w.advanceAcknowledged()
-}
-
 // CommitFailed handles a commit that had no effect; its changes go into a later commit, from retryAt on.
 func (s *Scheduler) CommitFailed(commit *Commit, err error, retryAt time.Duration) {
 	p := s.partitions[commit.Queue]
@@ -259,7 +242,7 @@
 	for _, committed := range commit.committedJobs {
 		j := committed.job
 		j.dirty, j.inCommit = true, false
-		j.unrecordedEnds = append(committed.ends, j.unrecordedEnds...)
+		j.endsInCommit, j.unrecordedEnds = nil, append(j.endsInCommit, j.unrecordedEnds...)
 		j.hasWaitingRecord = true // deleting a record that does not exist has no effect
 		if !j.live() {
 			j.recordsDeleted, j.hasCancelRecord = false, true
--- a/dispatch/report.go
+++ b/dispatch/report.go
@@ -62,22 +62,6 @@
 	}
 }
 
-// unackedEndsLogInterval is the age from which unacknowledged ends are logged, and the minimum time between two such lines of a worker.
-const unackedEndsLogInterval = 5 * time.Second
-
-// logUnackedEnds logs that the worker has listed an end for long without this leader recording it.
-func (s *Scheduler) logUnackedEnds(w *worker, now time.Duration) {
-	if len(w.unackedEnds) == 0 {
-		return
-	}
-	listedAt := w.unackedEnds[0].listedAt
-	if now < max(listedAt, w.unackedLoggedAt)+unackedEndsLogInterval {
-		return
-	}
-	w.unackedLoggedAt = now
-	s.config.EventLog.EndsUnacknowledged(w.entry.ID, len(w.unackedEnds), now-listedAt)
-}
-
 // handleRunning updates the task of a running run. It returns false if the run is not the current run of a known task.
 func (s *Scheduler) handleRunning(w *worker, run acaciatally.RunningTask, now time.Duration) bool {
 	t := s.findTask(run.Task)
@@ -139,14 +123,6 @@
 	return nil
 }
 
-// advanceAcknowledged advances the acknowledged number past the ends that are recorded.
-func (w *worker) advanceAcknowledged() {
-	for len(w.unackedEnds) > 0 && w.unackedEnds[0].recorded {
-		w.acknowledged = w.unackedEnds[0].number
-		w.unackedEnds = w.unackedEnds[1:]
-	}
-}
-
 // handleEnd handles the end of a run that the worker lists.
 func (s *Scheduler) handleEnd(w *worker, ended acaciatally.EndedTask, now time.Duration) {
 	if ended.Number <= w.acknowledged || (len(w.unackedEnds) > 0 && ended.Number <= w.unackedEnds[len(w.unackedEnds)-1].number) {
@@ -156,15 +132,13 @@
 	t := s.findTask(ended.Task)
 	counts := t != nil && t.worker == w && t.attempt == ended.Attempt
 	s.config.EventLog.RunEnded(ended, w.entry.ID, counts)
-	needsRecord := counts && !t.job.endRecorded()
-	w.unackedEnds = append(w.unackedEnds, unackedEnd{number: ended.Number, listedAt: now, recorded: !needsRecord})
+	if counts {
+		t.job.dirty = true
+	}
+	s.trackEnd(w, ended, now)
 	if !counts {
 		return
 	}
-	if needsRecord {
-		t.job.unrecordedEnds = append(t.job.unrecordedEnds, endRef{worker: w.entry.ID, workerStart: w.startTime, number: ended.Number})
-	}
-	t.job.dirty = true
 	s.markStarted(t)
 	s.updateHealth(w, t, ended, now)
 	s.applyEnd(t, ended, now)
--- a/dispatch/worker.go
+++ b/dispatch/worker.go
@@ -80,12 +80,6 @@
 	}
 }
 
-type unackedEnd struct {
-	number   uint64
-	listedAt time.Duration // when this leader first saw it
-	recorded bool          // its effect is stored
-}
-
 type runKey struct {
 	task    acaciatally.TaskRef
 	attempt int
--- a/site/store_test.go
+++ b/site/store_test.go
@@ -70,17 +70,13 @@
 		time.Sleep(3 * time.Second)
 		d.submit(d.entries[0], quoteA, emulator.Job(emulator.Step(4, 1000)))
 		time.Sleep(time.Second)
-		for _, e := range d.entries {
-			e.faults.FailWithStatus(http.StatusServiceUnavailable)
-		}
+		d.refuseAll(http.StatusServiceUnavailable)
 		begun := time.Now()
 		status, _ := d.call(d.entries[1], http.MethodPost, quoteB, emulator.Job(emulator.Step(1, 1000)))
 		require.Equal(t, http.StatusServiceUnavailable, status)
 		require.Less(t, time.Since(begun), 100*time.Millisecond, "submissions that can't be stored are rejected immediately")
 		time.Sleep(5 * time.Second)
-		for _, e := range d.entries {
-			e.faults.FailWithStatus(0)
-		}
+		d.refuseAll(0)
 		d.awaitState(d.entries[0], quoteA, "completed", 10*time.Second)
 		require.Equal(t, map[string]int{"done": 4}, d.runsByEnd())
 		require.Empty(t, d.state(d.entries[0], quoteB))
@@ -185,3 +181,48 @@
 		})
 	}
 }
+
+// TestGangEndDuringOutage guards against a gang that runs again although the ends of its members were acknowledged: it ended while the store was down, and
+// the leader and the worker of the one member whose end was not acknowledged were lost before the store was back.
+func TestGangEndDuringOutage(t *testing.T) {
+	const (
+		members  = 4
+		duration = 6 * time.Second
+	)
+	synctest.Test(t, func(t *testing.T) {
+		d := newDeployment(t, 3)
+		d.behaviour.Duration = func(string) time.Duration { return duration }
+		d.addInstances("intake", members+4)
+		time.Sleep(3 * time.Second)
+		step := emulator.Step(members, 8000)
+		step["gang"] = true
+		d.submit(d.nonLeader(), quoteA, emulator.Job(step))
+		time.Sleep(3 * time.Second)
+		require.Len(t, d.runLog.Runs(), members)
+		endsAt := d.runLog.Runs()[members-1].StartedAt.Add(duration)
+		time.Sleep(time.Until(endsAt.Add(-100 * time.Millisecond)))
+		d.refuseAll(http.StatusServiceUnavailable)
+		time.Sleep(700 * time.Millisecond)
+		require.Equal(t, map[string]int{"done": members}, d.runsByEnd())
+		for _, run := range d.runLog.Runs() {
+			if !run.Acknowledged {
+				d.workers[run.Worker].Crash()
+				break
+			}
+		}
+		oldLeader, entry := d.leader(), d.nonLeader()
+		d.isolate(oldLeader)
+		d.refuseAll(0)
+		d.awaitState(entry, quoteA, "completed", 15*time.Second)
+		require.NotEqual(t, oldLeader, d.leader())
+		require.Len(t, d.runLog.Runs(), members, "no member was started again")
+		d.checkNoDuplicateRuns()
+	})
+}
+
+// refuseAll makes the store answer all entries with the HTTP status; 0 lets it serve again.
+func (d *deployment) refuseAll(status int) {
+	for _, e := range d.entries {
+		e.faults.FailWithStatus(status)
+	}
+}
