console: catch SIGHUP until the process has ended

Callers of an entry that was being stopped as planned lost their requests when its settings changed meanwhile: SIGHUP ended the process at once (LOST).

Cause: the goroutine that reloads the settings ended with the context of the process, which ends at SIGTERM, and gave SIGHUP its default action back, while requests are finished for up to the grace period.

Change: all signals are caught in one place, by the main goroutine, before the settings are read for the first time, and until the process has ended; the handlers were installed by goroutines before, which may run late on a busy machine. Reloads go on until the requests are finished and compare with the settings in use, not with a second read of the file. On serve, SIGHUP is a graceful stop, and never the second signal that ends the process at once. Planned stops of the soak come with SIGHUPs from now on.

--- a/cmd/acaciatally/main_test.go
+++ b/cmd/acaciatally/main_test.go
@@ -136,16 +136,27 @@
 	return body
 }
 
-// TestTerminate guards against an entry that, on SIGTERM, stays ready, cuts off the request in progress or exits with another code than 0
-// (P7 in docs/PROOFS.md).
+// TestTerminate guards against an entry that, on SIGTERM or SIGHUP, stays ready, cuts off the request in progress or exits with another code than 0
+// (P7 in docs/PROOFS.md). A SIGHUP that comes during the stop is no reason to end at once.
 func TestTerminate(t *testing.T) {
-	p := startProcess(t)
-	body := p.startRequest()
-	require.NoError(t, p.command.Process.Signal(syscall.SIGTERM))
-	p.awaitStatus("/readyz", http.StatusServiceUnavailable)
-	p.finishRequest <- struct{}{}
-	require.Equal(t, "done", <-body)
-	require.NoError(t, p.command.Wait())
+	tests := map[string]struct{ first, second syscall.Signal }{
+		"terminate": {first: syscall.SIGTERM}, "hangup": {first: syscall.SIGHUP}, "terminate, hangup": {syscall.SIGTERM, syscall.SIGHUP},
+		"hangup, terminate": {syscall.SIGHUP, syscall.SIGTERM}, "hangup twice": {syscall.SIGHUP, syscall.SIGHUP},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			p := startProcess(t)
+			body := p.startRequest()
+			require.NoError(t, p.command.Process.Signal(test.first))
+			p.awaitStatus("/readyz", http.StatusServiceUnavailable)
+			if test.second != 0 {
+				require.NoError(t, p.command.Process.Signal(test.second))
+			}
+			p.finishRequest <- struct{}{}
+			require.Equal(t, "done", <-body)
+			require.NoError(t, p.command.Wait())
+		})
+	}
 }
 
 // TestTerminateTwice guards against an entry that an operator can't stop: a second SIGTERM ends the process at once, even with a request in
--- a/console/attend.go
+++ b/console/attend.go
@@ -8,6 +8,7 @@
 	"net/netip"
 	"os"
 	"runtime/debug"
+	"sync"
 
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/labstack/echo/v5"
@@ -53,25 +54,36 @@
 	if *path == "" {
 		return &usageError{message: "attend needs -settings or " + platform.SettingsVariable}
 	}
-	settings, err := platform.LoadSettings(*path)
-	if err != nil || *checkOnly {
+	if *checkOnly {
+		_, err = platform.LoadSettings(*path)
 		return err
 	}
-	return runSite(config, attendOptions{settingsPath: *path, metricsPort: uint16(*port), interference: mode, learnSpeed: *learnSpeed}, settings)
+	return runSite(config, attendOptions{settingsPath: *path, metricsPort: uint16(*port), interference: mode, learnSpeed: *learnSpeed})
 }
 
-func runSite(config Config, options attendOptions, settings platform.Settings) error {
+// runSite runs an entry until it is stopped.
+func runSite(config Config, options attendOptions) error {
+	signals := catchSignals()
+	settings, err := platform.LoadSettings(options.settingsPath)
+	if err != nil {
+		return err
+	}
 	debug.SetGCPercent(gcPercent)
 	if settings.Memory > 0 {
 		debug.SetMemoryLimit(int64(memoryLimitShare * float64(settings.Memory)))
 	}
 	logger := eventlog.New(config.Output, settings.Name)
 	logger.Started(versionText(), options.settingsPath)
-	ctx, cancel := context.WithCancel(context.Background())
-	defer cancel()
-	go stopOnSignal(cancel)
-	context.AfterFunc(ctx, func() { logger.Stopping("signal") })
-	go reloadOnHangup(ctx, options.settingsPath, logger)
+	process := newProcess(options, settings, logger)
+	err = runProcess(process, signals, &settingsReloader{path: options.settingsPath, current: settings, logger: logger})
+	logger.Stopped(err)
+	if closeErr := logger.Close(); closeErr != nil {
+		_, _ = fmt.Fprintln(os.Stderr, closeErr)
+	}
+	return err
+}
+
+func newProcess(options attendOptions, settings platform.Settings, logger *eventlog.Logger) *site.Process {
 	siteConfig := newSiteConfig(settings, logger)
 	siteConfig.Interference, siteConfig.IgnoreWorkerSpeed = options.interference, !options.learnSpeed
 	if options.metricsPort != 0 {
@@ -80,12 +92,21 @@
 	process := site.New(siteConfig)
 	logger.Metrics().NewGauge("acaciatally_configuration_age_seconds", func() float64 { return process.ConfigurationAge().Seconds() })
 	logger.Metrics().NewGauge("acaciatally_backlog_bytes", func() float64 { return float64(process.BacklogBytes()) })
-	err := process.Run(ctx)
-	logger.Stopped(err)
-	if closeErr := logger.Close(); closeErr != nil {
-		_, _ = fmt.Fprintln(os.Stderr, closeErr)
-	}
-	return err
+	return process
+}
+
+// runProcess runs the process until a signal stops it. The settings are reloaded until it has finished its requests.
+func runProcess(process *site.Process, signals processSignals, reloader *settingsReloader) error {
+	ctx, stop := context.WithCancel(context.Background())
+	defer stop()
+	go signals.stopOnTerminate(stop)
+	context.AfterFunc(ctx, func() { reloader.logger.Stopping("signal") })
+	reloadCtx, stopReloads := context.WithCancel(context.Background())
+	var reloads sync.WaitGroup
+	reloads.Go(func() { reloader.run(reloadCtx, signals.hangup) })
+	defer reloads.Wait()
+	defer stopReloads()
+	return process.Run(ctx)
 }
 
 // metricsHandler serves the metrics of the entry and of its process.
--- a/console/reload.go
+++ b/console/reload.go
@@ -3,29 +3,34 @@
 import (
 	"context"
 	"os"
-	"os/signal"
-	"syscall"
 
 	"github.com/acaciatally/acaciatally/eventlog"
 	"github.com/acaciatally/acaciatally/platform"
 )
 
-// reloadOnHangup reads the settings file again on each SIGHUP and logs whether the settings changed, or why they are invalid.
-func reloadOnHangup(ctx context.Context, path string, logger *eventlog.Logger) {
-	signals := make(chan os.Signal, 1)
-	signal.Notify(signals, syscall.SIGHUP)
-	defer signal.Stop(signals)
-	current, _ := platform.LoadSettings(path) // the file was valid at start; if it no longer is, the next reload reports that
+// settingsReloader reads the settings file of a running entry again.
+type settingsReloader struct {
+	path    string
+	current platform.Settings
+	logger  *eventlog.Logger
+}
+
+// run reads the file on each SIGHUP until ctx ends, and logs whether the settings changed, or why they are invalid.
+func (r *settingsReloader) run(ctx context.Context, hangup <-chan os.Signal) {
 	for {
 		select {
 		case <-ctx.Done():
 			return
-		case <-signals:
-			loaded, err := platform.LoadSettings(path)
-			logger.Reloaded(err == nil && loaded != current, err)
-			if err == nil {
-				current = loaded
-			}
+		case <-hangup:
+			r.reload()
 		}
 	}
 }
+
+func (r *settingsReloader) reload() {
+	loaded, err := platform.LoadSettings(r.path)
+	r.logger.Reloaded(err == nil && loaded != r.current, err)
+	if err == nil {
+		r.current = loaded
+	}
+}
--- a/console/serve.go
+++ b/console/serve.go
@@ -4,8 +4,6 @@
 	"context"
 	"fmt"
 	"os"
-	"os/signal"
-	"syscall"
 
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/phuslu/log"
@@ -42,9 +40,11 @@
 }
 
 func runEntry(loaded *settings.Settings, self settings.Entry) error {
+	signals := catchSignals()
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
-	go stopOnSignal(cancel)
+	go signals.stopOnTerminate(cancel)
+	go signals.stopOnHangup(cancel)
 	logger := &log.Logger{
 		Level: log.InfoLevel, TimeFormat: "2006-01-02T15:04:05.000Z07:00", Writer: &log.IOWriter{Writer: os.Stderr},
 		Context: log.NewContext(nil).Str("entry", string(self.ID)).Value(),
@@ -60,13 +60,3 @@
 	}
 	return nil
 }
-
-// stopOnSignal cancels the context on the first SIGTERM or interrupt, and exits the process on the second.
-func stopOnSignal(cancel context.CancelFunc) {
-	signals := make(chan os.Signal, 2)
-	signal.Notify(signals, syscall.SIGTERM, os.Interrupt)
-	<-signals
-	cancel()
-	<-signals
-	os.Exit(ExitFailure)
-}
--- a/soak/faults_test.go
+++ b/soak/faults_test.go
@@ -137,20 +137,32 @@
 	d.restart(e)
 }
 
-// stop stops an entry gracefully, kills it if it exceeds its grace period, and restarts it after the duration.
+// hangupInterval is the time between two SIGHUPs that an entry gets around a planned stop.
+const hangupInterval = 300 * time.Millisecond
+
+// stop stops an entry gracefully, kills it if it exceeds its grace period, and restarts it after the duration. Before and during the stop, its settings
+// file counts as changed.
 func (d *deployment) stop(e *entry, duration time.Duration) {
+	e.signal(syscall.SIGHUP)
 	e.signal(syscall.SIGTERM)
 	ended := make(chan struct{})
 	go func() {
 		e.wait()
 		close(ended)
 	}()
-	select {
-	case <-ended:
-	case <-time.After(gracePeriod):
-		e.markDisturbed(time.Now())
-		e.signal(syscall.SIGKILL)
-		<-ended
+	hangups := time.NewTicker(hangupInterval)
+	defer hangups.Stop()
+	graceEnds := time.After(gracePeriod)
+	for stopping := true; stopping; {
+		select {
+		case <-ended:
+			stopping = false
+		case <-hangups.C:
+			e.signal(syscall.SIGHUP)
+		case <-graceEnds:
+			e.markDisturbed(time.Now())
+			e.signal(syscall.SIGKILL)
+		}
 	}
 	time.Sleep(duration)
 	d.restart(e)
