console: let a second SIGTERM on attend not cut requests

Change: on attend, further SIGTERMs have no effect; the platform ends a process that takes too long with SIGKILL. A second interrupt, from a terminal, still ends it at once. On serve, a second SIGTERM ends the process at once as before.

--- a/console/attend.go
+++ b/console/attend.go
@@ -99,7 +99,7 @@
 func runProcess(process *site.Process, signals processSignals, reloader *settingsReloader) error {
 	ctx, stop := context.WithCancel(context.Background())
 	defer stop()
-	go signals.stopOnTerminate(stop)
+	go signals.stopOnce(stop)
 	context.AfterFunc(ctx, func() { reloader.logger.Stopping("signal") })
 	reloadCtx, stopReloads := context.WithCancel(context.Background())
 	var reloads sync.WaitGroup
--- a/console/serve.go
+++ b/console/serve.go
@@ -43,7 +43,7 @@
 	signals := catchSignals()
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
-	go signals.stopOnTerminate(cancel)
+	go signals.stopOrExit(cancel)
 	go signals.stopOnHangup(cancel)
 	logger := &log.Logger{
 		Level: log.InfoLevel, TimeFormat: "2006-01-02T15:04:05.000Z07:00", Writer: &log.IOWriter{Writer: os.Stderr},
--- a/soak/hangup_test.go
+++ b/soak/signals_test.go
@@ -12,18 +12,21 @@
 	"github.com/stretchr/testify/require"
 )
 
-// TestHangupDuringStop guards against an entry that is ended by a SIGHUP while it finishes its requests after a SIGTERM: the requests got no response.
-func TestHangupDuringStop(t *testing.T) {
+// TestSignalsDuringStop guards against an entry that is ended by a SIGHUP, or by the SIGTERM of another planned stop, while it finishes its requests after a
+// SIGTERM: the requests got no response.
+func TestSignalsDuringStop(t *testing.T) {
 	const (
 		requestTime  = time.Second // of a request whose answer the store delays
 		signalPeriod = 50 * time.Millisecond
 	)
 	tests := map[string][]syscall.Signal{
-		"no hangup":           {syscall.SIGTERM},
-		"one hangup":          {syscall.SIGTERM, syscall.SIGHUP},
-		"several hangups":     {syscall.SIGTERM, syscall.SIGHUP, syscall.SIGHUP, syscall.SIGHUP},
-		"hangup before":       {syscall.SIGHUP, syscall.SIGTERM},
-		"hangup before, then": {syscall.SIGHUP, syscall.SIGTERM, syscall.SIGHUP},
+		"no hangup":            {syscall.SIGTERM},
+		"one hangup":           {syscall.SIGTERM, syscall.SIGHUP},
+		"several hangups":      {syscall.SIGTERM, syscall.SIGHUP, syscall.SIGHUP, syscall.SIGHUP},
+		"hangup before":        {syscall.SIGHUP, syscall.SIGTERM},
+		"hangup before, after": {syscall.SIGHUP, syscall.SIGTERM, syscall.SIGHUP},
+		"terminated twice":     {syscall.SIGTERM, syscall.SIGTERM},
+		"series":               {syscall.SIGTERM, syscall.SIGHUP, syscall.SIGTERM, syscall.SIGTERM, syscall.SIGHUP},
 	}
 	for name, signals := range tests {
 		t.Run(name, func(t *testing.T) {
