--- a/console/signals.go
+++ b/console/signals.go
@@ -26,29 +26,27 @@
 	return signals
 }
 
-// awaitStop cancels the context on the first SIGTERM or interrupt.
-func (s processSignals) awaitStop(cancel context.CancelFunc) {
+// awaitStop waits for a SIGTERM or an interrupt.
+func (s processSignals) awaitStop() {
 	select {
 	case <-s.terminate:
 	case <-s.interrupt:
 	}
-	cancel()
 }
 
 // stopOrExit cancels the context on the first SIGTERM or interrupt, and exits the process on the second.
 func (s processSignals) stopOrExit(cancel context.CancelFunc) {
-	s.awaitStop(cancel)
-	select {
-	case <-s.terminate:
-	case <-s.interrupt:
-	}
+	s.awaitStop()
+	cancel()
+	s.awaitStop()
 	os.Exit(ExitFailure)
 }
 
-// stopOnce cancels the context on the first SIGTERM or interrupt, and exits the process on an interrupt after that. Planned stops may overlap, so further
-// SIGTERMs have no effect: whoever sends them ends a process that takes too long with SIGKILL.
+// stopOnce cancels the context on the first SIGTERM or interrupt, and exits the process on an interrupt after that. Planned stops may overlap, so
+// further SIGTERMs have no effect: whoever sends them ends a process that takes too long with SIGKILL.
 func (s processSignals) stopOnce(cancel context.CancelFunc) {
-	s.awaitStop(cancel)
+	s.awaitStop()
+	cancel()
 	<-s.interrupt
 	os.Exit(ExitFailure)
 }
--- a/dispatch/loading.go
+++ b/dispatch/loading.go
@@ -6,8 +6,8 @@
 	"github.com/acaciatally/acaciatally"
 )
 
-// A new leader knows which runs are orphans, and which ends it may acknowledge, only once it has loaded all jobs. With many queues or a slow store that may take
-// longer than the leases of the workers last, and all runs would end. So meanwhile it renews the leases, and takes from the answers only the clocks.
+// A new leader knows which runs are orphans, and which ends it may acknowledge, only once it has loaded all jobs. With many queues or a slow store,
+// that may take longer than the leases of the workers last. So meanwhile it renews the leases, and takes from the answers only the clocks.
 
 const (
 	// loadingRenewDelay is how long jobs may be loaded before leases are renewed meanwhile. Usually the loading takes less time, and the first renewals
@@ -17,7 +17,7 @@
 	loadingRenewInterval = 2 * time.Second
 )
 
-// LoadingRenewals returns the renewals to send now while jobs are being loaded, at most one per worker at a time. Each answer goes to LoadingReport.
+// LoadingRenewals returns the renewals to send now while jobs are being loaded, at most one per worker at a time, whose answers go to LoadingReport.
 func (s *Scheduler) LoadingRenewals(now time.Duration) (renewals []Renewal) {
 	if now < s.config.LeadershipStart+loadingRenewDelay {
 		return nil
@@ -27,12 +27,13 @@
 			continue
 		}
 		w.renewalInFlight, w.renewalDueAt, w.nextLoadingRenewalAt = true, now+renewalAnswerTime, now+loadingRenewInterval
-		renewals = append(renewals, Renewal{Worker: w.entry, Order: acaciatally.RenewOrder{Fence: s.fence(w), LeaseUntil: s.renewedLease(w, now)}})
+		order := acaciatally.RenewOrder{Fence: s.fence(w), LeaseUntil: s.renewedLease(w, now)}
+		renewals = append(renewals, Renewal{Worker: w.entry, Order: order})
 	}
 	return renewals
 }
 
-// LoadingReport handles a worker's answer to a renewal that was sent while jobs were being loaded. What it lists is left to the next report.
+// LoadingReport handles a worker's answer to a renewal that was sent while jobs were being loaded, and leaves what it lists to the next report.
 func (s *Scheduler) LoadingReport(id acaciatally.WorkerID, report acaciatally.WorkerReport, now time.Duration) {
 	w := s.workers[id]
 	if w == nil {
@@ -47,15 +48,3 @@
 	}
 	w.renewalFailures, w.reportClock, w.reportedAt = 0, report.Clock, now
 }
-
-// acceptReport handles a restart of the worker that a report shows. It returns false if the report is to be ignored because the worker is lost, or has
-// restarted since.
-func (s *Scheduler) acceptReport(w *worker, report acaciatally.WorkerReport, now time.Duration) (accepted bool) {
-	if w.lost || report.StartTime.Before(w.startTime) && !report.StartTime.IsZero() {
-		return false
-	}
-	if !report.StartTime.IsZero() && !report.StartTime.Equal(w.startTime) {
-		s.handleRestart(w, report.StartTime, now)
-	}
-	return true
-}
--- a/dispatch/report.go
+++ b/dispatch/report.go
@@ -59,6 +59,18 @@
 	}
 }
 
+// acceptReport handles a restart of the worker that a report shows. It returns false if the report is to be ignored because the worker is lost, or has
+// restarted since.
+func (s *Scheduler) acceptReport(w *worker, report acaciatally.WorkerReport, now time.Duration) (accepted bool) {
+	if w.lost || report.StartTime.Before(w.startTime) && !report.StartTime.IsZero() {
+		return false
+	}
+	if !report.StartTime.IsZero() && !report.StartTime.Equal(w.startTime) {
+		s.handleRestart(w, report.StartTime, now)
+	}
+	return true
+}
+
 // handleRunning updates the task of a running run. It returns false if the run is not the current run of a known task.
 func (s *Scheduler) handleRunning(w *worker, run acaciatally.RunningTask, now time.Duration) bool {
 	t := s.findTask(run.Task)
--- a/dispatch/runner.go
+++ b/dispatch/runner.go
@@ -192,9 +192,7 @@
 			r.runCall(func() { r.requestAdvice(ctx, request) })
 		}
 	}
-	for _, renewal := range r.scheduler.Renewals(now) {
-		r.runCall(func() { r.renew(ctx, renewal) })
-	}
+	r.renewAll(ctx, now)
 }
 
 // errLeadershipExpired reports that an order was not sent because the leader's lease had expired at that moment; the order is decided
@@ -218,36 +216,6 @@
 	r.calls.Go(f)
 }
 
-func (r *Runner) renew(ctx context.Context, renewal Renewal) {
-	sent := r.config.Now()
-	report, err := r.config.Orders.Renew(ctx, renewal.Worker, renewal.Order)
-	r.Post(ctx, func() {
-		if err != nil {
-			r.scheduler.RenewalFailed(renewal.Worker.ID, err, r.config.Now())
-			return
-		}
-		r.scheduler.Report(renewal.Worker.ID, report, sent, r.config.Now())
-	})
-}
-
-// renewWhileLoading renews the leases of the workers while jobs are being loaded.
-func (r *Runner) renewWhileLoading(ctx context.Context, now time.Duration) {
-	for _, renewal := range r.scheduler.LoadingRenewals(now) {
-		r.runCall(func() { r.renewLoading(ctx, renewal) })
-	}
-}
-
-func (r *Runner) renewLoading(ctx context.Context, renewal Renewal) {
-	report, err := r.config.Orders.Renew(ctx, renewal.Worker, renewal.Order)
-	r.Post(ctx, func() {
-		if err != nil {
-			r.scheduler.RenewalFailed(renewal.Worker.ID, err, r.config.Now())
-			return
-		}
-		r.scheduler.LoadingReport(renewal.Worker.ID, report, r.config.Now())
-	})
-}
-
 func (r *Runner) order(ctx context.Context, order Order) {
 	var err error
 	if !r.config.Leads() {
