soak, flood: rerun when the program under test changes

A run of soak.TestSignalsDuringStop after a change of console/signals.go printed (cached): the tests of processes import console without a use of it, so the linker leaves nearly all of it out, the test binary stays the same, and the result of the code before counts for the new one.

Change: TestMain runs the subcommand version in the test binary, which links the whole program.

--- a/flood/flood_test.go
+++ b/flood/flood_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"io"
 	"net/http"
 	"os"
 	"os/exec"
@@ -13,11 +14,16 @@
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
-	_ "github.com/acaciatally/acaciatally/console" // the program under test, so that a change to it invalidates cached test results
+	"github.com/acaciatally/acaciatally/console"
 )
 
 var program string
 
+// linkProgram makes the program under test a part of the test binary, by a harmless call, so that each change to it invalidates cached test results.
+func linkProgram() {
+	console.Run(console.Config{Arguments: []string{"version"}, Output: io.Discard, Errors: io.Discard, Getenv: os.Getenv})
+}
+
 // TestMain builds the program whose processes are tested.
 func TestMain(m *testing.M) {
 	folder, err := os.MkdirTemp("", "flood")
@@ -31,6 +37,7 @@
 	if err := build.Run(); err != nil {
 		os.Exit(1)
 	}
+	linkProgram()
 	code := m.Run()
 	_ = os.RemoveAll(folder)
 	os.Exit(code)
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"flag"
 	"fmt"
+	"io"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -16,7 +17,7 @@
 
 	"github.com/stretchr/testify/require"
 
-	_ "github.com/acaciatally/acaciatally/console" // the program under test, so that a change to it invalidates cached test results
+	"github.com/acaciatally/acaciatally/console"
 	"github.com/acaciatally/acaciatally/platform/emulator"
 )
 
@@ -40,6 +41,11 @@
 
 var program string
 
+// linkProgram makes the program under test a part of the test binary, by a harmless call, so that each change to it invalidates cached test results.
+func linkProgram() {
+	console.Run(console.Config{Arguments: []string{"version"}, Output: io.Discard, Errors: io.Discard, Getenv: os.Getenv})
+}
+
 // TestMain builds the program whose processes are tested.
 func TestMain(m *testing.M) {
 	flag.Parse()
@@ -54,6 +60,7 @@
 	if err := build.Run(); err != nil {
 		os.Exit(1)
 	}
+	linkProgram()
 	code := m.Run()
 	_ = os.RemoveAll(folder)
 	os.Exit(code)
