dispatch: log calls that reach a later incarnation of a worker, and expired leases

Change: CallCrossedRestart names the call, the lease end that it named and the clock of the new incarnation; LeaseExpired names the basis.

--- a/dispatch/event_log.go
+++ b/dispatch/event_log.go
@@ -29,6 +29,11 @@
 	RunEnded(ended acaciatally.EndedTask, worker acaciatally.WorkerID, counts bool)
 	// WorkerChanged logs a new state of a worker as the leader sees it, and the age of the worker's last report.
 	WorkerChanged(worker acaciatally.WorkerID, pool acaciatally.PoolName, state string, age time.Duration)
+	// CallCrossedRestart logs that a worker has carried out a call that was meant for its earlier incarnation. leaseUntil is the end of the lease that
+	// the call named on the clock of the earlier one, and clock is that of the new one.
+	CallCrossedRestart(worker acaciatally.WorkerID, call CallKind, leaseUntil, clock time.Duration)
+	// LeaseExpired logs that the lease of a worker that does not answer is certainly over, and from what that follows; wait is the time since then.
+	LeaseExpired(worker acaciatally.WorkerID, basis LeaseBasis, wait time.Duration)
 	// AccountLimited logs that work of an account waits because it is beyond the account's rate or share, and the estimated time until a job
 	// submitted now gets room.
 	AccountLimited(account acaciatally.AccountName, share AccountShare, wait time.Duration)
--- a/dispatch/loading.go
+++ b/dispatch/loading.go
@@ -27,7 +27,8 @@
 			continue
 		}
 		w.renewalInFlight, w.renewalDueAt, w.nextLoadingRenewalAt = true, now+renewalAnswerTime, now+loadingRenewInterval
-		order := acaciatally.RenewOrder{Fence: s.fence(w), LeaseUntil: s.renewedLease(w, now)}
+		w.renewalSentTo, w.renewalLease = w.startTime, s.renewedLease(w, now)
+		order := acaciatally.RenewOrder{Fence: s.fence(w), LeaseUntil: w.renewalLease}
 		renewals = append(renewals, Renewal{Worker: w.entry, Order: order})
 	}
 	return renewals
--- a/dispatch/order.go
+++ b/dispatch/order.go
@@ -180,7 +180,8 @@
 	order.Start.Payload = t.job.accepted.Spec.Payload
 	order.Start.Checkpoint = t.checkpoint
 	order.Start.Permission = s.ticket(t, w.entry.ID)
-	order.Start.LeaseUntil = s.extendLease(w, now)
+	t.startLease = s.extendLease(w, now)
+	order.Start.LeaseUntil = t.startLease
 	order.Start.SendWithin = w.sendWithin(t, now)
 	return order, true
 }
--- a/dispatch/report.go
+++ b/dispatch/report.go
@@ -65,6 +65,7 @@
 	if w.lost || report.StartTime.Before(w.startTime) && !report.StartTime.IsZero() {
 		return false
 	}
+	s.logCrossedRenewal(w, report)
 	if !report.StartTime.IsZero() && !report.StartTime.Equal(w.startTime) {
 		s.handleRestart(w, report.StartTime, now)
 	}
@@ -79,6 +80,7 @@
 	}
 	if t.stage == stageOrdered || t.stage == stageInherited {
 		s.interference.started(t, t.stage == stageOrdered && t.startAttempts <= 1, now)
+		s.logCrossedStart(t)
 		t.stage, t.confirmedAt, t.progressedAt = stageRunning, now, now
 		t.startOutcomeUnknown = false
 		s.markStarted(t)
--- a/dispatch/scheduler_test.go
+++ b/dispatch/scheduler_test.go
@@ -42,6 +42,14 @@
 	c.count("CrashCounted")
 }
 
+func (c *countingEventLog) CallCrossedRestart(_ acaciatally.WorkerID, call CallKind, _, _ time.Duration) {
+	c.count("CallCrossedRestart " + string(call))
+}
+
+func (c *countingEventLog) LeaseExpired(_ acaciatally.WorkerID, basis LeaseBasis, _ time.Duration) {
+	c.count("LeaseExpired " + string(basis))
+}
+
 func (c *countingEventLog) AccountLimited(account acaciatally.AccountName, _ AccountShare, _ time.Duration) {
 	c.count("AccountLimited " + string(account))
 }
--- a/dispatch/task.go
+++ b/dispatch/task.go
@@ -57,6 +57,7 @@
 	startAttempts       int           // start orders sent for this run
 	retryAt             time.Duration
 	startSentAt         time.Duration // when the first start order was sent
+	startLease          time.Duration // lease end that the latest start order named
 	confirmedAt         time.Duration // when the start was confirmed
 	percent             int
 	percentReportedAt   time.Duration
--- a/dispatch/worker.go
+++ b/dispatch/worker.go
@@ -50,6 +50,8 @@
 	idleSince         time.Duration // when a run was last seen on it
 	renewalInFlight   bool          // a renewal is in flight
 	renewalDueAt      time.Duration // when the answer to the renewal in flight is overdue
+	renewalSentTo     time.Time     // start time of the incarnation for which the renewal in flight was made; zero if it is not known
+	renewalLease      time.Duration // lease end that the renewal in flight names; 0 if it names none
 	nextRenewalAt     time.Duration // when the next renewal may be sent
 	// nextLoadingRenewalAt is the same for renewals while jobs are being loaded.
 	nextLoadingRenewalAt time.Duration
--- a/dispatch/worker_lease.go
+++ b/dispatch/worker_lease.go
@@ -47,6 +47,8 @@
 			continue
 		}
 		if (w.renewalFailures > 0 || w.reportedAt == 0) && len(w.runs) > 0 {
+			basis, since := s.leaseBasis(w)
+			s.config.EventLog.LeaseExpired(w.entry.ID, basis, now-since)
 			s.holdSuspects(w)
 			s.loseExpired(w, now)
 			w.lost = !w.listed // a listed worker may answer again
--- a/eventlog/events.go
+++ b/eventlog/events.go
@@ -54,6 +54,17 @@
 		Int("Unconfirmed", unconfirmed).Int("Streak", streak).Int("Suspects", suspects).Msg("")
 }
 
+// CallCrossedRestart logs a call that a worker has carried out although it was meant for its earlier incarnation, with the lease end that it named.
+func (l *Logger) CallCrossedRestart(worker acaciatally.WorkerID, call dispatch.CallKind, leaseUntil, clock time.Duration) {
+	l.count("CallCrossedRestart" + string(call))
+	l.line("CallCrossedRestart").Str("Worker", string(worker)).Str("Call", string(call)).Dur("LeaseUntil", leaseUntil).Dur("Clock", clock).Msg("")
+}
+
+// LeaseExpired logs that the lease of a worker that does not answer is certainly over, and from what that follows.
+func (l *Logger) LeaseExpired(worker acaciatally.WorkerID, basis dispatch.LeaseBasis, wait time.Duration) {
+	l.line("LeaseExpired").Str("Worker", string(worker)).Str("Basis", string(basis)).Dur("Wait", wait).Msg("")
+}
+
 // AccountsUnderPressure logs each account whose new jobs are admitted only in part, or that there are none any more.
 func (l *Logger) AccountsUnderPressure(state *overload.State) {
 	l.sharesMutex.Lock()
