--- a/site/deployment_test.go
+++ b/site/deployment_test.go
@@ -53,6 +53,7 @@
 	adaptConfig  func(config *site.Config)
 	processors   float64           // cores of the entries added from now on
 	interference interference.Mode // of the entries added from now on
+	clockRate    float64           // of the clocks of the workers added from now on; 0 is 1
 	linkBits     float64           // link speed of the entries added from now on, in bits per second; 0 is unlimited
 }
 
@@ -171,7 +172,8 @@
 	address := netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 1, byte(d.workerCount >> 8), byte(d.workerCount)}), 8080)
 	worker := emulator.NewWorker(emulator.WorkerConfig{
 		ID: fmt.Sprintf("i-%03d", d.workerCount), Address: address.String(), Pool: instance.Pool, Instance: instance.ID, Zone: instance.Zone, Rack: instance.Rack,
-		CPU: instance.CPU, Memory: instance.Memory, MaxLeaseMS: maxLease.Milliseconds(), Behaviour: d.behaviour, RunLog: d.runLog,
+		CPU: instance.CPU, Memory: instance.Memory, MaxLeaseMS: maxLease.Milliseconds(), ClockRate: d.clockRate,
+		Behaviour: d.behaviour, RunLog: d.runLog,
 	})
 	d.workers[worker.ID()] = worker
 	d.serve(address, worker)
@@ -306,6 +308,14 @@
 
 // leader returns the entry that holds the lease.
 func (d *deployment) leader() *entry {
+	d.t.Helper()
+	leader := d.findLeader()
+	require.NotNil(d.t, leader, "no entry leads")
+	return leader
+}
+
+// findLeader returns the entry that holds the lease, or nil if there is none.
+func (d *deployment) findLeader() *entry {
 	d.t.Helper()
 	for _, row := range d.store.Rows("Lease") {
 		var lease struct{ Holder string }
@@ -316,7 +326,6 @@
 			}
 		}
 	}
-	require.Fail(d.t, "no entry leads")
 	return nil
 }
 
