dispatch: name no lease end in renewals to a worker that does not answer

Cause: a renewal without an answer was repeated with the lease end that the one before had named. A worker that had restarted under its ID meanwhile got it on the clock of its earlier incarnation, where it was so far ahead that the worker granted the longest lease (10 s). The renewal that told the leader of the restart gave that lease itself.

Change: extendLease returns 0 for a worker that does not answer, as its lease is not extended anyway.

Result: dispatch.TestRetriedRenewalNamesNoLease failed before ('Should be zero, but was 1m6.98s').

--- a/dispatch/worker_lease.go
+++ b/dispatch/worker_lease.go
@@ -29,11 +29,11 @@
 	return w.estimatedClock(now) > w.leaseUntil+leaseExpiryMargin
 }
 
-// extendLease returns the lease end for an order sent now, and stores it. The lease of a worker that does not answer is not extended, so
-// that its runs are certain to end.
+// extendLease returns the lease end for a call sent now, and stores it. It returns 0, which extends nothing, for a worker that does not answer: its
+// runs are certain to end, and if it has restarted, the end would be on the clock of its earlier incarnation.
 func (s *Scheduler) extendLease(w *worker, now time.Duration) time.Duration {
 	if w.reportedAt == 0 || w.renewalFailures > 0 {
-		return w.leaseUntil
+		return 0
 	}
 	w.leaseUntil = max(w.leaseUntil, w.estimatedClock(now)+s.config.WorkerLease)
 	return w.leaseUntil
