dispatch: take in no report before the worker has seen the token raised for its restart

Cause: the report that shows a restart answers a renewal with the old fencing token. The leader raised the token and took the report in at once: it released the runs that it did not list and placed new ones, while a start order with the old token could still be carried out by the new incarnation, for as long as no call with the new token had reached it. Two runs of a task, or more than the worker holds, could come of it.

Change: a report of a worker from which the leader has not heard since the restart counts only if it answers a renewal with the present token. Another renewal follows at once.

Result: dispatch.TestReportBeforeNewToken failed before ('should have 1 item(s), but has 0'). TestLedgerOfRestartedWorker and TestRestartWhileLoading send one renewal more and check that nothing starts, and no lease is extended, before it; their bounds are unchanged.

--- a/dispatch/lease_log.go
+++ b/dispatch/lease_log.go
@@ -43,9 +43,12 @@
 	}
 }
 
-// logCrossedStart logs that a run goes on in a worker's new incarnation although its start order was sent to the earlier one.
-func (s *Scheduler) logCrossedStart(t *task) {
-	if w := t.worker; t.startAttempts > 0 && t.startSentAt < w.restartedAt {
-		s.config.EventLog.CallCrossedRestart(w.entry.ID, CallStart, t.startLease, w.reportClock)
+// logCrossedStarts logs the runs that a worker's first report since its restart lists although their start orders were sent before this leader knew of
+// the restart.
+func (s *Scheduler) logCrossedStarts(w *worker, listed map[runKey]bool) {
+	for t := range w.runs {
+		if listed[t.runKey()] && t.startAttempts > 0 && t.startSentAt < w.restartedAt {
+			s.config.EventLog.CallCrossedRestart(w.entry.ID, CallStart, t.startLease, w.reportClock)
+		}
 	}
 }
--- a/dispatch/ledger_test.go
+++ b/dispatch/ledger_test.go
@@ -249,6 +249,8 @@
 	w.StartTime = time.UnixMilli(22_000)
 	scheduler.Report("i-1", acaciatally.WorkerReport{Clock: 100 * time.Millisecond, StartTime: w.StartTime}, 21*time.Second, 21*time.Second)
 	scheduler.SetDirectory([]acaciatally.Worker{w}, 21*time.Second)
+	require.Empty(t, startDue(scheduler, 21*time.Second), "the worker has not seen the new token")
+	renewAndReport(t, scheduler, w, 100*time.Millisecond, 21*time.Second)
 	require.Len(t, startDue(scheduler, 21*time.Second), 1)
 	scheduler.RenewalFailed("i-1", acaciatally.ErrUnknownOutcome, 22*time.Second)
 	tests := []struct {
--- a/dispatch/loading.go
+++ b/dispatch/loading.go
@@ -27,8 +27,8 @@
 			continue
 		}
 		w.renewalInFlight, w.renewalDueAt, w.nextLoadingRenewalAt = true, now+renewalAnswerTime, now+loadingRenewInterval
-		w.renewalSentTo, w.renewalLease = w.startTime, s.renewedLease(w, now)
-		order := acaciatally.RenewOrder{Fence: s.fence(w), LeaseUntil: w.renewalLease}
+		w.renewalSentTo, w.renewalLease, w.renewalFence = w.startTime, s.renewedLease(w, now), s.fence(w)
+		order := acaciatally.RenewOrder{Fence: w.renewalFence, LeaseUntil: w.renewalLease}
 		renewals = append(renewals, Renewal{Worker: w.entry, Order: order})
 	}
 	return renewals
--- a/dispatch/loading_test.go
+++ b/dispatch/loading_test.go
@@ -74,7 +74,11 @@
 	restarted := w.StartTime.Add(time.Minute)
 	scheduler.LoadingReport(w.ID, acaciatally.WorkerReport{Clock: time.Second, StartTime: restarted}, now)
 	scheduler.LoadingReport(w.ID, acaciatally.WorkerReport{Clock: time.Hour, StartTime: w.StartTime}, now)
-	renewals := scheduler.Renewals(now)
+	renewals := scheduler.LoadingRenewals(now)
+	require.Len(t, renewals, 1)
+	require.Zero(t, renewals[0].Order.LeaseUntil, "the worker has not seen the new token")
+	scheduler.LoadingReport(w.ID, acaciatally.WorkerReport{Clock: time.Second, StartTime: restarted}, now)
+	renewals = scheduler.Renewals(now)
 	require.Len(t, renewals, 1)
 	require.Equal(t, time.Second+scheduler.config.WorkerLease, renewals[0].Order.LeaseUntil)
 }
--- a/dispatch/renew.go
+++ b/dispatch/renew.go
@@ -47,9 +47,9 @@
 			continue
 		}
 		w.renewalInFlight, w.renewalDueAt = true, now+w.pollWait()+renewalAnswerTime
-		w.renewalSentTo, w.renewalLease = w.startTime, s.renewedLease(w, now)
+		w.renewalSentTo, w.renewalLease, w.renewalFence = w.startTime, s.renewedLease(w, now), s.fence(w)
 		renewals = append(renewals, Renewal{Worker: w.entry, Order: acaciatally.RenewOrder{
-			Fence: s.fence(w), LeaseUntil: w.renewalLease, Acknowledged: w.acknowledgedNumber(), Wait: w.pollWait(),
+			Fence: w.renewalFence, LeaseUntil: w.renewalLease, Acknowledged: w.acknowledgedNumber(), Wait: w.pollWait(),
 		}})
 	}
 	return renewals
--- a/dispatch/report.go
+++ b/dispatch/report.go
@@ -24,8 +24,9 @@
 	if w.renewalFailures > 0 {
 		s.config.EventLog.WorkerChanged(id, w.entry.Pool, "renewal succeeded again", now-w.reportedAt)
 	}
-	isFirst := !w.reported
-	w.renewalFailures, w.reported, w.reportClock, w.reportedAt = 0, true, report.Clock, now
+	isFirst := !w.reported // since this leader knows of the incarnation
+	w.reported = true
+	w.renewalFailures, w.reportClock, w.reportedAt = 0, report.Clock, now
 	w.lastReportHadEnds = len(report.Ended) > 0
 	listed := map[runKey]bool{}
 	for _, run := range report.Running {
@@ -33,6 +34,11 @@
 	}
 	for _, ended := range report.Ended {
 		listed[runKey{ended.Task, ended.Attempt}] = true
+	}
+	if isFirst {
+		s.logCrossedStarts(w, listed)
+	}
+	for _, ended := range report.Ended {
 		s.handleEnd(w, ended, now)
 	}
 	w.speed.BeginReport()
@@ -59,8 +65,8 @@
 	}
 }
 
-// acceptReport handles a restart of the worker that a report shows. It returns false if the report is to be ignored because the worker is lost, or has
-// restarted since.
+// acceptReport handles a restart of the worker that a report shows. It returns false if the report is to be ignored because the worker is lost, has
+// restarted since, or has not seen the fencing token that was raised for its restart.
 func (s *Scheduler) acceptReport(w *worker, report acaciatally.WorkerReport, now time.Duration) (accepted bool) {
 	if w.lost || report.StartTime.Before(w.startTime) && !report.StartTime.IsZero() {
 		return false
@@ -69,7 +75,17 @@
 	if !report.StartTime.IsZero() && !report.StartTime.Equal(w.startTime) {
 		s.handleRestart(w, report.StartTime, now)
 	}
-	return true
+	return s.hasSeenFence(w)
+}
+
+// hasSeenFence reports whether the worker, from which this leader has not heard before, has seen its present fencing token. Until then it may still start
+// runs whose orders were meant for its earlier incarnation.
+func (s *Scheduler) hasSeenFence(w *worker) bool {
+	if w.reported || w.renewalFence == 0 || w.renewalFence == s.fence(w) {
+		return true
+	}
+	w.nextRenewalAt, w.nextLoadingRenewalAt = 0, 0 // the next renewal tells the token
+	return false
 }
 
 // handleRunning updates the task of a running run. It returns false if the run is not the current run of a known task.
@@ -80,7 +96,6 @@
 	}
 	if t.stage == stageOrdered || t.stage == stageInherited {
 		s.interference.started(t, t.stage == stageOrdered && t.startAttempts <= 1, now)
-		s.logCrossedStart(t)
 		t.stage, t.confirmedAt, t.progressedAt = stageRunning, now, now
 		t.startOutcomeUnknown = false
 		s.markStarted(t)
--- a/dispatch/worker.go
+++ b/dispatch/worker.go
@@ -52,6 +52,7 @@
 	renewalDueAt      time.Duration // when the answer to the renewal in flight is overdue
 	renewalSentTo     time.Time     // start time of the incarnation for which the renewal in flight was made; zero if it is not known
 	renewalLease      time.Duration // lease end that the renewal in flight names; 0 if it names none
+	renewalFence      uint64        // fencing token of the renewal in flight
 	nextRenewalAt     time.Duration // when the next renewal may be sent
 	// nextLoadingRenewalAt is the same for renewals while jobs are being loaded.
 	nextLoadingRenewalAt time.Duration
