dispatch: forget what the advice service said about a former incarnation

Cause: tickets and refusals were kept by worker ID. A ticket is valid only during one life of a worker, and after a restart under its ID the new life may be of another kind. Starts with the former ticket were rejected, which voided the tickets of all other workers of the step as well, and a worker refused before was not asked about again until all others had been refused.

Change: tickets, refusals and the workers of the request in flight are kept with the start time of the worker. A ticket of a former incarnation is not used, and makes the step ask again; a refusal holds only for the incarnation that was asked about.

--- a/dispatch/advice.go
+++ b/dispatch/advice.go
@@ -28,15 +28,22 @@
 	Workers    []acaciatally.WorkerID
 }
 
-// stepPermissions holds the answers of the advice service for one step.
+// stepPermissions holds the answers of the advice service for one step. They hold for one incarnation of a worker, which its start time identifies.
 type stepPermissions struct {
-	tickets       map[acaciatally.WorkerID]string
-	refused       map[acaciatally.WorkerID]bool // workers not to ask again, since the answer for a worker does not change
-	expiresAt     time.Duration                 // when the tickets expire
+	tickets       map[acaciatally.WorkerID]ticket
+	refused       map[acaciatally.WorkerID]time.Time // workers not to ask again, since the answer does not change, with their start times
+	asked         map[acaciatally.WorkerID]time.Time // workers in the request in flight, with their start times when it was sent
+	expiresAt     time.Duration                      // when the tickets expire
 	inFlight      bool
 	nextRequestAt time.Duration
 }
 
+// ticket permits one incarnation of a worker to run a step.
+type ticket struct {
+	value       string
+	workerStart time.Time
+}
+
 // permitted reports whether the worker may run the task: its queue needs no permission, or the worker has a ticket that stays valid for at
 // least ticketMargin.
 func (s *Scheduler) permitted(t *task, id acaciatally.WorkerID, now time.Duration) bool {
@@ -44,15 +51,28 @@
 		return true
 	}
 	p := s.permissions[t.stepKey()]
-	return p != nil && p.tickets[id] != "" && now+ticketMargin < p.expiresAt
+	return p != nil && s.ticket(t, id) != "" && now+ticketMargin < p.expiresAt
 }
 
-// ticket returns the worker's ticket for the step of the task, or an empty string if there is none.
+// ticket returns the worker's ticket for the step of the task, or an empty string if there is none for its current incarnation.
 func (s *Scheduler) ticket(t *task, id acaciatally.WorkerID) string {
-	if p := s.permissions[t.stepKey()]; p != nil {
-		return p.tickets[id]
+	p := s.permissions[t.stepKey()]
+	if p == nil {
+		return ""
+	}
+	known := p.tickets[id]
+	if !known.workerStart.Equal(s.workerStart(id)) {
+		return ""
 	}
-	return ""
+	return known.value
+}
+
+// workerStart returns the start time of the worker's current incarnation, or the zero time if it is not known.
+func (s *Scheduler) workerStart(id acaciatally.WorkerID) (startTime time.Time) {
+	if w := s.workers[id]; w != nil {
+		startTime = w.startTime
+	}
+	return startTime
 }
 
 // AdviceRequests returns the requests to send now, for steps that are ready to start and have no valid ticket.
@@ -89,26 +109,48 @@
 	key := stepKey{j.id, o.number, step}
 	p := s.permissions[key]
 	if p == nil {
-		p = &stepPermissions{tickets: map[acaciatally.WorkerID]string{}, refused: map[acaciatally.WorkerID]bool{}}
+		p = &stepPermissions{
+			tickets: map[acaciatally.WorkerID]ticket{}, refused: map[acaciatally.WorkerID]time.Time{}, asked: map[acaciatally.WorkerID]time.Time{},
+		}
 		s.permissions[key] = p
 	}
 	if !j.usage.hasHeadroom(j.accepted.Spec.Steps[step].Resources) {
 		return request, false
 	}
-	valid := len(p.tickets) > 0 && now+ticketMargin < p.expiresAt
+	valid := len(p.tickets) > 0 && now+ticketMargin < p.expiresAt && !s.hasRestarted(p)
 	if p.inFlight || valid || now < p.nextRequestAt {
 		return request, false
 	}
 	workers := s.adviceCandidates(j, step, p, now)
 	if len(workers) == 0 {
-		clear(p.refused) // workers may have restarted, for which the answer may differ
+		clear(p.refused) // the answer for a worker of which no restart was seen may differ all the same
 		p.nextRequestAt = now + adviceRetry
 		return request, false
 	}
 	p.inFlight = true
+	clear(p.asked)
+	for _, id := range workers {
+		p.asked[id] = s.workerStart(id)
+	}
 	return AdviceRequest{Job: j.id, Occurrence: o.number, Step: step, Workers: workers}, true
 }
 
+// hasRestarted reports whether a worker with a ticket has restarted, so that the ticket is void.
+func (s *Scheduler) hasRestarted(p *stepPermissions) bool {
+	for id, known := range p.tickets {
+		if s.workers[id] != nil && !known.workerStart.Equal(s.workerStart(id)) {
+			return true
+		}
+	}
+	return false
+}
+
+// refusedTo reports whether the current incarnation of the worker may not run the step.
+func (s *Scheduler) refusedTo(p *stepPermissions, id acaciatally.WorkerID) bool {
+	startTime, refused := p.refused[id]
+	return refused && startTime.Equal(s.workerStart(id))
+}
+
 // adviceCandidates returns the workers with the most free processors that may get runs of the step, have its label and were not refused.
 func (s *Scheduler) adviceCandidates(j *activeJob, step int, p *stepPermissions, now time.Duration) (workers []acaciatally.WorkerID) {
 	candidates := s.candidates(j.accepted.Queue.Pool, now)
@@ -118,7 +160,7 @@
 	slices.SortStableFunc(candidates, func(a, b *candidate) int { return cmp.Compare(b.free.Processors, a.free.Processors) })
 	for _, c := range candidates {
 		id := c.w.entry.ID
-		if len(workers) < maxAdviceWorkers && !p.refused[id] && c.w.entry.HasLabel(j.accepted.Spec.Steps[step].Label) {
+		if len(workers) < maxAdviceWorkers && !s.refusedTo(p, id) && c.w.entry.HasLabel(j.accepted.Spec.Steps[step].Label) {
 			workers = append(workers, id)
 		}
 	}
@@ -137,10 +179,12 @@
 	}
 	clear(p.tickets)
 	for _, permission := range advice.Permissions {
-		p.tickets[permission.Worker] = permission.Ticket
+		p.tickets[permission.Worker] = ticket{permission.Ticket, p.asked[permission.Worker]}
 	}
-	for _, id := range request.Workers {
-		p.refused[id] = p.tickets[id] == ""
+	for id, startTime := range p.asked {
+		if _, permitted := p.tickets[id]; !permitted {
+			p.refused[id] = startTime
+		}
 	}
 	p.expiresAt = now + advice.Valid
 	s.nextPlacementAt = now
