dispatch: raise the fencing token when a worker is forgotten

Cause: a worker without runs whose entry is removed from the directory is forgotten with its fencing token. If it is back under its ID after that, it got the same token as its former incarnation, so that it carried out late orders for that one even once the leader had reached it: a start of a task that is done, or a renewal that acknowledges ends which no leader has seen. A restart that is seen while the worker is listed has raised the token before.

Change: SetDirectory raises the token of a worker that it forgets. The counter is shared, so that the next object for the ID begins higher.

Result: TestTokenAfterRemovalFromDirectory fails before (both tokens are 1048576) and passes now.

--- a/dispatch/worker.go
+++ b/dispatch/worker.go
@@ -124,6 +124,7 @@
 		if !w.listed && len(w.leftovers) == 0 && (w.lost || len(w.runs) == 0) {
 			s.markLost(w, "removed from the directory", now)
 			w.neighbours.discard()
+			s.raiseFence(w) // the ID may be listed again, for a new incarnation that must refuse late orders for this one
 			delete(s.workers, id)
 		}
 	}
