dispatch: notice the restart of a worker whose time of day was set back

Cause: incarnations of a worker are told apart by their start time, which is a time of day. After a restart with a lower one, all reports were taken for late ones of the former incarnation and ignored for good. Renewals did not fail either, so the runs of the former incarnation were never given up and their tasks not started again before the next leader; the worker got no new runs.

Change: a report that answers a renewal with the current token is from the latest incarnation, since a restart that was seen has raised the token; another start time is a restart then, also a lower one. The directory still counts only a higher one. An entry counts as outdated if its start time differs from the reported one.

--- a/dispatch/loading.go
+++ b/dispatch/loading.go
@@ -40,8 +40,7 @@
 	if w == nil {
 		return
 	}
-	w.renewalInFlight = false
-	if !s.acceptReport(w, report, now) {
+	if !s.acceptReport(w, report, w.finishRenewal(), now) {
 		return
 	}
 	if w.leaseUntil == 0 {
--- a/dispatch/report.go
+++ b/dispatch/report.go
@@ -14,8 +14,8 @@
 		return
 	}
 	s.interference.advance(now)
-	w.renewalInFlight, w.nextRenewalAt = false, sent+s.renewInterval()
-	if !s.acceptReport(w, report, now) {
+	w.nextRenewalAt = sent + s.renewInterval()
+	if !s.acceptReport(w, report, w.finishRenewal(), now) {
 		return
 	}
 	if !w.reported || w.renewalFailures > 0 {
@@ -64,23 +64,34 @@
 	}
 }
 
-// acceptReport handles a restart of the worker that a report shows. It returns false if the report is to be ignored because the worker is lost, has
-// restarted since, or has not seen the fencing token that was raised for its restart.
-func (s *Scheduler) acceptReport(w *worker, report acaciatally.WorkerReport, now time.Duration) (accepted bool) {
-	if w.lost || report.StartTime.Before(w.startTime) && !report.StartTime.IsZero() {
+// finishRenewal ends the renewal in flight and returns its fencing token; 0 if there is none.
+func (w *worker) finishRenewal() (fence uint64) {
+	if w.renewalInFlight {
+		fence = w.renewalFence
+	}
+	w.renewalInFlight = false
+	return fence
+}
+
+// acceptReport handles a restart of the worker that a report shows, which answers a renewal with the fencing token. It returns false if the report is to be
+// ignored because the worker is lost, has restarted since, or has not seen the token that was raised for its restart. A report that answers the present
+// token is from the latest incarnation, even if its start time is earlier because the worker's time of day was set back.
+func (s *Scheduler) acceptReport(w *worker, report acaciatally.WorkerReport, fence uint64, now time.Duration) (accepted bool) {
+	outdated := report.StartTime.Before(w.startTime) && !report.StartTime.IsZero() && fence != s.fence(w)
+	if w.lost || outdated {
 		return false
 	}
 	s.logCrossedRenewal(w, report)
 	if !report.StartTime.IsZero() && !report.StartTime.Equal(w.startTime) {
 		s.handleRestart(w, report.StartTime, now)
 	}
-	return s.hasSeenFence(w)
+	return s.hasSeenFence(w, fence)
 }
 
-// hasSeenFence reports whether the worker, from which this leader has not heard before, has seen its present fencing token. Until then it may still start
-// runs whose orders were meant for its earlier incarnation.
-func (s *Scheduler) hasSeenFence(w *worker) bool {
-	if w.reported || w.renewalFence == 0 || w.renewalFence == s.fence(w) {
+// hasSeenFence reports whether the worker, from which this leader has not heard before, has seen its present fencing token, as it has answered a renewal
+// with the token fence. Until then it may still start runs whose orders were meant for its earlier incarnation.
+func (s *Scheduler) hasSeenFence(w *worker, fence uint64) bool {
+	if w.reported || fence == 0 || fence == s.fence(w) {
 		return true
 	}
 	w.nextRenewalAt, w.nextLoadingRenewalAt = 0, 0 // the next renewal tells the token
--- a/dispatch/restart_lease.go
+++ b/dispatch/restart_lease.go
@@ -14,9 +14,10 @@
 	}
 }
 
-// restartedSinceRecord reports whether the start of the worker's incarnation is later than that for which an earlier leader has recorded runs.
+// restartedSinceRecord reports whether the start of the worker's incarnation differs from that for which an earlier leader has recorded runs. It is earlier
+// if the worker's time of day was set back.
 func (w *worker) restartedSinceRecord(startTime time.Time) bool {
-	return !w.recordedStart.IsZero() && startTime.After(w.recordedStart)
+	return !w.recordedStart.IsZero() && !startTime.IsZero() && !startTime.Equal(w.recordedStart)
 }
 
 // knownStart returns the start of the latest incarnation that this leader has heard from, or else that an earlier one has recorded.
--- a/dispatch/worker.go
+++ b/dispatch/worker.go
@@ -152,7 +152,7 @@
 		}
 		s.config.EventLog.WorkerChanged(entry.ID, entry.Pool, state, now-w.reportedAt)
 	}
-	if !entry.StartTime.IsZero() && !w.entry.StartTime.IsZero() && entry.StartTime.After(w.entry.StartTime) {
+	if !w.entry.StartTime.IsZero() && entry.StartTime.After(w.entry.StartTime) && entry.StartTime.After(w.startTime) {
 		s.handleRestart(w, entry.StartTime, now)
 	}
 	if w.entry.Pool != entry.Pool {
@@ -213,15 +213,12 @@
 
 // entryOutdated reports whether the worker's record in the directory is from before its last restart; its label and capacity may have changed.
 func (w *worker) entryOutdated() bool {
-	return !w.entry.StartTime.IsZero() && w.startTime.After(w.entry.StartTime)
+	return !w.entry.StartTime.IsZero() && !w.startTime.IsZero() && !w.startTime.Equal(w.entry.StartTime)
 }
 
 // handleRestart handles that a worker process has restarted under the same ID: it has no runs from before and has seen no fencing token.
 // Its runs are kept until its next report, since runs ordered recently may have started in the new incarnation.
 func (s *Scheduler) handleRestart(w *worker, startTime time.Time, now time.Duration) {
-	if !w.startTime.IsZero() && !startTime.After(w.startTime) {
-		return
-	}
 	seenBefore := !w.startTime.IsZero() || w.reported
 	w.startTime = startTime
 	if !seenBefore {
