dispatch: don't rely on CPU shares confirmed by a former incarnation

Cause: a run that was started by a repeated order can be started once more by the first one, in the next incarnation of its worker. The leader takes it for the run that it has throttled there, but it works at its whole share, and disturbs long-running tasks until the share is changed for another reason.

Change: after a restart the CPU share of backfill runs is unknown, so that it is ordered again.

Result: TestCPUShareAfterRestart fails before (no order) and passes now.

--- a/dispatch/task.go
+++ b/dispatch/task.go
@@ -122,5 +122,5 @@
 // fullPercent is the CPU share of an unthrottled run and the progress of a long-running task that is up, in percent.
 const fullPercent = 100
 
-// unknownCPUShare is the CPU share of a backfill run that an earlier leader may have throttled; it differs from every share that is ordered.
+// unknownCPUShare is the CPU share of a backfill run that an earlier leader may have throttled, or that a new incarnation of its worker may have started; it differs from every share that is ordered.
 const unknownCPUShare = -1
--- a/dispatch/throttle_test.go
+++ b/dispatch/throttle_test.go
@@ -126,3 +126,17 @@
 		})
 	}
 }
+
+// TestCPUShareAfterRestart guards against a backfill run that a new incarnation of its worker starts by a late order, unthrottled, while the leader
+// still counts on the CPU share that the former incarnation had confirmed.
+func TestCPUShareAfterRestart(t *testing.T) {
+	scheduler, report := throttledWorker(t)
+	throttled := report(150*time.Millisecond, time.Second)
+	require.Len(t, throttled, 1)
+	scheduler.OrderResult(throttled[0], nil, time.Second)
+	require.Empty(t, report(150*time.Millisecond, 2*time.Second))
+	scheduler.workers["i-1"].startTime = testWorker(1).StartTime.Add(-time.Second) // the next report is that of a later incarnation
+	throttled = report(150*time.Millisecond, 3*time.Second)
+	require.Len(t, throttled, 1)
+	require.Zero(t, throttled[0].Percent)
+}
--- a/dispatch/worker.go
+++ b/dispatch/worker.go
@@ -230,6 +230,11 @@
 	w.lost, w.reported, w.restartedAt, w.reportClock, w.reportedAt, w.leaseUntil, w.acknowledged = false, false, now, 0, 0, 0, 0
 	w.unackedEnds, w.lastReportHadEnds, w.health, w.speed = nil, false, health{}, speed.Worker{}
 	w.orphans = map[runKey]bool{}
+	for t := range w.runs {
+		if t.step.Backfill {
+			t.cpuShare = unknownCPUShare
+		}
+	}
 }
 
 // markLost releases all runs of a worker whose incarnation or lease is considered over.
