Log moves of instances that are given up

Cause of this change: the logs tell which instances are to be drained for a move, and which moves were ordered, but not that a move was given up. So they can't tell a worker that gets no runs for 15 s from one that was drained twice, with 5 s of service in between.

Change: the event MoveCancelled names the instance, its pool, the purpose and the runs that are left.

--- a/eventlog/events.go
+++ b/eventlog/events.go
@@ -170,6 +170,11 @@
 	l.line("InstancePlanned").Str("Instance", string(id)).Str("Pool", string(pool)).Str("Purpose", purpose).Msg("")
 }
 
+// MoveCancelled logs that a move is given up whose order could not be sent; the instance serves its pool again.
+func (l *Logger) MoveCancelled(id acaciatally.InstanceID, pool acaciatally.PoolName, purpose string, runs int) {
+	l.line("MoveCancelled").Str("Instance", string(id)).Str("Pool", string(pool)).Str("Purpose", purpose).Int("Runs", runs).Msg("")
+}
+
 // InstanceOrdered logs the result of the order for an instance that was drained for a purpose.
 func (l *Logger) InstanceOrdered(id acaciatally.InstanceID, purpose string, err error) {
 	l.line("InstanceOrdered").Str("Instance", string(id)).Str("Purpose", purpose).Err(err).Msg("")
--- a/roster/roster.go
+++ b/roster/roster.go
@@ -50,6 +50,8 @@
 type EventLog interface {
 	// InstancePlanned logs that an instance is to be drained for a purpose.
 	InstancePlanned(id acaciatally.InstanceID, pool acaciatally.PoolName, purpose string)
+	// MoveCancelled logs that a move is given up whose order could not be sent; runs is the number of runs left on the instance.
+	MoveCancelled(id acaciatally.InstanceID, pool acaciatally.PoolName, purpose string, runs int)
 	// InstanceOrdered logs the result of an order.
 	InstanceOrdered(id acaciatally.InstanceID, purpose string, err error)
 	// WaveChanged logs the progress of a wave; left is the number of instances still to be maintained.
@@ -197,6 +199,7 @@
 		waitsForTurn := instance.State == acaciatally.InstanceUp && instance.Worker == ""
 		if found && w.LongRunning > 0 || !waitsForTurn && now-op.plannedAt > drainTimeout {
 			delete(r.operations, id)
+			r.config.EventLog.MoveCancelled(id, instance.Pool, op.String(), w.Runs)
 		}
 	}
 }
--- a/roster/roster_test.go
+++ b/roster/roster_test.go
@@ -20,6 +20,8 @@
 
 func (nopEventLog) InstancePlanned(acaciatally.InstanceID, acaciatally.PoolName, string) {}
 
+func (nopEventLog) MoveCancelled(acaciatally.InstanceID, acaciatally.PoolName, string, int) {}
+
 func (nopEventLog) InstanceOrdered(acaciatally.InstanceID, string, error) {}
 
 func (nopEventLog) WaveChanged(int, int, bool) {}
