roster: do not plan a cancelled move again at once

Cause: an instance that runs tasks is drained before it is moved; it gets no tasks meanwhile, and the move is cancelled after 5 s. The planner prefers the instances with the fewest tasks, which a cancelled one has by then, so the same plan chose it again. One long run kept all its room from the tasks of its pool for as long as the run lasted.

Change: an instance whose move was cancelled serves its pool for 5 s before it may be drained for a move again. It may leave at once while it runs no tasks, since that costs its pool nothing.

--- a/capacity/plan.go
+++ b/capacity/plan.go
@@ -19,6 +19,7 @@
 	Reserved    bool          // it is being drained for another operation
 	Idle        time.Duration // time since its last task ended
 	Unhealthy   bool          // its worker gets no new tasks
+	Kept        bool          // it may leave its pool only while it runs no tasks
 }
 
 // Pool is the planner input for a pool.
@@ -173,7 +174,7 @@
 	}
 	for _, instance := range instances {
 		b := balances[instance.Pool]
-		if b == nil || !instance.Up || instance.Reserved || instance.LongRunning > 0 || instance.Unhealthy {
+		if b == nil || !instance.Up || instance.Reserved || instance.LongRunning > 0 || instance.Unhealthy || instance.Kept && instance.Runs > 0 {
 			continue
 		}
 		if b.canGive(worst) && (instance.Runs == 0 || worst > noNeed) {
--- a/capacity/plan_test.go
+++ b/capacity/plan_test.go
@@ -85,6 +85,14 @@
 			instances: idle("a", 9),
 			moves:     map[acaciatally.PoolName]int{"standby": 6},
 		},
+		"busy instances that are kept do not move": {
+			pools: []capacity.Pool{{Name: "a", Waiting: capacityOf(9), PerInstance: perInstance}, {Name: "b", PerInstance: perInstance}},
+			instances: append(busy("a", 3, 0),
+				capacity.Instance{ID: "b-0", Pool: "b", Up: true, Runs: 4, Kept: true},
+				capacity.Instance{ID: "b-1", Pool: "b", Up: true, Kept: true},
+				capacity.Instance{ID: "b-2", Pool: "b", Up: true, Runs: 4, Kept: true}),
+			moves: map[acaciatally.PoolName]int{"a": 1},
+		},
 		"unhealthy instances neither count nor move": {
 			pools: []capacity.Pool{{Name: "a", Waiting: capacityOf(2), PerInstance: perInstance}, standby},
 			instances: append(idle("standby", 4),
--- a/roster/roster.go
+++ b/roster/roster.go
@@ -15,6 +15,8 @@
 const (
 	// drainTimeout is how long a worker may take to drain before its move is cancelled; maintenance has no such limit.
 	drainTimeout = 5 * time.Second
+	// keepTime is how long an instance whose move was cancelled serves its pool before it may be drained for a move again.
+	keepTime = 5 * time.Second
 	// downTimeout is how long after its expected time an ordered instance may be down before it no longer counts as on its way.
 	downTimeout = 5 * time.Second
 	// drainTime is how long a worker usually takes to drain, including long-running tasks.
@@ -94,7 +96,8 @@
 	listedAt       time.Duration
 	operations     map[acaciatally.InstanceID]*operation
 	waves          map[int]*wave
-	operationCount uint64 // operations planned in this term of leadership
+	keptUntil      map[acaciatally.InstanceID]time.Duration // until when an instance is not drained for a move, because one was cancelled
+	operationCount uint64                                   // operations planned in this term of leadership
 	limiter        *rate.Limiter
 }
 
@@ -102,7 +105,8 @@
 func New(config Config) *Roster {
 	return &Roster{
 		config: config, instances: map[acaciatally.InstanceID]acaciatally.FleetInstance{},
-		operations: map[acaciatally.InstanceID]*operation{}, waves: map[int]*wave{}, limiter: newLimiter(config.OrdersPerSecond),
+		operations: map[acaciatally.InstanceID]*operation{}, waves: map[int]*wave{},
+		keptUntil: map[acaciatally.InstanceID]time.Duration{}, limiter: newLimiter(config.OrdersPerSecond),
 	}
 }
 
@@ -150,6 +154,7 @@
 	}
 	workers, demand := scheduler.Workers(now), scheduler.Pools(now)
 	r.cancelStaleMoves(workers, now)
+	maps.DeleteFunc(r.keptUntil, func(_ acaciatally.InstanceID, until time.Duration) bool { return now >= until })
 	pools := r.pools(configuration, demand)
 	r.planWaves(pools, workers, now)
 	scheduler.SetWorkersToDrainSoon(r.dueWorkers())
@@ -199,6 +204,7 @@
 		waitsForTurn := instance.State == acaciatally.InstanceUp && instance.Worker == ""
 		if found && w.LongRunning > 0 || !waitsForTurn && now-op.plannedAt > drainTimeout {
 			delete(r.operations, id)
+			r.keptUntil[id] = now + keepTime
 			r.config.EventLog.MoveCancelled(id, instance.Pool, op.String(), w.Runs)
 		}
 	}
@@ -255,10 +261,11 @@
 	for id, instance := range r.instances {
 		w, serves := workers[instance.Worker]
 		_, reserved := r.operations[id]
+		_, kept := r.keptUntil[id]
 		up := instance.State == acaciatally.InstanceUp
 		view = append(view, capacity.Instance{
 			ID: id, Pool: instance.Pool, Up: up, Runs: w.Runs, LongRunning: w.LongRunning, Reserved: reserved, Idle: w.IdleTime,
-			Unhealthy: serves && !w.Schedulable,
+			Unhealthy: serves && !w.Schedulable, Kept: kept,
 		})
 	}
 	return view
