capacity: drain a part of a pool at a time while its tasks wait

Cause: the planner gave away all instances above the fair share of a pool at once. An instance that runs tasks gets none until its last one has ended, so its free room is of no use meanwhile, to its pool or to any other. The division counts the instances that pools have, not what is free on those to be drained.

Change: while tasks of a pool wait for a worker, at most a quarter of its instances, and at least one, run tasks and are drained for moves at the same time. Idle instances leave at once as before, and so does what a pool below its floor needs.

--- a/capacity/plan.go
+++ b/capacity/plan.go
@@ -32,10 +32,15 @@
 	LongRunning acaciatally.ResourceVector // for long-running tasks, which are also part of Used or Waiting
 	Expected    acaciatally.ResourceVector // forecast for about the duration of a move
 	MinWorkers  int                        // instances required by limits on the tasks per worker
+	Unplaced    int                        // tasks that are ready to run and have no worker
 	Incoming    int                        // instances being moved or returned to the pool
 	PerInstance acaciatally.ResourceVector // capacity of one instance
 }
 
+// maxDrainingPart is the part of a pool's instances, as a divisor, that may be drained for moves at the same time while tasks of the pool wait: an
+// instance gets no tasks until its last one has ended, so what is free on it is of no use to them.
+const maxDrainingPart = 4
+
 // Config is the configuration of the planner, which balances the cost of instances against the cost of moves.
 type Config struct {
 	MinInstances   int           // instances that a pool keeps even without demand
@@ -62,6 +67,8 @@
 	have   int
 	share  share
 	target int // required instances, but at least Config.MinInstances
+	// draining is how many instances run tasks and are being drained; they are not part of have.
+	draining int
 }
 
 // need is how much a pool needs more instances.
@@ -100,6 +107,11 @@
 	return false
 }
 
+// mayDrain reports whether one more instance that runs tasks may be drained for a pool with the need.
+func (b *balance) mayDrain(n need) bool {
+	return b.pool.Unplaced == 0 || n == starving || b.draining < max(1, (b.have-b.pool.Incoming+b.draining)/maxDrainingPart)
+}
+
 // Plan returns the moves to start now.
 func Plan(config Config, pools []Pool, instances []Instance) (moves []Move) {
 	balances := config.balances(pools, instances)
@@ -109,9 +121,13 @@
 		donor := donors[0]
 		donors = donors[1:]
 		from, to := balances[donor.Pool], needy[0]
-		if from == to || !from.canGive(to.need()) {
+		busy := donor.Runs > 0
+		if from == to || !from.canGive(to.need()) || busy && !from.mayDrain(to.need()) {
 			continue
 		}
+		if busy {
+			from.draining++
+		}
 		moves = append(moves, Move{donor.ID, donor.Pool, to.pool.Name})
 		from.have--
 		to.have++
@@ -132,9 +148,14 @@
 		total += pools[i].Incoming
 	}
 	for _, instance := range instances {
-		if b := balances[instance.Pool]; b != nil && instance.Up && !instance.Reserved && !instance.Unhealthy {
+		b := balances[instance.Pool]
+		switch {
+		case b == nil || !instance.Up || instance.Unhealthy:
+		case !instance.Reserved:
 			b.have++
 			total++
+		case instance.Runs > 0:
+			b.draining++
 		}
 	}
 	shares := c.divide(pools, total)
--- a/capacity/plan_test.go
+++ b/capacity/plan_test.go
@@ -93,6 +93,38 @@
 				capacity.Instance{ID: "b-2", Pool: "b", Up: true, Runs: 4, Kept: true}),
 			moves: map[acaciatally.PoolName]int{"a": 1},
 		},
+		"a part of a pool with waiting tasks is drained at the same time": {
+			pools: []capacity.Pool{
+				{Name: "a", Waiting: capacityOf(40), PerInstance: perInstance}, {Name: "b", Overdue: capacityOf(40), Unplaced: 9, PerInstance: perInstance},
+			},
+			instances: append(busy("a", 2, 0), busy("b", 12, 0)...),
+			moves:     map[acaciatally.PoolName]int{"a": 3},
+		},
+		"instances that are being drained count": {
+			pools: []capacity.Pool{
+				{Name: "a", Waiting: capacityOf(40), PerInstance: perInstance}, {Name: "b", Overdue: capacityOf(40), Unplaced: 9, PerInstance: perInstance},
+			},
+			instances: append(busy("b", 10, 0),
+				capacity.Instance{ID: "b-10", Pool: "b", Up: true, Runs: 4, Reserved: true},
+				capacity.Instance{ID: "b-11", Pool: "b", Up: true, Runs: 4, Reserved: true},
+				capacity.Instance{ID: "a-0", Pool: "a", Up: true, Runs: 4}),
+			moves: map[acaciatally.PoolName]int{"a": 1},
+		},
+		"a pool without an instance is not kept waiting": {
+			pools: []capacity.Pool{
+				{Name: "a", Waiting: capacityOf(4), LongRunning: capacityOf(4), PerInstance: perInstance},
+				{Name: "b", Overdue: capacityOf(40), Unplaced: 9, PerInstance: perInstance},
+			},
+			instances: busy("b", 12, 0),
+			moves:     map[acaciatally.PoolName]int{"a": 5},
+		},
+		"idle instances leave at once": {
+			pools: []capacity.Pool{
+				{Name: "a", Waiting: capacityOf(40), PerInstance: perInstance}, {Name: "b", Overdue: capacityOf(4), Unplaced: 1, PerInstance: perInstance},
+			},
+			instances: append(busy("a", 2, 0), idle("b", 8)...),
+			moves:     map[acaciatally.PoolName]int{"a": 7},
+		},
 		"unhealthy instances neither count nor move": {
 			pools: []capacity.Pool{{Name: "a", Waiting: capacityOf(2), PerInstance: perInstance}, standby},
 			instances: append(idle("standby", 4),
--- a/dispatch/share_demand.go
+++ b/dispatch/share_demand.go
@@ -103,6 +103,7 @@
 	p.Waiting = p.Waiting.Plus(within.Minus(used))
 	p.Overdue = p.Overdue.Plus(account.Overdue).Plus(demand.Minus(within))
 	p.MinWorkers = max(p.MinWorkers, account.MinWorkers)
+	p.Unplaced += account.Unplaced
 }
 
 func scaled(v acaciatally.ResourceVector, part float64) acaciatally.ResourceVector {
--- a/dispatch/view.go
+++ b/dispatch/view.go
@@ -29,6 +29,7 @@
 	LongRunning acaciatally.ResourceVector // by long-running tasks, which are also part of Used or Waiting
 	Expected    acaciatally.ResourceVector // predicted need of the near future, from the arrivals of the last seconds
 	MinWorkers  int                        // minimum number of workers, because of the limits of tasks per worker
+	Unplaced    int                        // tasks that are ready to run and have no worker
 }
 
 // Workers returns the state of all listed workers.
@@ -119,6 +120,7 @@
 					pool.add(t, overdue)
 				case ready && demanded > 0 && t.phase == job.Waiting:
 					demanded--
+					pool.Unplaced++
 					pool.add(t, overdue)
 				}
 			}
--- a/roster/roster.go
+++ b/roster/roster.go
@@ -251,7 +251,7 @@
 		pools = append(pools, capacity.Pool{
 			Name: name, Standby: options.Standby, Used: demand[name].Used, Waiting: demand[name].Waiting, Overdue: demand[name].Overdue,
 			LongRunning: demand[name].LongRunning, Expected: demand[name].Expected, MinWorkers: demand[name].MinWorkers,
-			Incoming: incoming[name], PerInstance: instanceCapacity,
+			Unplaced: demand[name].Unplaced, Incoming: incoming[name], PerInstance: instanceCapacity,
 		})
 	}
 	return pools
