task: one type for the result of a call, one function that collects batches

Cause: submissions and cancellations each had their own copy of the result, of settling it, of waiting for it and of the loop that collects a batch (task/frontend.go, 194-231), and waitForRetry repeated acaciatally.Sleep. Change: result holds what both have in common, and collect the rule that ends a batch; they are in task/call.go. Behaviour is unchanged.

--- a/task/cancel.go
+++ b/task/cancel.go
@@ -29,7 +29,7 @@
 			outcome = acaciatally.Unknown
 		}
 		if err != nil {
-			waitForRetry(ctx)
+			acaciatally.Sleep(ctx, commitRetryDelay)
 		}
 	}
 	for _, call := range batch {
@@ -48,12 +48,6 @@
 	return open
 }
 
-func (c *cancellation) settle(record Record, err error) {
-	if !c.settled {
-		c.settled, c.record, c.err = true, record, err
-	}
-}
-
 func (f *Frontend) cancelUnsettled(ctx context.Context, open []*cancellation) error {
 	ids := make([]string, 0, len(open))
 	for _, call := range open {
--- a/task/frontend.go
+++ b/task/frontend.go
@@ -43,24 +43,6 @@
 	pools         fullPools // belongs to the goroutine that submits
 }
 
-type submission struct {
-	spec             Spec
-	record           Record
-	err              error
-	mayHaveCommitted bool // a transaction with the row may have taken effect
-	settled          bool
-	done             chan struct{}
-}
-
-type cancellation struct {
-	team    acaciatally.TeamName
-	id      string
-	record  Record
-	err     error
-	settled bool
-	done    chan struct{}
-}
-
 // NewFrontend returns a frontend whose calls wait until Run is called.
 func NewFrontend(config FrontendConfig) *Frontend {
 	if config.Clock == nil {
@@ -110,34 +92,24 @@
 	if err = spec.Validate(); err != nil {
 		return Record{}, err
 	}
-	call := &submission{spec: spec, done: make(chan struct{})}
+	call := &submission{spec: spec, result: newResult()}
 	select {
 	case f.submissions <- call:
 	default:
 		return Record{}, refusal(acaciatally.NotRun, "too many tasks are being submitted")
 	}
-	select {
-	case <-call.done:
-		return call.record, call.err
-	case <-ctx.Done():
-		return Record{}, refusal(acaciatally.Unknown, "the submission was not finished in time")
-	}
+	return call.wait(ctx, "the submission was not finished in time")
 }
 
 // Cancel cancels a task; a task that has already ended is returned unchanged. It fails with ErrTaskNotFound or a *acaciatally.Refusal.
 func (f *Frontend) Cancel(ctx context.Context, team acaciatally.TeamName, id string) (record Record, err error) {
-	call := &cancellation{team: team, id: id, done: make(chan struct{})}
+	call := &cancellation{team: team, id: id, result: newResult()}
 	select {
 	case f.cancellations <- call:
 	default:
 		return Record{}, refusal(acaciatally.NotRun, "too many tasks are being cancelled")
 	}
-	select {
-	case <-call.done:
-		return call.record, call.err
-	case <-ctx.Done():
-		return Record{}, refusal(acaciatally.Unknown, "the cancellation was not finished in time")
-	}
+	return call.wait(ctx, "the cancellation was not finished in time")
 }
 
 // Show returns the record of a task of the team; it fails with ErrTaskNotFound or acaciatally.ErrUnavailable.
@@ -190,43 +162,3 @@
 	}
 	return found, nil
 }
-
-func (f *Frontend) collectSubmissions(ctx context.Context) (batch []*submission) {
-	select {
-	case first := <-f.submissions:
-		batch = append(batch, first)
-	case <-ctx.Done():
-		return nil
-	}
-	timer := time.NewTimer(f.config.BatchInterval)
-	defer timer.Stop()
-	for len(batch) < f.config.BatchSize {
-		select {
-		case next := <-f.submissions:
-			batch = append(batch, next)
-		case <-timer.C:
-			return batch
-		}
-	}
-	return batch
-}
-
-func (f *Frontend) collectCancellations(ctx context.Context) (batch []*cancellation) {
-	select {
-	case first := <-f.cancellations:
-		batch = append(batch, first)
-	case <-ctx.Done():
-		return nil
-	}
-	timer := time.NewTimer(f.config.BatchInterval)
-	defer timer.Stop()
-	for len(batch) < f.config.BatchSize {
-		select {
-		case next := <-f.cancellations:
-			batch = append(batch, next)
-		case <-timer.C:
-			return batch
-		}
-	}
-	return batch
-}
--- a/task/submit.go
+++ b/task/submit.go
@@ -48,12 +48,6 @@
 	return open
 }
 
-func (s *submission) settle(record Record, err error) {
-	if !s.settled {
-		s.settled, s.record, s.err = true, record, err
-	}
-}
-
 // unresolvedError returns the error for a task for which no transaction is known to have succeeded. Its outcome is NotRun only if no
 // transaction can have taken effect.
 func (s *submission) unresolvedError() error {
@@ -95,7 +89,7 @@
 		for _, call := range open {
 			call.mayHaveCommitted = true
 		}
-		waitForRetry(ctx)
+		acaciatally.Sleep(ctx, commitRetryDelay)
 		f.settleFromTable(ctx, open, nil)
 	}
 }
@@ -110,7 +104,7 @@
 	}
 	found, err := f.find(ctx, ids)
 	if err != nil {
-		waitForRetry(ctx)
+		acaciatally.Sleep(ctx, commitRetryDelay)
 		return
 	}
 	settleFound(open, found)
@@ -136,12 +130,3 @@
 	second, _ := json.Marshal(b)
 	return bytes.Equal(first, second)
 }
-
-func waitForRetry(ctx context.Context) {
-	timer := time.NewTimer(commitRetryDelay)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
