task: split the floors and the teams' queues off the planner

Cause: plan.go had 350 lines with three rules in it: floors of classes, the order of teams, and placement. planClass kept the number of failed tasks beside their list, the reason "no worker has ... free" was built in four places, and updateLoad changed a team's queue, not a worker's load. Change: floors.go and team_queue.go; updateTeamLoad; leaveWaiting adds an unplaced task; the reasons' texts are the same. Behaviour is unchanged.

--- a/task/plan.go
+++ b/task/plan.go
@@ -1,7 +1,6 @@
 package task
 
 import (
-	"cmp"
 	"container/heap"
 	"fmt"
 	"slices"
@@ -10,13 +9,6 @@
 	"github.com/acaciatally/acaciatally"
 )
 
-// Floors are the minimum shares of the pool that are guaranteed to each urgency class while it has tasks waiting.
-type Floors [acaciatally.UrgencyClasses]float64
-
-// DefaultFloors are the same as the default floors of the request queues, so that the same rule applies to requests and tasks
-// during an overload.
-var DefaultFloors = Floors{0.5, 0.3, 0.1}
-
 // Candidate is a waiting task to be placed.
 type Candidate struct {
 	Task         string
@@ -98,6 +90,7 @@
 	maxFailedCandidates = 64
 )
 
+// planner is the computation of one plan.
 type planner struct {
 	input        PlanInput
 	plan         Plan
@@ -138,71 +131,12 @@
 	}
 }
 
-// teamQueue holds the waiting tasks of one team and class, oldest first.
-type teamQueue struct {
-	team       acaciatally.TeamName
-	candidates []Candidate
-	load       float64 // cores in use, divided by the quota if there is one
-	overQuota  bool    // at or above the quota
-}
-
-type teamHeap []*teamQueue
-
-func (h teamHeap) Len() int { return len(h) }
-func (h teamHeap) Less(i, j int) bool {
-	if h[i].overQuota != h[j].overQuota {
-		return h[j].overQuota
-	}
-	return cmp.Or(cmp.Compare(h[i].load, h[j].load), cmp.Compare(h[i].team, h[j].team)) < 0
-}
-func (h teamHeap) Swap(i, j int)   { h[i], h[j] = h[j], h[i] }
-func (h *teamHeap) Push(value any) { *h = append(*h, value.(*teamQueue)) }
-func (h *teamHeap) Pop() any {
-	last := (*h)[len(*h)-1]
-	*h = (*h)[:len(*h)-1]
-	return last
-}
-
-func (p *planner) updateLoad(queue *teamQueue) {
-	quota := p.quotas[queue.team]
-	queue.load = p.teamUsage[queue.team]
-	queue.overQuota = false
-	if quota > 0 {
-		queue.load /= quota
-		queue.overQuota = queue.load >= 1
-	}
-}
-
-func (p *planner) classQueues(class acaciatally.Urgency) *teamHeap {
-	byTeam := map[acaciatally.TeamName]*teamQueue{}
-	for _, candidate := range p.input.Candidates {
-		if candidate.Urgency != class {
-			continue
-		}
-		queue, found := byTeam[candidate.Team]
-		if !found {
-			queue = &teamQueue{team: candidate.Team}
-			byTeam[candidate.Team] = queue
-		}
-		queue.candidates = append(queue.candidates, candidate)
-	}
-	ordered := make(teamHeap, 0, len(byTeam))
-	for _, queue := range byTeam {
-		slices.SortStableFunc(queue.candidates, func(a, b Candidate) int {
-			return cmp.Or(a.Accepted.Compare(b.Accepted), cmp.Compare(a.Task, b.Task))
-		})
-		p.updateLoad(queue)
-		ordered = append(ordered, queue)
-	}
-	heap.Init(&ordered)
-	return &ordered
-}
-
 // planClass places the tasks of one class, the team with the smallest load first.
 func (p *planner) planClass(class acaciatally.Urgency) {
 	queues := p.classQueues(class)
-	failures, failed, reserved := 0, []Candidate(nil), false
-	for queues.Len() > 0 && failures < maxFailedCandidates && len(p.plan.Starts) < p.input.MaxStarts {
+	var failed []Candidate
+	reserved := false
+	for queues.Len() > 0 && len(failed) < maxFailedCandidates && len(p.plan.Starts) < p.input.MaxStarts {
 		queue := heap.Pop(queues).(*teamQueue)
 		candidate := queue.candidates[0]
 		queue.candidates = queue.candidates[1:]
@@ -210,44 +144,48 @@
 			if !reserved && p.input.Now.Sub(candidate.Accepted) >= reserveDelay {
 				reserved = p.reserve(candidate)
 			}
-			failures++
 			failed = append(failed, candidate)
-			p.plan.Unplaced = append(p.plan.Unplaced, Unplaced{Task: candidate.Task, Reason: reason})
+			p.leaveWaiting(candidate, reason)
 		}
 		if len(queue.candidates) > 0 {
-			p.updateLoad(queue)
+			p.updateTeamLoad(queue)
 			heap.Push(queues, queue)
 		}
 	}
 	for _, queue := range *queues {
 		for _, candidate := range queue.candidates {
-			p.plan.Unplaced = append(p.plan.Unplaced, Unplaced{Task: candidate.Task, Reason: "waits behind other tasks of class " + class.String()})
+			p.leaveWaiting(candidate, "waits behind other tasks of class "+class.String())
 		}
 	}
 }
 
+func (p *planner) leaveWaiting(candidate Candidate, reason string) {
+	p.plan.Unplaced = append(p.plan.Unplaced, Unplaced{Task: candidate.Task, Reason: reason})
+}
+
 // place places one task, with preemption if its class allows it, or returns the reason why it waits.
 func (p *planner) place(candidate Candidate, queue *teamQueue, failed []Candidate) (reason string) {
 	if !p.respectsFloors(candidate) {
 		return "the floors of other classes with waiting tasks leave no room for class " + candidate.Urgency.String()
 	}
+	noRoom := "no worker has " + formatResources(candidate.Need) + " free"
 	if len(candidate.AvoidWorkers) == 0 && alreadyFailed(candidate, failed) {
-		return "no worker has " + formatResources(candidate.Need) + " free"
+		return noRoom
 	}
 	if load := p.bestFit(candidate); load != nil {
 		p.start(candidate, load, fmt.Sprintf("fits on %s with %s", load.Worker, formatResources(candidate.Need)))
 		return ""
 	}
 	if candidate.Urgency == acaciatally.Background {
-		return "no worker has " + formatResources(candidate.Need) + " free"
+		return noRoom
 	}
 	if queue.overQuota {
-		return "the team is over its quota and no worker has " + formatResources(candidate.Need) + " free"
+		return "the team is over its quota and " + noRoom
 	}
 	if p.placeWithPreemption(candidate) {
 		return ""
 	}
-	return "no worker has " + formatResources(candidate.Need) + " free, and less urgent tasks cannot make room"
+	return noRoom + ", and less urgent tasks cannot make room"
 }
 
 // reserve keeps the emptiest worker that could hold the task for it: no later task of its class and no less urgent one starts there in
@@ -281,38 +219,6 @@
 	return false
 }
 
-// respectsFloors reports whether the task fits beside the resources that are protected for other classes; a class that stays within its
-// own floor always does.
-func (p *planner) respectsFloors(candidate Candidate) bool {
-	usage := add(p.classUsage[candidate.Urgency], candidate.Need)
-	if dominantShare(usage, p.total) <= p.input.Floors[candidate.Urgency] {
-		return true
-	}
-	for class := range acaciatally.Urgency(acaciatally.UrgencyClasses) {
-		if class != candidate.Urgency {
-			usage = add(usage, p.protectedUsage(class, candidate.Urgency))
-		}
-	}
-	return fits(usage, p.total)
-}
-
-// protectedUsage returns what a class cannot lose to another one: its floor while it has tasks waiting, and all that it uses if it is
-// more urgent.
-func (p *planner) protectedUsage(class, other acaciatally.Urgency) acaciatally.Resources {
-	used := p.classUsage[class]
-	floor := scale(p.total, p.input.Floors[class])
-	floor.Accelerators = int(float64(p.total.Accelerators) * p.input.Floors[class])
-	switch {
-	case class < other && p.classWaiting[class] > 0:
-		return maxResources(used, floor)
-	case class < other:
-		return used
-	case p.classWaiting[class] > 0:
-		return floor
-	}
-	return minResources(used, floor)
-}
-
 // bestFit returns the worker with the least resources left over, so that large tasks still fit later.
 func (p *planner) bestFit(candidate Candidate) (best *WorkerLoad) {
 	bestRemaining := 0.0
@@ -332,6 +238,7 @@
 	return best
 }
 
+// accepts reports whether the task may start on the worker if its resources are free.
 func (l *WorkerLoad) accepts(candidate Candidate) bool {
 	if l.StartLimit == 0 || slices.Contains(candidate.AvoidWorkers, l.Worker) {
 		return false
@@ -339,6 +246,7 @@
 	return !candidate.UnknownUsage || !l.RunsUnknownUsage || candidate.Urgency == acaciatally.Urgent
 }
 
+// start adds the start of the task to the plan and allocates its resources on the worker.
 func (p *planner) start(candidate Candidate, load *WorkerLoad, reason string) {
 	load.Free = subtract(load.Free, candidate.Need)
 	load.StartLimit--
