--- a/site/start_delay.go
+++ b/site/start_delay.go
@@ -2,6 +2,13 @@
 
 import "time"
 
+const (
+	// startDelayInterval is the interval at which a leader determines how long jobs wait for it; it is that of the lease's renewals.
+	startDelayInterval = renewInterval
+	// startDelaySettleTime is how long after its first round of decisions a leader goes by the delay of the leader before it as well.
+	startDelaySettleTime = 2 * time.Second
+)
+
 // startDelay is the delay that a leader publishes with its lease. A new leader needs some rounds to measure its own.
 type startDelay struct {
 	inherited time.Duration // of the leader before
