scripts: one copy of clean-up, polling, worker starts and request IDs

Change: lib.sh has one of each. The time-outs, exit statuses and messages of the scripts stay as they were.

--- a/scripts/fleet.sh
+++ b/scripts/fleet.sh
@@ -9,18 +9,9 @@
 export ACACIATALLY_TOKEN=replace-this-token
 logs=$(mktemp -d)
 entries=()
-stop() {
-  trap - EXIT INT TERM
-  stop_all
-  rm -rf "$logs"
-}
-trap stop EXIT
-trap 'exit 1' INT TERM
+clean_up_at_exit 1
 wait_for() {
-  for _ in $(seq 1200); do
-    if "$@" >/dev/null 2>&1; then return 0; fi
-    sleep 0.5
-  done
+  poll 1200 0.5 "$@" && return
   echo "timed out waiting for: $*" >&2
   return 1
 }
@@ -37,10 +28,7 @@
 platform=$(sed -nE 's/^  Address: (.*)/\1/p' "$settings")
 start platform bin/standin platform -listen "$platform" -reboot-time 2s -list-lag 5s
 wait_for curl -sf "http://$platform/admin/counters"
-while read -r line; do
-  start "$(field ID "$line")" bin/standin worker -id "$(field ID "$line")" -listen "$(field Address "$line")" -platform "$platform" \
-    -data-centre "$(field DataCentre "$line")" -rack "$(field Rack "$line")" -leave-time 100ms
-done < <(grep 'Slots:' "$settings")
+start_workers bin/standin "$settings" "$platform"
 while read -r line; do
   start "$(field ID "$line")" bin/acaciatally serve -settings "$settings" -entry "$(field ID "$line")"
   entries+=("${pids[$(field ID "$line")]}")
--- a/scripts/lib.sh
+++ b/scripts/lib.sh
@@ -22,3 +22,48 @@
 
 # field KEY LINE: prints the value of a key in a YAML flow mapping.
 field() { sed -E "s/.*[{ ]$1: \"?([^,\"}]*).*/\1/" <<<"$2"; }
+
+# clean_up_at_exit STATUS: when the script ends, stops all processes that were started and removes the folder of their output. SIGINT and
+# SIGTERM end the script with the status.
+clean_up_at_exit() {
+  trap clean_up EXIT
+  trap "exit $1" INT TERM
+}
+
+clean_up() {
+  trap - EXIT INT TERM
+  stop_all
+  rm -rf "$logs"
+}
+
+# poll ATTEMPTS PAUSE COMMAND...: runs a command until it succeeds, with a pause in seconds after each failure; fails after the last attempt.
+poll() {
+  local attempts=$1 pause=$2
+  shift 2
+  for _ in $(seq "$attempts"); do
+    if "$@" >/dev/null 2>&1; then return 0; fi
+    sleep "$pause"
+  done
+  return 1
+}
+
+# start_workers STANDIN SETTINGS PLATFORM: starts a simulated worker for each instance of a settings file.
+start_workers() {
+  local line
+  while read -r line; do
+    start "$(field ID "$line")" "$1" worker -id "$(field ID "$line")" -listen "$(field Address "$line")" -platform "$3" \
+      -data-centre "$(field DataCentre "$line")" -rack "$(field Rack "$line")" -leave-time 100ms
+  done < <(grep 'Slots:' "$2")
+}
+
+# request_id prints a ULID: ten characters for the time in milliseconds, then sixteen random characters.
+request_id() {
+  local alphabet=0123456789ABCDEFGHJKMNPQRSTVWXYZ id='' time
+  time=$(date +%s%3N)
+  for _ in $(seq 10); do
+    id=${alphabet:$((time % 32)):1}$id
+    time=$((time / 32))
+  done
+  for _ in $(seq 16); do id=$id${alphabet:$((RANDOM % 32)):1}; done
+  echo "$id"
+}
--- a/scripts/run.sh
+++ b/scripts/run.sh
@@ -5,18 +5,9 @@
 source "$(dirname "$0")/lib.sh"
 cd "$(dirname "$0")/.."
 logs=$(mktemp -d)
-stop() {
-  trap - EXIT INT TERM
-  stop_all
-  rm -rf "$logs"
-}
-trap stop EXIT
-trap 'exit 0' INT TERM
+clean_up_at_exit 0
 wait_for() {
-  for _ in $(seq 150); do
-    if "$@" >/dev/null 2>&1; then return 0; fi
-    sleep 0.1
-  done
+  poll 150 0.1 "$@" && return
   echo "timed out waiting for: $*" >&2
   tail -n 5 "$logs"/* >&2
   return 1
@@ -34,16 +25,6 @@
     tr -d '\r' | grep -vE '^(Date|Content-Length|Vary):' | sed 's/^/    /'
   echo
 }
-request_id() { # prints a ULID: ten characters for the time in milliseconds, then sixteen random characters
-  local alphabet=0123456789ABCDEFGHJKMNPQRSTVWXYZ id='' time
-  time=$(date +%s%3N)
-  for _ in $(seq 10); do
-    id=${alphabet:$((time % 32)):1}$id
-    time=$((time / 32))
-  done
-  for _ in $(seq 16); do id=$id${alphabet:$((RANDOM % 32)):1}; done
-  echo "$id"
-}
 
 start platform bin/standin platform -listen 127.0.0.1:17000 -reboot-time 2s -list-lag 5s
 wait_for curl -sf http://127.0.0.1:17000/admin/counters
--- a/scripts/snapshot.sh
+++ b/scripts/snapshot.sh
@@ -6,18 +6,9 @@
 cd "$(dirname "$0")/.."
 first=$(realpath "${1:?}") second=$(realpath "${2:?}")
 logs=$(mktemp -d)
-stop() {
-  trap - EXIT INT TERM
-  stop_all
-  rm -rf "$logs"
-}
-trap stop EXIT
-trap 'exit 1' INT TERM
+clean_up_at_exit 1
 wait_for() {
-  for _ in $(seq 900); do
-    if "$@" >/dev/null 2>&1; then return 0; fi
-    sleep 0.1
-  done
+  poll 900 0.1 "$@" && return
   echo "timed out waiting for: $*" >&2
   return 1
 }
--- a/scripts/upgrade.sh
+++ b/scripts/upgrade.sh
@@ -16,10 +16,7 @@
 trap stop EXIT
 trap 'exit 1' INT TERM
 wait_for() {
-  for _ in $(seq 300); do
-    if "$@" >/dev/null 2>&1; then return 0; fi
-    sleep 0.1
-  done
+  poll 300 0.1 "$@" && return
   fail "timed out waiting for: $*"
 }
 fail() {
@@ -44,13 +41,6 @@
   shift 2
   curl -s -m 20 -D - -o /dev/null -H "Acaciatally-Team: $team" "$@" "http://${callers[$entry]}$path" | tr -d '\r'
 }
-request_id() { # prints a ULID: ten characters for the time in milliseconds, then sixteen random characters
-  local alphabet=0123456789ABCDEFGHJKMNPQRSTVWXYZ id='' time
-  time=$(date +%s%3N)
-  for _ in $(seq 10); do id=${alphabet:$((time % 32)):1}$id; time=$((time / 32)); done
-  for _ in $(seq 16); do id=$id${alphabet:$((RANDOM % 32)):1}; done
-  echo "$id"
-}
 start_entry() { start "entry-$1" "$2/acaciatally" serve -settings "$settings" -entry "entry-$1"; }
 ready() { curl -sf "http://${operators[$1]}/readyz"; }
 metric() { # metric ENTRY NAME: prints the sum of a metric over its labels
@@ -75,10 +65,7 @@
 
 start platform "$first/standin" platform -listen "$platform" -reboot-time 500ms -list-lag 2s
 wait_for curl -sf "http://$platform/admin/counters"
-while read -r line; do
-  start "$(field ID "$line")" "$first/standin" worker -id "$(field ID "$line")" -listen "$(field Address "$line")" -platform "$platform" \
-    -data-centre "$(field DataCentre "$line")" -rack "$(field Rack "$line")" -leave-time 100ms
-done < <(grep 'Slots:' "$settings")
+start_workers "$first/standin" "$settings" "$platform"
 for i in "${numbers[@]}"; do start_entry "$i" "$first"; done
 for i in "${numbers[@]}"; do wait_for ready "$i"; done
 echo "${#numbers[@]} entries of the first build are ready"
