--- a/membership/hello.go
+++ b/membership/hello.go
@@ -33,7 +33,8 @@
 	}
 	peer := m.peer(from)
 	if peer.hello.Incarnation != hello.Incarnation {
-		peer.lastStamp, peer.heardAt, peer.relayedAt, peer.headReadAt = 0, time.Time{}, time.Time{}, time.Time{}
+		peer.lastStamp = 0
+		peer.forgetContact()
 	}
 	peer.hello = Entry{
 		ID: from, Incarnation: hello.Incarnation, Address: peer.row.Address, DataCentre: acaciatally.DataCentre(hello.DataCentre),
