membership: let TestEntryWithoutRow depend on the entry without a row

Cause: the test asked for an acknowledgement before any entry had learned of the version, so the answer was no whatever the entry without a row had; with the rule that such an entry counts until it is inactive taken out of Acknowledged, all tests of the package passed. Change: the other entries acknowledge first, and the answer is yes once the entry without a row has the version, too.

--- a/membership/acknowledge_test.go
+++ b/membership/acknowledge_test.go
@@ -42,10 +42,13 @@
 func TestEntryWithoutRow(t *testing.T) {
 	s := newSimulation(9)
 	leaveAt5(s, 2)
-	s.rows = append(s.rows[:2:2], s.rows[3:]...)
 	s.noTable[2] = true
-	s.machines[0].RecordScan(s.now, s.rows)
+	s.run(3 * time.Second) // the other entries acknowledge
+	s.machines[0].RecordScan(s.now, append(s.rows[:2:2], s.rows[3:]...))
 	require.False(t, s.machines[0].Acknowledged(s.now, leavingInstance, 5))
+	s.machines[2].SetView(5, nil)
+	s.machines[0].ReceiveHello(s.now, entryID(2), s.machines[2].HelloFor(s.now, entryID(0)))
+	require.True(t, s.machines[0].Acknowledged(s.now, leavingInstance, 5), "the entry has the version")
 }
 
 // leaveAt5 puts version 5, in which the leaving instance is out of service, into force at all entries but the excepted ones.
