--- a/backlog/admission_test.go
+++ b/backlog/admission_test.go
@@ -8,7 +8,8 @@
 	"pgregory.net/rapid"
 )
 
-// TestAdmit guards against entries that accept more between two versions of the state than there is room for, and against refusals in calm.
+// TestAdmit guards against entries that accept more between two versions of the state than there is room for, and against refusals while the
+// leader publishes no state.
 func TestAdmit(t *testing.T) {
 	full := &State{Room: Room{Free: 400, FreedPerSecond: 100}, Sources: []SourceRoom{{Source: hot, Room: Room{FreedPerSecond: 50}}}}
 	tests := map[string]struct {
--- a/backlog/ledger.go
+++ b/backlog/ledger.go
@@ -22,7 +22,7 @@
 	// memoryShare is the share of the memory for jobs. Requests on their way in have as much; the rest is for the process itself, for the records
 	// of commits and reads, and for garbage.
 	memoryShare = 0.2
-	// MinLimit is the smallest limit with which the largest job is accepted in calm.
+	// MinLimit is the smallest limit with which the largest job is accepted while the leader publishes no State.
 	MinLimit = 4 << 20
 	// maxDefaultLimit is the limit of the smallest machines of the users' platform, of 184 MB.
 	maxDefaultLimit = 36 << 20
--- a/ingress/gate_test.go
+++ b/ingress/gate_test.go
@@ -226,7 +226,7 @@
 	})
 }
 
-// TestSlowBody guards against a caller on a slow link that is refused in calm, and against bodies that last too long.
+// TestSlowBody guards against a caller on a slow link that is refused without memory pressure, and against bodies that last too long.
 func TestSlowBody(t *testing.T) {
 	tests := map[string]struct {
 		rate   int // bytes per second
@@ -263,8 +263,7 @@
 	}
 }
 
-// TestSmallChunks guards against bodies in very small chunks that take the processor from others, and against the refusal of a single one
-// in calm.
+// TestSmallChunks guards against bodies in very small chunks that take the processor from others, and against the refusal of a single one.
 func TestSmallChunks(t *testing.T) {
 	text := chunked(strings.Split(strings.Repeat("a", documentedBody/16), "")...) + "0\r\n\r\n"
 	for _, clients := range []int{1, 10} {
--- a/ingress/ledger_test.go
+++ b/ingress/ledger_test.go
@@ -195,7 +195,8 @@
 	require.NotNil(t, a)
 }
 
-// TestFramingPause guards against chunk framing that uses up the processors, and against a pause that ends a single body in calm.
+// TestFramingPause guards against chunk framing that uses up the processors, and against a pause that ends a body
+// although there is no other one.
 func TestFramingPause(t *testing.T) {
 	for _, processors := range []float64{0.192, 0.8, 1} {
 		for _, bodies := range []int{1, 10, 150} {
--- a/ingress/room_test.go
+++ b/ingress/room_test.go
@@ -14,7 +14,7 @@
 )
 
 // TestSlowBodiesMakeRoom guards against stalled bodies that keep others from being served: the one that has held the most for longest is
-// refused, truthfully, before its time in calm is over.
+// refused, with a true outcome, before the time limit without memory pressure is over.
 func TestSlowBodiesMakeRoom(t *testing.T) {
 	runServer(t, Config{Limits: Limits{Bytes: 6 * largeBody}}, func(t *testing.T, s *testServer) {
 		first, second, third := s.dial(), s.dial(), s.dial()
--- a/site/account_admission_test.go
+++ b/site/account_admission_test.go
@@ -39,7 +39,7 @@
 	require.Len(t, log.states, before)
 }
 
-// TestAdmissionSettings guards against an admission that goes by the default entitlement although the settings have another.
+// TestAdmissionSettings guards against an admission that uses the default entitlement although the settings have another.
 func TestAdmissionSettings(t *testing.T) {
 	process := &Process{config: Config{QuotaOverage: 0.3, QuotaWindow: 8 * time.Second, QuotaSlack: 7}}
 	require.Equal(t, overload.Config{Overage: 0.3, Window: 8 * time.Second, Extra: 7}, process.entitlement())
--- a/site/start_delay.go
+++ b/site/start_delay.go
@@ -5,7 +5,7 @@
 const (
 	// startDelayInterval is the interval at which a leader determines how long jobs wait for it; it is that of the lease's renewals.
 	startDelayInterval = renewInterval
-	// startDelaySettleTime is how long after its first round of decisions a leader goes by the delay of the leader before it as well.
+	// startDelaySettleTime is how long after its first round of decisions a leader publishes no less than the delay of the leader before it.
 	startDelaySettleTime = 2 * time.Second
 )
 
--- a/task/full.go
+++ b/task/full.go
@@ -19,7 +19,7 @@
 	minBytes = 1 << 20
 	// roomShare is the share of MaxBytes below which a pool that was full accepts tasks again.
 	roomShare = 0.9
-	// fullCheckInterval is how long a frontend goes by what it has read about a pool.
+	// fullCheckInterval is how long a frontend uses what it has read about a pool.
 	fullCheckInterval = 250 * time.Millisecond
 	// fullRetryAfter is the time after which a task that was refused because its pool is full may be submitted again.
 	fullRetryAfter = 10 * time.Second
@@ -81,7 +81,7 @@
 	checkedAt map[acaciatally.PoolName]time.Time
 }
 
-// isFull returns whether a pool is full. While the table can't be read, it goes by what it has read before.
+// isFull returns whether a pool is full. While the table can't be read, it uses what it has read before.
 func (f *Frontend) isFull(ctx context.Context, pool acaciatally.PoolName) bool {
 	now := f.config.Clock.Now()
 	if checked, known := f.pools.checkedAt[pool]; known && now.Sub(checked) < fullCheckInterval {
--- a/wave/wave.go
+++ b/wave/wave.go
@@ -99,7 +99,7 @@
 	return true
 }
 
-// needsMaintenance reports whether the wave still has to maintain the instance. It goes by the instance's home pool, wherever it serves
+// needsMaintenance reports whether the wave still has to maintain the instance. What counts is the instance's home pool, wherever it serves
 // at the moment.
 func needsMaintenance(instance *fleet.Instance, wave fleet.Wave) bool {
 	inWave := len(wave.Pools) == 0 || slices.Contains(wave.Pools, instance.Home)
