--- a/task/faults_test.go
+++ b/task/controller_fault_test.go
@@ -88,20 +88,6 @@
 	return i.call(func() error { return i.Faults.Stop(context.WithoutCancel(ctx), name, attempt) })
 }
 
-// submitMixedTasks submits tasks with and without checkpoints, both idempotent and not, for a controller to place, vacate, resume and end.
-func submitMixedTasks(p *testPool) (specs []task.Spec) {
-	resumes := uses(4, 8, 2*time.Minute)
-	resumes.Checkpoints = true
-	for i, idempotent := range []bool{true, false} {
-		plain := spec(fmt.Sprintf("plain-%d", i), uses(2, 4, 90*time.Second))
-		long := spec(fmt.Sprintf("long-%d", i), resumes)
-		plain.Idempotent, long.Idempotent = idempotent, idempotent
-		specs = append(specs, plain, long)
-	}
-	p.submit(specs...)
-	return specs
-}
-
 // TestControllerInterrupted guards against a task that is lost, run twice or left unknown because its controller was killed or frozen
 // between any two of its writes.
 func TestControllerInterrupted(t *testing.T) {
@@ -144,111 +130,6 @@
 	require.Zero(t, p.tasks.MaxOveruse())
 }
 
-// TestDrainWorker guards against a drained worker that keeps its tasks, and against repeating work that a checkpoint covers.
-func TestDrainWorker(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		p := newTestPool(t, 1)
-		p.startController("entry-1")
-		specs := submitMixedTasks(p)
-		time.Sleep(30 * time.Second)
-		p.setState("chamber-1", task.Draining)
-		p.addWorker("chamber-2", workerSize)
-		p.waitFor(20*time.Second, func() bool { return len(p.tasks.Trace("long-1")) == 2 && len(p.tasks.Trace("long-0")) == 2 })
-		for _, taskSpec := range specs {
-			p.waitForPhase(taskSpec.ID, task.Done, 5*time.Minute)
-			p.requireNoRepeatedWork(taskSpec.ID)
-		}
-		require.Len(t, p.tasks.Trace("plain-1"), 1)
-	})
-}
-
-// TestLeaseExpiry guards against a non-idempotent task that is run again after its lease expired without reports, and against an
-// idempotent one that is not.
-func TestLeaseExpiry(t *testing.T) {
-	tests := map[string]func(p *testPool, stop func()){
-		"worker stops reporting": func(p *testPool, _ func()) {
-			p.tasks.SetFaults("chamber-1", standin.TaskWorkerFaults{Silent: true})
-			p.addWorker("chamber-2", workerSize)
-		},
-		"worker crashes": func(p *testPool, _ func()) {
-			p.tasks.Crash("chamber-1")
-			p.setState("chamber-1", task.Unavailable)
-			p.addWorker("chamber-2", workerSize)
-		},
-		"no controller for 5 minutes": func(p *testPool, stop func()) {
-			stop()
-			time.Sleep(5 * time.Minute)
-			p.startController("entry-2")
-		},
-		"platform down": func(p *testPool, _ func()) {
-			p.faults.Set(standin.Switches{Down: true})
-			time.Sleep(5 * time.Minute)
-			p.faults.Set(standin.Switches{})
-		},
-	}
-	for name, fault := range tests {
-		t.Run(name, func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) {
-				p := newTestPool(t, 1)
-				stop := p.startController("entry-1")
-				again, once := spec("again", uses(1, 1, 3*time.Minute)), spec("once", uses(1, 1, 3*time.Minute))
-				once.Idempotent = false
-				p.submit(again, once)
-				time.Sleep(10 * time.Second)
-				fault(p, stop)
-				p.waitForPhase("again", task.Done, 10*time.Minute)
-				record := p.waitForPhase("once", task.Unknown, 10*time.Minute)
-				require.Contains(t, record.Reason, "not idempotent")
-				time.Sleep(10 * time.Minute)
-				require.Len(t, p.tasks.Trace("once"), 1)
-				require.Len(t, p.tasks.Trace("again"), 2)
-			})
-		})
-	}
-}
-
-// TestTableOutage guards against tasks that are lost, repeated or ended because the table was down for an hour while they ran.
-func TestTableOutage(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		p := newTestPool(t, 2)
-		table := standin.NewFaults(standin.FaultsConfig{Table: p.table})
-		runner := p.newRunner("entry-1", table, p.faults)
-		go func() { _ = runner.Run(p.ctx) }()
-		specs := batch("long", 20, func(i int) task.Spec {
-			taskSpec := spec("", uses(8, 8, 40*time.Minute))
-			taskSpec.Idempotent = i%2 == 0
-			return taskSpec
-		})
-		p.submit(specs...)
-		time.Sleep(time.Minute)
-		table.Set(standin.Switches{Down: true})
-		time.Sleep(time.Hour)
-		require.NotZero(t, p.phases(specs)[task.Placed])
-		table.Set(standin.Switches{})
-		took := p.waitForDone(specs, 2*time.Hour)
-		t.Logf("took %v after the outage", took)
-		for _, taskSpec := range specs {
-			require.Len(t, p.tasks.Trace(taskSpec.ID), 1)
-		}
-	})
-}
-
-// TestLostCommitResponses guards against a start that is ordered twice or never because responses to commits were lost.
-func TestLostCommitResponses(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		p := newTestPool(t, 2)
-		p.startController("entry-1")
-		for i := range 10 {
-			p.faults.Set(standin.Switches{LoseCommitAnswers: 3})
-			taskSpec := spec(fmt.Sprintf("once-%d", i), uses(1, 1, 5*time.Second))
-			taskSpec.Idempotent = false
-			p.submit(taskSpec)
-			p.waitForPhase(taskSpec.ID, task.Done, 2*time.Minute)
-			require.Len(t, p.tasks.Trace(taskSpec.ID), 1)
-		}
-	})
-}
-
 // leaseTakeover lets another process take the pool's lease just before the controller's first write of a task.
 type leaseTakeover struct {
 	*standin.Faults
@@ -300,21 +181,19 @@
 	})
 }
 
-// TestTaskLeasesOutage guards against an attempt that is ended as lost because the reports of all attempts were missing for a while.
-func TestTaskLeasesOutage(t *testing.T) {
+// TestThrottleAfterTakeover guards against an attempt that stays throttled because the controller that throttled it was replaced.
+func TestThrottleAfterTakeover(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		p := newTestPool(t, 1)
-		leases := standin.NewFaults(standin.FaultsConfig{Leases: p.tasks})
-		runner := p.newRunner("entry-1", p.faults, leases)
-		go func() { _ = runner.Run(p.ctx) }()
-		once := spec("once", uses(1, 1, 30*time.Second))
-		once.Idempotent = false
-		p.submit(once)
-		time.Sleep(10 * time.Second)
-		leases.Set(standin.Switches{Down: true})
-		time.Sleep(5 * time.Minute)
-		leases.Set(standin.Switches{})
-		p.waitForPhase("once", task.Done, time.Minute)
+		stop := p.startController("entry-1")
+		p.submit(spec("a", uses(60, 8, time.Minute)))
+		p.waitForPhase("a", task.Placed, 10*time.Second)
+		time.Sleep(time.Second)
+		stop()
+		require.NoError(t, p.tasks.Throttle(t.Context(), "a", 1, 0.1))
+		p.startController("entry-2")
+		p.waitForPhase("a", task.Done, 2*time.Minute)
+		require.Len(t, p.tasks.Trace("a"), 1)
 	})
 }
 
@@ -338,63 +217,3 @@
 		require.Len(t, p.tasks.Trace("a"), 1)
 	})
 }
-
-// TestTasksOnWorker guards against stopping an instance on which tasks are running.
-func TestTasksOnWorker(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		p := newTestPool(t, 1)
-		p.startController("entry-1")
-		specs := batch("many", 600, func(int) task.Spec { return spec("", uses(0.1, 1, time.Hour)) })
-		once := spec("once", uses(1, 1, 2*time.Minute))
-		p.submit(once)
-		p.waitForPhase("once", task.Placed, time.Minute)
-		p.submit(specs...)
-		for _, taskSpec := range specs {
-			_, err := p.frontend.Cancel(p.ctx, taskSpec.Team, taskSpec.ID)
-			require.NoError(t, err)
-		}
-		p.setState("chamber-1", task.Draining)
-		ids, err := task.TasksOnWorker(p.ctx, p.table, poolName, "chamber-1")
-		require.NoError(t, err)
-		require.Equal(t, []string{"once"}, ids)
-		p.waitForPhase("once", task.Done, 3*time.Minute)
-		ids, err = task.TasksOnWorker(p.ctx, p.table, poolName, "chamber-1")
-		require.NoError(t, err)
-		require.Empty(t, ids)
-		p.faults.Set(standin.Switches{Down: true})
-		_, err = task.TasksOnWorker(p.ctx, p.faults, poolName, "chamber-1")
-		require.ErrorIs(t, err, acaciatally.ErrUnavailable)
-	})
-}
-
-// TestMovedWorker guards against a task that is ended as lost or run again because its worker was moved to another pool.
-func TestMovedWorker(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		p := newTestPool(t, 1)
-		p.startController("entry-1")
-		specs := submitMixedTasks(p)
-		time.Sleep(30 * time.Second)
-		p.removeWorker("chamber-1")
-		p.addWorker("chamber-2", workerSize)
-		for _, taskSpec := range specs {
-			p.waitForPhase(taskSpec.ID, task.Done, 10*time.Minute)
-			require.Len(t, p.tasks.Trace(taskSpec.ID), 1)
-		}
-	})
-}
-
-// TestThrottleAfterTakeover guards against an attempt that stays throttled because the controller that throttled it was replaced.
-func TestThrottleAfterTakeover(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		p := newTestPool(t, 1)
-		stop := p.startController("entry-1")
-		p.submit(spec("a", uses(60, 8, time.Minute)))
-		p.waitForPhase("a", task.Placed, 10*time.Second)
-		time.Sleep(time.Second)
-		stop()
-		require.NoError(t, p.tasks.Throttle(t.Context(), "a", 1, 0.1))
-		p.startController("entry-2")
-		p.waitForPhase("a", task.Done, 2*time.Minute)
-		require.Len(t, p.tasks.Trace("a"), 1)
-	})
-}
--- a/task/pool_test.go
+++ b/task/pool_test.go
@@ -252,3 +252,17 @@
 	}
 	return task.HeldLease{Epoch: l.row.Epoch, Condition: acaciatally.Condition{Key: leaseKey, Version: l.version}}, true
 }
+
+// submitMixedTasks submits tasks with and without checkpoints, both idempotent and not, for a controller to place, vacate, resume and end.
+func submitMixedTasks(p *testPool) (specs []task.Spec) {
+	resumes := uses(4, 8, 2*time.Minute)
+	resumes.Checkpoints = true
+	for i, idempotent := range []bool{true, false} {
+		plain := spec(fmt.Sprintf("plain-%d", i), uses(2, 4, 90*time.Second))
+		long := spec(fmt.Sprintf("long-%d", i), resumes)
+		plain.Idempotent, long.Idempotent = idempotent, idempotent
+		specs = append(specs, plain, long)
+	}
+	p.submit(specs...)
+	return specs
+}
