task: build the reason "no worker has ... free" only for tasks that wait

Cause: since the planner formatted this reason for each task, also for those that start. Change: noRoom is a function.

--- a/task/plan.go
+++ b/task/plan.go
@@ -168,24 +168,28 @@
 	if !p.respectsFloors(candidate) {
 		return "the floors of other classes with waiting tasks leave no room for class " + candidate.Urgency.String()
 	}
-	noRoom := "no worker has " + formatResources(candidate.Need) + " free"
 	if len(candidate.AvoidWorkers) == 0 && alreadyFailed(candidate, failed) {
-		return noRoom
+		return noRoom(candidate)
 	}
 	if load := p.bestFit(candidate); load != nil {
 		p.start(candidate, load, fmt.Sprintf("fits on %s with %s", load.Worker, formatResources(candidate.Need)))
 		return ""
 	}
 	if candidate.Urgency == acaciatally.Background {
-		return noRoom
+		return noRoom(candidate)
 	}
 	if queue.overQuota {
-		return "the team is over its quota and " + noRoom
+		return "the team is over its quota and " + noRoom(candidate)
 	}
 	if p.placeWithPreemption(candidate) {
 		return ""
 	}
-	return noRoom + ", and less urgent tasks cannot make room"
+	return noRoom(candidate) + ", and less urgent tasks cannot make room"
+}
+
+// noRoom returns the reason of a task whose resources are free on no worker.
+func noRoom(candidate Candidate) string {
+	return "no worker has " + formatResources(candidate.Need) + " free"
 }
 
 // reserve keeps the emptiest worker that could hold the task for it: no later task of its class and no less urgent one starts there in
