dispatch: count on start orders that are carried out seconds after a restart

Cause: a worker that has restarted under its ID and is cut off before any leader has reached it may still carry out a start order for its earlier incarnation, seconds later, and grants the longest lease from then on. The leader counted the longest lease from the restart, a next one from its own start.

TestRestartBetweenLeaders holds the runs of a worker that does not report for that time, and checks both sides of each bound now.

--- a/dispatch/restart_lease.go
+++ b/dispatch/restart_lease.go
@@ -7,6 +7,25 @@
 // lease. The leader that first hears from the new incarnation counts on that. It records it with the runs that it starts there, with the incarnation,
 // so that a later leader that never reaches the worker counts on it too.
 
+// maxCallDelay is how late a worker may carry out a call.
+const maxCallDelay = 12 * time.Second
+
+// lateStartDelay returns how long after the restart of a worker that has not been heard from since a start order for its earlier incarnation may be carried
+// out. Such a start begins a lease, too.
+func (w *worker) lateStartDelay() time.Duration {
+	for t := range w.runs {
+		if t.startMayBeLate() {
+			return maxCallDelay
+		}
+	}
+	return 0
+}
+
+// startMayBeLate reports whether a start order of the run may be on its way: one has had no answer, or an earlier leader has sent it.
+func (t *task) startMayBeLate() bool {
+	return t.stage == stageInherited || t.stage == stageOrdered || t.startOutcomeUnknown || t.startAttempts > 1
+}
+
 // noteRestartLease notes until when the lease of an incarnation may last that has just reported for the first time.
 func (s *Scheduler) noteRestartLease(w *worker, now time.Duration) {
 	if w.restartedAt > 0 || w.inheritsLongLease || w.restartedSinceRecord(w.startTime) {
--- a/dispatch/restart_lease_test.go
+++ b/dispatch/restart_lease_test.go
@@ -154,15 +154,16 @@
 func TestRestartBetweenLeaders(t *testing.T) {
 	const start = 20 * time.Second
 	recorded := testWorker(1)
+	usual, longest := testLeader(2, start).usualLease(), testLeader(2, start).longestLease()
 	tests := map[string]struct {
 		listed  acaciatally.Worker
 		reports bool
-		longest bool
+		held    time.Duration // how long the runs are held for a worker that is silent from then on
 	}{
-		"restarted, reports":      {restartedWorker(), true, true},
-		"restarted, does not":     {restartedWorker(), false, true},
-		"not restarted, reports":  {recorded, true, false},
-		"not restarted, does not": {recorded, false, false},
+		"restarted, reports":      {restartedWorker(), true, longest},
+		"restarted, does not":     {restartedWorker(), false, maxCallDelay + longest},
+		"not restarted, reports":  {recorded, true, usual},
+		"not restarted, does not": {recorded, false, usual},
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
@@ -178,12 +179,12 @@
 			running := acaciatally.RunningTask{Task: acaciatally.TaskRef{Job: "aa"}, Attempt: 1}
 			if test.reports {
 				renewAndReport(t, next, test.listed, time.Second, start, running)
-				require.Len(t, next.Renewals(start+time.Second), 1)
+				require.Len(t, next.Renewals(start+minRenewInterval+renewIntervalPerWorker), 1)
 			}
 			next.RenewalFailed(recorded.ID, acaciatally.ErrUnknownOutcome, start+time.Second)
-			next.Plan(start+8*time.Second, time.UnixMilli(0))
-			require.Equal(t, test.longest, len(next.workers[recorded.ID].runs) == 1)
-			next.Plan(start+next.longestLease()+time.Millisecond, time.UnixMilli(0))
+			next.Plan(start+test.held-time.Millisecond, time.UnixMilli(0))
+			require.Len(t, next.workers[recorded.ID].runs, 1)
+			next.Plan(start+test.held+100*time.Millisecond, time.UnixMilli(0))
 			require.Empty(t, next.workers[recorded.ID].runs)
 		})
 	}
@@ -207,3 +208,36 @@
 	require.Greater(t, after.Fence, before.Fence)
 	require.Empty(t, scheduler.workers[w.ID].runs)
 }
+
+// Guards against two runs of a task: a start order without an answer may be carried out seconds after the restart of a worker that is not heard from.
+func TestRunsHeldForLateStart(t *testing.T) {
+	tests := map[string]struct {
+		answer error
+		delay  time.Duration
+	}{
+		"start order answered":      {nil, 0},
+		"start order has no answer": {acaciatally.ErrUnknownOutcome, maxCallDelay},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			scheduler, eventLog := newScheduler()
+			w := testWorker(1)
+			scheduler.SetDirectory([]acaciatally.Worker{w}, time.Second)
+			renewAndReport(t, scheduler, w, time.Second, time.Second)
+			loadJob(scheduler, "aa", time.Second, testStep(1, 1000))
+			scheduler.Plan(time.Second, time.UnixMilli(0))
+			commitAll(scheduler, time.Second)
+			orders := scheduler.Orders(time.Second)
+			require.Len(t, orders, 1)
+			scheduler.OrderResult(orders[0], test.answer, 2*time.Second)
+			restartedAt := 3 * time.Second
+			scheduler.SetDirectory([]acaciatally.Worker{restartedWorker()}, restartedAt)
+			over := restartedAt + test.delay + scheduler.longestLease()
+			scheduler.Plan(over-time.Millisecond, time.UnixMilli(0))
+			require.Len(t, scheduler.workers[w.ID].runs, 1)
+			scheduler.Plan(over+time.Millisecond, time.UnixMilli(0))
+			require.Empty(t, scheduler.workers[w.ID].runs)
+			require.Equal(t, 1, eventLog.counts["LeaseExpired Restart"])
+		})
+	}
+}
--- a/dispatch/worker_lease.go
+++ b/dispatch/worker_lease.go
@@ -33,8 +33,10 @@
 	case w.reportedAt > 0:
 		return now > w.restartLease && w.estimatedClock(now) > w.leaseUntil+leaseExpiryMargin
 	case w.restartedAt > 0:
-		return now > w.restartedAt+s.longestLease()
-	case w.inheritsLongLease || w.restartedSinceRecord(w.entry.StartTime):
+		return now > w.restartedAt+w.lateStartDelay()+s.longestLease()
+	case w.restartedSinceRecord(w.entry.StartTime):
+		return now > s.lastExtension(w.entry.ID)+w.lateStartDelay()+s.longestLease()
+	case w.inheritsLongLease:
 		return now > s.lastExtension(w.entry.ID)+s.longestLease()
 	}
 	return now > s.lastExtension(w.entry.ID)+s.usualLease()
