--- /dev/null
+++ b/dispatch/takeover_lease_test.go
@@ -0,0 +1,52 @@
+package dispatch
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/acaciatally/acaciatally"
+	"github.com/acaciatally/acaciatally/job"
+)
+
+const takeoverStart = 20 * time.Second // start of the term of the leader that takes over
+
+// runOnWorker returns the accepted record and the progress of a job with one run on the worker i-1.
+func runOnWorker(run job.Task) (job.Accepted, job.Progress) {
+	accepted := job.Accepted{
+		Spec: acaciatally.JobSpec{Steps: []acaciatally.Step{testStep(1, 1000)}}, Queue: acaciatally.Queue{Name: "quotes", Pool: testPool, Attempts: 2},
+	}
+	run.Phase, run.Attempt, run.Worker = job.Assigned, 1, "i-1"
+	return accepted, job.Progress{State: acaciatally.JobRunning, Next: 1, Open: []job.Occurrence{{Steps: [][]job.Task{{run}}}}}
+}
+
+// requireHeldForLongestLease requires that the runs on a worker that has not answered since its last report are held until the longest lease is over.
+func requireHeldForLongestLease(t *testing.T, scheduler *Scheduler, reportedAt time.Duration) {
+	t.Helper()
+	scheduler.RenewalFailed("i-1", acaciatally.ErrUnknownOutcome, reportedAt+time.Second)
+	scheduler.Plan(reportedAt+9*time.Second, time.UnixMilli(0))
+	require.Len(t, scheduler.workers["i-1"].runs, 1, "the lease may be in force")
+	scheduler.Plan(reportedAt+scheduler.longestLease()+renewalAnswerTime+time.Millisecond, time.UnixMilli(0))
+	require.Empty(t, scheduler.workers["i-1"].runs)
+}
+
+// Guards against two runs of a task: the lease of a worker without recorded runs was taken for the usual one, though a renewal of the leader before may
+// have reached it after a restart.
+func TestRestartOfIdleWorkerBetweenLeaders(t *testing.T) {
+	former := testLeader(1, time.Second)
+	w := testWorker(1)
+	former.SetDirectory([]acaciatally.Worker{w}, time.Second)
+	renewAndReport(t, former, w, time.Minute, time.Second)
+	late := renewAndReport(t, former, w, time.Minute+time.Second, 2*time.Second)
+	require.NotZero(t, late.LeaseUntil, "the worker may carry this renewal out after its restart")
+
+	w = restartedWorker()
+	next := testLeader(2, takeoverStart)
+	next.SetDirectory([]acaciatally.Worker{w}, takeoverStart)
+	renewAndReport(t, next, w, time.Second, takeoverStart)
+	loadJob(next, "aa", takeoverStart, testStep(1, 1000))
+	require.Len(t, startDue(next, takeoverStart), 1)
+	require.Len(t, next.Renewals(takeoverStart+time.Second), 1)
+	requireHeldForLongestLease(t, next, takeoverStart)
+}
