--- a/dispatch/takeover_lease_test.go
+++ b/dispatch/takeover_lease_test.go
@@ -31,6 +31,29 @@
 	require.Empty(t, scheduler.workers["i-1"].runs)
 }
 
+// Guards against two runs of a task: a worker that answered a renewal before its jobs were loaded was taken to hold the usual lease, though their records
+// show that it may hold the longest.
+func TestLongLeaseLoadedAfterReport(t *testing.T) {
+	w := restartedWorker()
+	tests := map[string]job.Task{
+		"recorded long lease": {WorkerStart: w.StartTime, LongLease: true},
+		"restarted since":     {WorkerStart: testWorker(1).StartTime},
+	}
+	for name, run := range tests {
+		t.Run(name, func(t *testing.T) {
+			next := testLeader(2, takeoverStart)
+			next.SetDirectory([]acaciatally.Worker{w}, takeoverStart)
+			now := takeoverStart + loadingRenewDelay
+			require.Len(t, next.LoadingRenewals(now), 1)
+			next.LoadingReport(w.ID, acaciatally.WorkerReport{Clock: time.Minute, StartTime: w.StartTime}, now)
+			require.Len(t, next.LoadingRenewals(now), 1)
+			accepted, progress := runOnWorker(run)
+			next.LoadJob("aa", accepted, progress, 0, now)
+			requireHeldForLongestLease(t, next, now)
+		})
+	}
+}
+
 // Guards against two runs of a task: the lease of a worker without recorded runs was taken for the usual one, though a renewal of the leader before may
 // have reached it after a restart.
 func TestRestartOfIdleWorkerBetweenLeaders(t *testing.T) {
