--- a/dispatch/takeover_lease_test.go
+++ b/dispatch/takeover_lease_test.go
@@ -73,3 +73,42 @@
 	require.Len(t, next.Renewals(takeoverStart+time.Second), 1)
 	requireHeldForLongestLease(t, next, takeoverStart)
 }
+
+// Guards against two runs of a task: a leader that knew of the restart only from the worker's directory record did not record it, and the next leader no
+// longer found that record.
+func TestRestartKnownFromRemovedDirectoryRecord(t *testing.T) {
+	w := restartedWorker()
+	accepted, progress := runOnWorker(job.Task{WorkerStart: testWorker(1).StartTime})
+	second := testLeader(2, takeoverStart)
+	second.LoadJob("aa", accepted, progress, 0, takeoverStart)
+	second.SetDirectory([]acaciatally.Worker{w}, takeoverStart)
+	second.Plan(takeoverStart+time.Second, time.UnixMilli(0))
+
+	thirdStart := takeoverStart + 2*time.Second
+	third := testLeader(3, thirdStart)
+	third.LoadJob("aa", accepted, decoded(t, second.progress(second.jobs["aa"], takeoverStart+time.Second)), 0, thirdStart)
+	third.SetDirectory(nil, thirdStart)
+	third.Plan(thirdStart+third.usualLease()+time.Millisecond, time.UnixMilli(0))
+	require.Len(t, third.workers[w.ID].runs, 1, "the lease may be in force")
+}
+
+// Guards against two runs of a task: the leader that saw the restart kept a run that a late start order had begun, but its record did not say that the
+// lease may be the longest, and the next leader no longer found the worker in the directory.
+func TestRunKeptAcrossRestartIsRecorded(t *testing.T) {
+	leader := testLeader(1, time.Second)
+	w := testWorker(1)
+	leader.SetDirectory([]acaciatally.Worker{w}, time.Second)
+	renewAndReport(t, leader, w, time.Second, time.Second)
+	loadJob(leader, "aa", time.Second, testStep(1, 1000))
+	order := startDue(leader, time.Second)[0]
+	running := acaciatally.RunningTask{Task: order.Start.Task, Attempt: 1, Percent: 10}
+	renewAndReport(t, leader, w, 2*time.Second, 2*time.Second, running)
+	commitAll(leader, 2*time.Second)
+	require.False(t, leader.jobs["aa"].dirty)
+
+	w = restartedWorker()
+	leader.SetDirectory([]acaciatally.Worker{w}, takeoverStart)
+	renewAndReport(t, leader, w, time.Second, takeoverStart, running)
+	require.Len(t, leader.workers[w.ID].runs, 1)
+	require.True(t, leader.jobs["aa"].dirty, "the record still names the earlier incarnation and the usual lease")
+}
