--- a/dispatch/takeover_lease_test.go
+++ b/dispatch/takeover_lease_test.go
@@ -112,3 +112,17 @@
 	require.Len(t, leader.workers[w.ID].runs, 1)
 	require.True(t, leader.jobs["aa"].dirty, "the record still names the earlier incarnation and the usual lease")
 }
+
+// Guards against two runs of a task after an upgrade: a record of an earlier release does not name the worker's incarnation, so that it may have restarted
+// since.
+func TestRestartAfterRecordOfEarlierRelease(t *testing.T) {
+	w := restartedWorker()
+	accepted, progress := runOnWorker(job.Task{})
+	next := testLeader(2, takeoverStart)
+	next.LoadJob("aa", accepted, progress, 0, takeoverStart)
+	next.SetDirectory([]acaciatally.Worker{w}, takeoverStart)
+	running := acaciatally.RunningTask{Task: acaciatally.TaskRef{Job: "aa"}, Attempt: 1}
+	renewAndReport(t, next, w, time.Minute, takeoverStart, running)
+	require.Len(t, next.Renewals(takeoverStart+time.Second), 1)
+	requireHeldForLongestLease(t, next, takeoverStart)
+}
