dispatch: test that the longest lease costs no wait and no commits in ordinary cases

A worker that is lost for good at a change of leaders, without a restart, is given up after the usual lease, also when it leaves the directory. A job whose worker has restarted is recorded once more when its lease is the usual one again, not more often.

--- a/dispatch/takeover_lease_test.go
+++ b/dispatch/takeover_lease_test.go
@@ -126,3 +126,42 @@
 	require.Len(t, next.Renewals(takeoverStart+time.Second), 1)
 	requireHeldForLongestLease(t, next, takeoverStart)
 }
+
+// Guards against tasks that wait for the longest lease of a worker that has not restarted, after a change of leaders at which it is lost for good.
+func TestUsualLeaseOfLostWorker(t *testing.T) {
+	w := testWorker(1)
+	accepted, progress := runOnWorker(job.Task{WorkerStart: w.StartTime})
+	next := testLeader(2, takeoverStart)
+	next.SetDirectory([]acaciatally.Worker{w}, takeoverStart)
+	next.LoadJob("aa", accepted, progress, 0, takeoverStart)
+	next.SetDirectory(nil, takeoverStart+time.Second)
+	next.Plan(takeoverStart+next.usualLease()-time.Millisecond, time.UnixMilli(0))
+	require.Len(t, next.workers[w.ID].runs, 1)
+	next.Plan(takeoverStart+next.usualLease()+time.Millisecond, time.UnixMilli(0))
+	require.Empty(t, next.workers[w.ID].runs)
+}
+
+// Guards against a job that is recorded again and again once the longest lease of its worker is over.
+func TestRecordedOnceAfterLongestLease(t *testing.T) {
+	leader := testLeader(1, time.Second)
+	w := testWorker(1)
+	leader.SetDirectory([]acaciatally.Worker{w}, time.Second)
+	renewAndReport(t, leader, w, time.Second, time.Second)
+	w = restartedWorker()
+	leader.SetDirectory([]acaciatally.Worker{w}, 2*time.Second)
+	renewAndReport(t, leader, w, time.Second, 2*time.Second)
+	loadJob(leader, "aa", 2*time.Second, testStep(1, 1000))
+	order := startDue(leader, 2*time.Second)[0]
+	running := acaciatally.RunningTask{Task: order.Start.Task, Attempt: 1, Percent: 10}
+	commits := 0
+	for now := 3 * time.Second; now < 30*time.Second; now += 500 * time.Millisecond {
+		leader.Report(w.ID, acaciatally.WorkerReport{Clock: now, StartTime: w.StartTime, Running: []acaciatally.RunningTask{running}}, now, now)
+		leader.Plan(now, time.UnixMilli(0))
+		for _, commit := range leader.Commits(now) {
+			commits++
+			leader.Committed(commit, 2, now)
+		}
+		require.False(t, leader.jobs["aa"].dirty)
+	}
+	require.LessOrEqual(t, commits, 2, "the start, and the usual lease")
+}
