dispatch: do not keep an ended job whose last commit has nothing to write

Cause: a job without an account that ends while runs are being stopped becomes dirty again with the end of the last run, when its records are deleted already. addToCommit marked it as in a commit, buildCommit returned none, and nothing took the mark back: the job kept its memory in the backlog, and its ID, until the next leader.

Change: a commit with nothing to write finishes its jobs at once, and their ends may be acknowledged.

--- a/dispatch/commit.go
+++ b/dispatch/commit.go
@@ -91,6 +91,7 @@
 		commit.expiredDeleted++
 	}
 	if len(tx.Writes) == 0 && len(tx.Deletes) == 0 {
+		s.finishCommitted(commit)
 		return nil
 	}
 	tx.Conditions = []acaciatally.RecordCondition{{RecordKey: OwnerKey(queue), Version: p.ownerVersion}}
@@ -98,6 +99,15 @@
 	return commit
 }
 
+// finishCommitted handles a commit with nothing to write: the records of its jobs are up to date.
+func (s *Scheduler) finishCommitted(commit *Commit) {
+	for _, committed := range commit.committedJobs {
+		committed.job.inCommit = false
+		s.markEndsRecorded(committed.job.endsInCommit)
+		committed.job.endsInCommit = nil
+	}
+}
+
 // largestRecord returns the size of the largest record that the transaction writes, in bytes.
 func (c *Commit) largestRecord() (size int) {
 	for _, write := range c.Transaction.Writes {
