dispatch: learn of restarts around a change of leaders in four more cases

Cause: a leader counted the usual lease of a restarted worker where it could not know better from the records: of a worker without recorded runs; where the records were loaded after the worker's first report; where the worker restarted within its term before it had reached it; and where the former leader knew of the restart from the directory only, had not recorded that, and the entry was gone. A late call for the earlier incarnation then leads to two runs of a task.

Change: a restart that the directory shows counts before the first report too, and makes the jobs of the worker's runs be recorded, with the incarnation that has last been heard from and LongLease. The records are looked at again when they are loaded after the report. A worker that was there when the term began and of whose incarnation no record tells may hold the longest lease from its first report on; the first leader of a deployment has no predecessor and does not count so.

--- a/dispatch/jobs.go
+++ b/dispatch/jobs.go
@@ -60,7 +60,7 @@
 			t.crashes, t.unconfirmedCrashes, t.crashStreak = recorded.Crashes, recorded.UnconfirmedCrashes, recorded.CrashStreak
 			t.progressedAt = now
 			if t.phase == job.Assigned {
-				s.inherit(t, recorded)
+				s.inherit(t, recorded, now)
 			}
 			tasks = append(tasks, t)
 		}
@@ -70,13 +70,17 @@
 }
 
 // inherit adds the recorded run of a task to its worker. If the worker is lost already, so is the run.
-func (s *Scheduler) inherit(t *task, recorded job.Task) {
+func (s *Scheduler) inherit(t *task, recorded job.Task, now time.Duration) {
 	w := s.worker(recorded.Worker)
+	w.knownBefore = true
 	w.inheritsLongLease = w.inheritsLongLease || recorded.LongLease
 	w.longLeaseRecorded = w.longLeaseRecorded || recorded.LongLease
 	if recorded.WorkerStart.After(w.recordedStart) {
 		w.recordedStart = recorded.WorkerStart
 	}
+	if w.reportedAt > 0 && s.restartedBefore(w) {
+		s.noteRestartLease(w, now) // it has reported before the record was loaded
+	}
 	if w.lost {
 		s.config.EventLog.RunDropped(t.ref, t.attempt, recorded.Worker, "worker was lost before the job was loaded")
 		t.release()
--- a/dispatch/restart_lease.go
+++ b/dispatch/restart_lease.go
@@ -28,11 +28,18 @@
 
 // noteRestartLease notes until when the lease of an incarnation may last that has just reported for the first time.
 func (s *Scheduler) noteRestartLease(w *worker, now time.Duration) {
-	if w.restartedAt > 0 || w.inheritsLongLease || w.restartedSinceRecord(w.startTime) {
+	if w.restartedAt > 0 || s.restartedBefore(w) {
 		w.restartLease = now + s.longestLease()
 	}
 }
 
+// restartedBefore reports whether the worker that has reported may have restarted in the term of an earlier leader, or between two terms. Without a
+// record that names its incarnation, that is not known of a worker that was listed when this term began.
+func (s *Scheduler) restartedBefore(w *worker) bool {
+	unknown := w.recordedStart.IsZero() && w.knownBefore && s.config.Epoch > 1
+	return unknown || w.inheritsLongLease || w.restartedSinceRecord(w.startTime)
+}
+
 // restartedSinceRecord reports whether the start of the worker's incarnation differs from that for which an earlier leader has recorded runs. It is earlier
 // if the worker's time of day was set back.
 func (w *worker) restartedSinceRecord(startTime time.Time) bool {
@@ -41,16 +48,16 @@
 
 // knownStart returns the start of the latest incarnation that this leader has heard from, or else that an earlier one has recorded.
 func (w *worker) knownStart() time.Time {
-	if w.startTime.IsZero() {
+	if w.heardStart.IsZero() {
 		return w.recordedStart
 	}
-	return w.startTime
+	return w.heardStart
 }
 
 // mayHoldLongLease reports whether the worker's lease may last for longer from now on than the usual one.
 func (s *Scheduler) mayHoldLongLease(w *worker, now time.Duration) bool {
 	if w.reportedAt == 0 {
-		return w.inheritsLongLease || w.restartedAt > 0
+		return w.inheritsLongLease || w.restartedAt > 0 || w.restartedSinceRecord(w.entry.StartTime)
 	}
 	return now+s.usualLease() < w.restartLease
 }
--- a/dispatch/scheduler.go
+++ b/dispatch/scheduler.go
@@ -51,6 +51,7 @@
 	nextFullScanAt  time.Duration // time of the next search of all workers for orders
 	busyWorkers     int           // workers with runs
 	fenceBumps      uint64        // incremented to invalidate orders that are still in flight
+	directoryRead   bool          // the worker directory has been read
 	arrivals        map[acaciatally.PoolName]*arrivals
 	accountJobs     map[acaciatally.AccountName]*accountJobs
 	runTimes        map[acaciatally.QueueName]*runTimeMeans
--- a/dispatch/worker.go
+++ b/dispatch/worker.go
@@ -39,6 +39,8 @@
 	load              load            // of the assigned tasks
 	leftovers         map[runKey]leftover
 	restartLease      time.Duration // when the longest lease that a call for the earlier incarnation may have given to this one is over
+	knownBefore       bool          // listed, or named by a record, when this term of leadership began
+	heardStart        time.Time     // start of the latest incarnation that has reported to this leader; zero without one
 	recordedStart     time.Time     // start of the latest incarnation for which an earlier leader has recorded runs; zero without one
 	inheritsLongLease bool          // an earlier leader has recorded runs on it while its lease could be the longest
 	longLeaseRecorded bool          // so has this leader, or the one before
@@ -111,7 +113,7 @@
 		w := s.workers[entry.ID]
 		if w == nil {
 			w = s.worker(entry.ID)
-			w.entry, w.idleSince = entry, now
+			w.entry, w.idleSince, w.knownBefore = entry, now, !s.directoryRead
 			s.config.EventLog.WorkerChanged(entry.ID, entry.Pool, "listed", 0)
 		}
 		s.updateEntry(w, entry, now)
@@ -128,6 +130,7 @@
 			delete(s.workers, id)
 		}
 	}
+	s.directoryRead = true
 	s.loseSuperseded(now)
 }
 
@@ -219,11 +222,14 @@
 // handleRestart handles that a worker process has restarted under the same ID: it has no runs from before and has seen no fencing token.
 // Its runs are kept until its next report, since runs ordered recently may have started in the new incarnation.
 func (s *Scheduler) handleRestart(w *worker, startTime time.Time, now time.Duration) {
-	seenBefore := !w.startTime.IsZero() || w.reported
+	seenBefore := !w.startTime.IsZero() || w.reported || !w.entry.StartTime.IsZero() && !startTime.Equal(w.entry.StartTime)
 	w.startTime = startTime
 	if !seenBefore {
 		return
 	}
+	for t := range w.runs {
+		t.job.dirty = true // its record does not tell of the restart
+	}
 	s.config.EventLog.WorkerChanged(w.entry.ID, w.entry.Pool, "restarted", now-w.reportedAt)
 	s.raiseFence(w)
 	w.suspects = s.suspectsOn(w)
--- a/dispatch/worker_lease.go
+++ b/dispatch/worker_lease.go
@@ -57,7 +57,7 @@
 	if w.reportedAt == 0 {
 		s.noteRestartLease(w, now)
 	}
-	w.renewalFailures, w.reportClock, w.reportedAt = 0, clock, now
+	w.renewalFailures, w.reportClock, w.reportedAt, w.heardStart = 0, clock, now, w.startTime
 }
 
 // expireLeases releases the runs of workers whose lease is certainly over.
