--- a/dispatch/report.go
+++ b/dispatch/report.go
@@ -85,17 +85,12 @@
 	if !report.StartTime.IsZero() && !report.StartTime.Equal(w.startTime) {
 		s.handleRestart(w, report.StartTime, now)
 	}
-	return s.hasSeenFence(w, fence)
-}
-
-// hasSeenFence reports whether the worker, from which this leader has not heard before, has seen its present fencing token, as it has answered a renewal
-// with the token fence. Until then it may still start runs whose orders were meant for its earlier incarnation.
-func (s *Scheduler) hasSeenFence(w *worker, fence uint64) bool {
-	if w.reported || fence == 0 || fence == s.fence(w) {
-		return true
-	}
-	w.nextRenewalAt, w.nextLoadingRenewalAt = 0, 0 // the next renewal tells the token
-	return false
+	if !w.reported && fence != 0 && fence != s.fence(w) {
+		// The worker may still start runs whose orders were meant for its earlier incarnation. The next renewal tells it the present token.
+		w.nextRenewalAt, w.nextLoadingRenewalAt = 0, 0
+		return false
+	}
+	return true
 }
 
 // handleRunning updates the task of a running run. It returns false if the run is not the current run of a known task.
--- a/dispatch/restart_lease.go
+++ b/dispatch/restart_lease.go
@@ -29,7 +29,7 @@
 // noteRestartLease notes until when the lease of an incarnation may last that has just reported for the first time.
 func (s *Scheduler) noteRestartLease(w *worker, now time.Duration) {
 	if w.restartedAt > 0 || s.restartedBefore(w) {
-		w.restartLease = now + s.longestLease()
+		w.longLeaseUntil = now + s.longestLease()
 	}
 }
 
@@ -59,7 +59,7 @@
 	if w.reportedAt == 0 {
 		return w.inheritsLongLease || w.restartedAt > 0 || w.restartedSinceRecord(w.entry.StartTime)
 	}
-	return now+s.usualLease() < w.restartLease
+	return now+s.usualLease() < w.longLeaseUntil
 }
 
 // recordUsualLease makes the jobs with runs on the worker be recorded anew once its lease is the usual one again.
--- a/dispatch/worker.go
+++ b/dispatch/worker.go
@@ -38,7 +38,7 @@
 	runs              map[*task]bool  // assigned tasks
 	load              load            // of the assigned tasks
 	leftovers         map[runKey]leftover
-	restartLease      time.Duration // when the longest lease that a call for the earlier incarnation may have given to this one is over
+	longLeaseUntil    time.Duration // when the longest lease that a call for the earlier incarnation may have given to this one is over
 	knownBefore       bool          // listed, or named by a record, when this term of leadership began
 	heardStart        time.Time     // start of the latest incarnation that has reported to this leader; zero without one
 	recordedStart     time.Time     // start of the latest incarnation for which an earlier leader has recorded runs; zero without one
--- a/dispatch/worker_lease.go
+++ b/dispatch/worker_lease.go
@@ -31,7 +31,7 @@
 func (s *Scheduler) leaseExpired(w *worker, now time.Duration) bool {
 	switch {
 	case w.reportedAt > 0:
-		return now > w.restartLease && w.estimatedClock(now) > w.leaseUntil+leaseExpiryMargin
+		return now > w.longLeaseUntil && w.estimatedClock(now) > w.leaseUntil+leaseExpiryMargin
 	case w.restartedAt > 0:
 		return now > w.restartedAt+w.lateStartDelay()+s.longestLease()
 	case w.restartedSinceRecord(w.entry.StartTime):
