--- a/dispatch/worker.go
+++ b/dispatch/worker.go
@@ -43,7 +43,7 @@
 	heardStart        time.Time     // start of the latest incarnation that has reported to this leader; zero without one
 	recordedStart     time.Time     // start of the latest incarnation for which an earlier leader has recorded runs; zero without one
 	inheritsLongLease bool          // an earlier leader has recorded runs on it while its lease could be the longest
-	longLeaseRecorded bool          // so has this leader, or the one before
+	longLeaseRecorded bool          // the records of runs on it say that its lease may be the longest
 	neighbours        *neighbours   // kinds of tasks on it; nil if interference is not observed
 	suspectRuns       int           // assigned tasks that are suspected of having crashed workers
 	suspects          []suspectRun  // runs that may have crashed the incarnation before, until the first report of this one
@@ -227,9 +227,6 @@
 	if !seenBefore {
 		return
 	}
-	for t := range w.runs {
-		t.job.dirty = true // its record does not tell of the restart
-	}
 	s.config.EventLog.WorkerChanged(w.entry.ID, w.entry.Pool, "restarted", now-w.reportedAt)
 	s.raiseFence(w)
 	w.suspects = s.suspectsOn(w)
@@ -237,6 +234,7 @@
 	w.unackedEnds, w.lastReportHadEnds, w.health, w.speed = nil, false, health{}, speed.Worker{}
 	w.orphans = map[runKey]bool{}
 	for t := range w.runs {
+		t.job.dirty = true // its record does not tell of the restart
 		if t.step.Backfill {
 			t.cpuShare = unknownCPUShare
 		}
